--- /dev/null
+++ b/cmd/pimentoarch/main.go
@@ -0,0 +1,146 @@
+// Command pimentoarch runs an entry of the load balancer, checks published
+// documents, and shows what an entry knows.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/samber/oops"
+
+	"pimentoarch/pimentoentry"
+)
+
+type entryCmd struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of this VM, as JSON"`
+	Name     string `arg:"--name" help:"goes before the name in the file"`
+	Callers  string `arg:"--callers" placeholder:"IP:PORT" help:"goes before the callers' address in the file"`
+	Peers    string `arg:"--peers" placeholder:"IP:PORT" help:"goes before the peers' address in the file"`
+	Admin    string `arg:"--admin" placeholder:"IP:PORT" help:"goes before the operators' address in the file"`
+	Log      string `arg:"--log" placeholder:"LEVEL" help:"goes before the log level in the file"`
+}
+
+type checkCmd struct {
+	File string `arg:"positional,required" help:"document with register and rules, as JSON"`
+}
+
+type statusCmd struct {
+	Address string `arg:"positional,required" placeholder:"IP:PORT" help:"an entry's address for operators"`
+	JSON    bool   `arg:"--json" help:"print JSON"`
+}
+
+type args struct {
+	Entry  *entryCmd  `arg:"subcommand:entry" help:"run an entry"`
+	Check  *checkCmd  `arg:"subcommand:check" help:"list the errors of a register and rules file"`
+	Status *statusCmd `arg:"subcommand:status" help:"show what an entry knows"`
+}
+
+// Description is shown by --help.
+func (args) Description() string {
+	return "pimentoarch is a load balancer for servers whose load shifts in milliseconds."
+}
+
+// Exit statuses.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(argv []string, stdout, stderr io.Writer) int {
+	var a args
+	p, err := arg.NewParser(arg.Config{Program: "pimentoarch"}, &a)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if err := p.Parse(argv); err != nil {
+		if errors.Is(err, arg.ErrHelp) {
+			_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
+			return exitOK
+		}
+		fmt.Fprintf(stderr, "pimentoarch: %v\n", err)
+		return exitSettings
+	}
+	switch {
+	case a.Entry != nil:
+		return runEntry(a.Entry, stderr)
+	case a.Check != nil:
+		return runCheck(a.Check, stdout, stderr)
+	case a.Status != nil:
+		return runStatus(a.Status, stdout, stderr)
+	}
+	fmt.Fprintln(stderr, "pimentoarch: a command is required: entry, check or status")
+	return exitSettings
+}
+
+func runEntry(cmd *entryCmd, stderr io.Writer) int {
+	s, err := cmd.load()
+	if err != nil {
+		fmt.Fprintf(stderr, "pimentoarch: %s: %v\n", cmd.Settings, err)
+		return exitSettings
+	}
+	logger := newLogger(stderr, s.Log)
+	e, cleanup, err := pimentoentry.New(s, logger)
+	if err != nil {
+		_ = level.Error(logger).Log("msg", "start", "err", oops.In("entry").Wrap(err))
+		return exitFailed
+	}
+	defer cleanup()
+	if err := e.Run(stopSignal(logger)); err != nil {
+		_ = level.Error(logger).Log("msg", "entry ended", "err", oops.In("entry").With("name", s.Name).Wrap(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+// load reads the settings file, and puts the flags before it.
+func (cmd *entryCmd) load() (pimentoentry.Settings, error) {
+	data, err := os.ReadFile(cmd.Settings)
+	if err != nil {
+		return pimentoentry.Settings{}, err
+	}
+	return pimentoentry.ParseSettings(data, func(s *pimentoentry.Settings) {
+		override(&s.Name, cmd.Name)
+		override(&s.Callers, cmd.Callers)
+		override(&s.Peers, cmd.Peers)
+		override(&s.Admin, cmd.Admin)
+		override(&s.Log, cmd.Log)
+	})
+}
+
+func override[T ~string](field *T, value string) {
+	if value != "" {
+		*field = T(value)
+	}
+}
+
+// stopSignal returns a channel that is closed at the first SIGTERM or SIGINT.
+func stopSignal(logger log.Logger) <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop := make(chan struct{})
+	go func() {
+		s := <-signals
+		_ = level.Info(logger).Log("msg", "signal", "signal", s)
+		close(stop)
+	}()
+	return stop
+}
+
+func newLogger(w io.Writer, name string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
+	return log.With(logger, "ts", log.DefaultTimestampUTC)
+}
--- /dev/null
+++ b/cmd/pimentofake/main.go
@@ -0,0 +1,259 @@
+// Command pimentofake runs the stand-ins of package pimentofake.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentofake"
+	"pimentoarch/pimentoregister"
+)
+
+type platformCmd struct {
+	Listen string `arg:"--listen,required" placeholder:"IP:PORT"`
+	Config string `arg:"--config" placeholder:"FILE" help:"published as value \"config\""`
+	VMs    string `arg:"--vms" placeholder:"FILE" help:"published as the list of VMs"`
+	Lag    int    `arg:"--lag" default:"500" help:"lag of the list of VMs in ms"`
+}
+
+type targetCmd struct {
+	Config string `arg:"--config,required" placeholder:"FILE" help:"register that has the VM"`
+	Name   string `arg:"--name,required" help:"name of the VM"`
+	Work   int    `arg:"--work" default:"5" help:"mean time of a request in ms"`
+	Queue  int    `arg:"--queue" default:"20" help:"waiting requests beyond which load is shed"`
+	Log    string `arg:"--log" placeholder:"FILE" help:"one line for each run"`
+	Exit   bool   `arg:"--exit" help:"end the process when a marked request crashes it"`
+}
+
+type callerCmd struct {
+	Entries []string `arg:"--entries,required" placeholder:"IP:PORT" help:"entries' addresses for callers"`
+	Health  []string `arg:"--health" placeholder:"IP:PORT" help:"entries' addresses for operators, in the same order"`
+	Routes  string   `arg:"--routes,required" placeholder:"FILE" help:"routes of the load, as JSON"`
+	Seconds float64  `arg:"--seconds" default:"10"`
+	Scale   float64  `arg:"--scale" default:"1" help:"factor of all rates"`
+	Log     string   `arg:"--log" placeholder:"FILE" help:"one line for each non-idempotent request"`
+	Runs    []string `arg:"--runs" placeholder:"GLOB" help:"targets' logs, to compare at the end"`
+	Config  string   `arg:"--config" placeholder:"FILE" help:"register with home regions, to compare at the end"`
+}
+
+type args struct {
+	Platform *platformCmd `arg:"subcommand:platform" help:"stand in for the platform's service"`
+	Target   *targetCmd   `arg:"subcommand:target" help:"stand in for one target"`
+	Caller   *callerCmd   `arg:"subcommand:caller" help:"send a bounded load, and compare the logs"`
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	var err error
+	switch {
+	case a.Platform != nil:
+		err = runPlatform(a.Platform)
+	case a.Target != nil:
+		err = runTarget(a.Target)
+	case a.Caller != nil:
+		err = runCaller(a.Caller)
+	default:
+		err = fmt.Errorf("a command is required: platform, target or caller")
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "pimentofake: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func runPlatform(cmd *platformCmd) error {
+	p := &pimentofake.Platform{}
+	if cmd.Config != "" {
+		data, err := os.ReadFile(cmd.Config)
+		if err != nil {
+			return err
+		}
+		p.Set("config", data)
+	}
+	if cmd.VMs != "" {
+		var vms []pimentofake.VM
+		if err := readJSON(cmd.VMs, &vms); err != nil {
+			return err
+		}
+		p.SetVMs(vms)
+	}
+	p.Lag = time.Duration(cmd.Lag) * time.Millisecond
+	server := &fasthttp.Server{Handler: p.Handler, MaxRequestBodySize: 8 << 20}
+	return server.ListenAndServe(cmd.Listen)
+}
+
+func readJSON(file string, into any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
+func runTarget(cmd *targetCmd) error {
+	data, err := os.ReadFile(cmd.Config)
+	if err != nil {
+		return err
+	}
+	d, err := pimentoregister.Parse(data)
+	if err != nil {
+		return err
+	}
+	t, address, err := newTarget(cmd, pimentoregister.NewView(d, 1, nil))
+	if err != nil {
+		return err
+	}
+	if cmd.Exit {
+		t.Exit = func() { os.Exit(3) }
+	}
+	if cmd.Log != "" {
+		f, err := os.OpenFile(cmd.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		t.Log = f
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	return t.Serve(ln)
+}
+
+// newTarget returns a stand-in for a VM of the register, and its address.
+func newTarget(cmd *targetCmd, view *pimentoregister.View) (*pimentofake.Target, string, error) {
+	for _, s := range view.Services() {
+		for _, vm := range s.Targets {
+			if string(vm.Name) != cmd.Name {
+				continue
+			}
+			return &pimentofake.Target{
+				Name: cmd.Name, Domain: string(vm.Domain), Region: string(vm.Region),
+				Slots: s.Slots, Queue: cmd.Queue, Cold: s.Cold,
+				Warmup: time.Duration(s.Warmup) * time.Millisecond * 3 / 4,
+				Work:   time.Duration(cmd.Work) * time.Millisecond,
+			}, vm.Address, nil
+		}
+	}
+	return nil, "", fmt.Errorf("%s: no VM %q", cmd.Config, cmd.Name)
+}
+
+func runCaller(cmd *callerCmd) error {
+	load := &pimentofake.Load{Time: time.Duration(cmd.Seconds * float64(time.Second))}
+	if err := readJSON(cmd.Routes, &load.Routes); err != nil {
+		return err
+	}
+	for i := range load.Routes {
+		load.Routes[i].Rate *= cmd.Scale
+	}
+	if cmd.Log != "" {
+		f, err := os.Create(cmd.Log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		load.Log = f
+	}
+	gate := &pimentofake.Gate{Entries: cmd.Entries, Health: cmd.Health}
+	stop := make(chan struct{})
+	defer close(stop)
+	if len(cmd.Health) > 0 {
+		go gate.Run(stop)
+		time.Sleep(500 * time.Millisecond)
+	}
+	load.Address = gate.Next
+	summary := load.Run()
+	wrong := printSummary(summary)
+	if len(cmd.Runs) == 0 {
+		return wrong
+	}
+	if err := compare(cmd); err != nil {
+		return err
+	}
+	return wrong
+}
+
+func printSummary(summary map[string]*pimentofake.RouteSummary) error {
+	names := make([]string, 0, len(summary))
+	for name := range summary {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	wrong := 0
+	fmt.Printf("%-16s %8s %8s %6s %9s %9s %9s  %s\n", "route", "sent", "answered", "wrong", "p50", "p99", "p99.9", "refused")
+	for _, name := range names {
+		s := summary[name]
+		wrong += s.Wrong
+		fmt.Printf("%-16s %8d %8d %6d %9s %9s %9s  %s\n", name, s.Sent, s.Answered, s.Wrong,
+			round(s.Quantile(50)), round(s.Quantile(99)), round(s.Quantile(99.9)), refusedText(s.Refused))
+	}
+	if wrong > 0 {
+		return fmt.Errorf("%d answers were wrong", wrong)
+	}
+	return nil
+}
+
+func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
+
+func refusedText(refused map[string]int) string {
+	if len(refused) == 0 {
+		return "none"
+	}
+	var list []string
+	for reason, n := range refused {
+		list = append(list, fmt.Sprintf("%s: %d", reason, n))
+	}
+	slices.Sort(list)
+	return strings.Join(list, ", ")
+}
+
+// compare compares the logs of targets and of this caller.
+func compare(cmd *callerCmd) error {
+	home := make(map[string][]string)
+	if cmd.Config != "" {
+		var d pimentoregister.Document
+		if err := readJSON(cmd.Config, &d); err != nil {
+			return err
+		}
+		for _, o := range d.Organisations {
+			for _, r := range o.Home {
+				home[string(o.Name)] = append(home[string(o.Name)], string(r))
+			}
+		}
+	}
+	v := pimentofake.NewVerdict(home)
+	for _, glob := range cmd.Runs {
+		files, err := filepath.Glob(glob)
+		if err != nil {
+			return err
+		}
+		for _, file := range files {
+			if err := addFile(file, v.AddRuns); err != nil {
+				return err
+			}
+		}
+	}
+	if err := addFile(cmd.Log, v.AddCalls); err != nil {
+		return err
+	}
+	f := v.Findings()
+	fmt.Println(f)
+	if f.Bad() {
+		return fmt.Errorf("a promise was broken: %s", f)
+	}
+	return nil
+}
--- /dev/null
+++ b/pimentoentry/dispatch.go
@@ -0,0 +1,147 @@
+package pimentoentry
+
+import (
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentohttp"
+	"pimentoarch/pimentoretry"
+	"pimentoarch/pimentotarget"
+)
+
+// attempt is one exchange with one target.
+type attempt struct {
+	pimentohttp.Exchange
+	target *pimentotarget.Target
+	sent   time.Duration
+	print  pimentoretry.Print
+	err    error
+	// refused is set if the target said that it did not run the request.
+	refused bool
+}
+
+// newAttempt returns an attempt at a target that was chosen at the time sent.
+func (c *call) newAttempt(tg *pimentotarget.Target, sent time.Duration) *attempt {
+	a := &attempt{target: tg, sent: sent, print: pimentoretry.Print(c.print())}
+	a.Address = tg.Address
+	a.Deadline = c.deadline
+	if c.limited {
+		a.BodyDeadline = c.deadline
+	}
+	a.Resp = fasthttp.AcquireResponse()
+	return a
+}
+
+// send performs the attempt and reports its end to the service's table and to
+// the quarantine. The quarantine has allowed it. The body is retained by the
+// caller and released here.
+func (e *Entry) send(c *call, b *body, a *attempt) {
+	defer b.release()
+	a.Req = c.outgoing(time.Until(c.deadline))
+	defer fasthttp.ReleaseRequest(a.Req)
+	a.Ended = func(end pimentohttp.End) { e.ended(c, a, end) }
+	a.err = e.client.Do(&a.Exchange)
+	if a.err == nil {
+		a.refused = c.info.IsRefusal(a.Resp.StatusCode())
+		return
+	}
+	e.failed(c, a)
+}
+
+// ended takes the end of an answer.
+func (e *Entry) ended(c *call, a *attempt, end pimentohttp.End) {
+	boot := uint64(0)
+	if c.info.Boot != "" {
+		boot = bootMark(a.Resp.Header.Peek(c.info.Boot))
+	}
+	res := pimentotarget.ResultOK
+	switch {
+	case end == pimentohttp.EndBroken:
+		e.counters.short.Inc()
+		res = pimentotarget.ResultBroken
+	case end == pimentohttp.EndCancelled:
+		res = pimentotarget.ResultCancelled
+	case c.info.IsRefusal(a.Resp.StatusCode()):
+		res = pimentotarget.ResultRefused
+	}
+	e.done(c.service, a.target, a.sent, res, boot)
+	e.quarantine.passed(a.print)
+}
+
+// failed takes the end of an attempt without an answer.
+func (e *Entry) failed(c *call, a *attempt) {
+	res := pimentotarget.ResultBroken
+	switch a.kind() {
+	case pimentohttp.KindConnect:
+		res = pimentotarget.ResultConnect
+	case pimentohttp.KindBusy, pimentohttp.KindCancelled:
+		res = pimentotarget.ResultCancelled
+	case pimentohttp.KindTimeout:
+		res = pimentotarget.ResultTimeout
+		e.client.Forget(a.Address)
+	}
+	e.done(c.service, a.target, a.sent, res, 0)
+	if a.kind() == pimentohttp.KindBroken && a.Sent() {
+		e.crashed(c, a.print)
+		return
+	}
+	e.quarantine.ended(a.print)
+}
+
+// kind returns the kind of the attempt's error, or zero.
+func (a *attempt) kind() pimentohttp.Kind {
+	var err *pimentohttp.Error
+	if errors.As(a.err, &err) {
+		return err.Kind
+	}
+	return 0
+}
+
+// ok reports whether the target answered the request.
+func (a *attempt) ok() bool { return a.err == nil && !a.refused }
+
+// discard gives up the answer of an attempt.
+func (a *attempt) discard() {
+	_ = a.Resp.CloseBodyStream()
+	fasthttp.ReleaseResponse(a.Resp)
+	a.Resp = nil
+}
+
+// retryReason says why another attempt is made after this one.
+func (a *attempt) retryReason() RetryReason {
+	if a.refused {
+		return RetryRefused
+	}
+	switch a.kind() {
+	case pimentohttp.KindConnect, pimentohttp.KindBusy:
+		return RetryConnect
+	case pimentohttp.KindInvalid:
+		return RetryInvalid
+	case pimentohttp.KindTimeout:
+		return RetrySilent
+	}
+	return RetryBroken
+}
+
+// refusal says to the caller how the last attempt failed.
+func (a *attempt) refusal() *refusal {
+	if a.refused {
+		return refuse(503, ReasonRefused, RunNo, "the targets refused the request")
+	}
+	run := RunUnknown
+	if !a.Sent() {
+		run = RunNo
+	}
+	if a.kind() == pimentohttp.KindTimeout {
+		return refuse(504, ReasonSlow, run, "the deadline passed while a target had the request")
+	}
+	return refuse(502, ReasonFailed, run, "the targets failed")
+}
+
+// allowed reports whether the organisation's requests may still be sent to the
+// target's region, by the rules in force now.
+func (e *Entry) allowed(c *call, tg *pimentotarget.Target) bool {
+	return e.store.View().Allows(c.org, tg.Region)
+}
--- /dev/null
+++ b/pimentoentry/forward.go
@@ -0,0 +1,96 @@
+package pimentoentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentolink"
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoregister"
+)
+
+// passOn forwards a request, before its body is read, to an entry of a home
+// region of its organisation, or of any region while this entry stops.
+func (e *Entry) passOn(c *call) *refusal {
+	if c.purpose != 0 {
+		return refuse(421, ReasonHome, RunNo, "this entry isn't in a home region of the organisation")
+	}
+	regions := c.home
+	if len(regions) == 0 {
+		regions = []pimentoregister.RegionName{e.settings.Region}
+	}
+	var tried *pimentopeer.Peer
+	for turn := range maxPeerAttempts {
+		p := e.peers.gateway(e.now(), regions, turn)
+		if p == nil || p == tried {
+			break
+		}
+		tried = p
+		err := e.forward(c, p.Address, pimentolink.PurposeHome)
+		if err == nil {
+			return nil
+		}
+		e.counters.retries[RetryPeer].Inc()
+		if !unreachable(err) {
+			return refuse(502, ReasonFailed, RunUnknown, "the link to an entry of a home region broke")
+		}
+	}
+	return refuse(421, ReasonHome, RunNo, "no entry of a home region of the organisation was reached")
+}
+
+// forward sends the request to a peer and takes its answer. The body is sent
+// as it arrives unless it was read before.
+func (e *Entry) forward(c *call, address string, purpose pimentolink.Purpose) error {
+	e.counters.forwarded.Inc()
+	out := &pimentolink.Outgoing{
+		Purpose: purpose,
+		Timeout: time.Until(c.deadline),
+		Req:     fasthttp.AcquireRequest(),
+		Resp:    fasthttp.AcquireResponse(),
+	}
+	c.req.Header.CopyTo(&out.Req.Header)
+	switch {
+	case c.body != nil:
+		out.Req.SetBodyRaw(c.body.buf.B)
+	case c.source != nil:
+		out.Body = c.source
+	}
+	stop := context.AfterFunc(c.ctx, out.Cancel)
+	defer stop()
+	err := e.node.Do(address, out)
+	fasthttp.ReleaseRequest(out.Req)
+	if err != nil {
+		fasthttp.ReleaseResponse(out.Resp)
+		return err
+	}
+	move(c.resp, out.Resp)
+	return nil
+}
+
+// serveForwarded serves a request from a peer.
+func (e *Entry) serveForwarded(in *pimentolink.Incoming) {
+	e.counters.served.Inc()
+	ctx, cancel := context.WithCancel(e.ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-in.Gone:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	c := &call{
+		purpose:  in.Purpose,
+		deadline: in.Deadline,
+		req:      in.Req,
+		source:   in.Body,
+		resp:     resp,
+		ctx:      ctx,
+	}
+	e.serve(c)
+	_ = in.Answer(resp)
+}
--- /dev/null
+++ b/pimentoentry/once.go
@@ -0,0 +1,314 @@
+package pimentoentry
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentokey"
+	"pimentoarch/pimentolink"
+	"pimentoarch/pimentotarget"
+)
+
+const (
+	// maxIssue is the number of keys that one call hands out.
+	maxIssue = 64
+	// freshKeys is the number of keys in each answer on a non-idempotent route.
+	freshKeys = 2
+	// successorWait is the time for which a request waits until the successor
+	// of a process that stops is known.
+	successorWait = 3 * time.Second
+	// peerPause is the time between two attempts to reach a key's holder.
+	peerPause = 50 * time.Millisecond
+	// maxPeerAttempts bounds the attempts to reach a key's holder.
+	maxPeerAttempts = 4
+)
+
+func (c *call) scope() pimentokey.Scope {
+	return pimentokey.Scope{Service: string(c.info.Name), Organisation: string(c.org)}
+}
+
+// once serves a non-idempotent request.
+func (e *Entry) once(c *call) *refusal {
+	text := string(c.req.Header.Peek(headerKey))
+	if text == "" {
+		if !e.issues(c) {
+			return e.passOn(c)
+		}
+		return refuse(428, ReasonNokey, RunNo, "the route needs a key in header "+headerKey)
+	}
+	key, err := pimentokey.Parse(text)
+	if err != nil {
+		return refuse(400, ReasonForged, RunNo, "the key was never issued").prove()
+	}
+	if _, here := e.keys.holder(key.Issuer); !here {
+		return e.onceElsewhere(c, key)
+	}
+	if f := c.readBody(); f != nil {
+		return f
+	}
+	return e.onceHere(c, key)
+}
+
+// issues reports whether this entry may issue keys for the call.
+func (e *Entry) issues(c *call) bool {
+	return c.view.Allows(c.org, e.settings.Region) && !e.stopping.Load()
+}
+
+// freshKeys adds unused keys to an answer on a non-idempotent route.
+func (e *Entry) addKeys(c *call) {
+	if len(c.resp.Header.Peek(headerKeys)) > 0 || !e.issues(c) {
+		return
+	}
+	c.resp.Header.SetBytesV(headerKeys, joinKeys(e.keys.issue(c.scope(), freshKeys)))
+}
+
+func joinKeys(keys []pimentokey.Key) []byte {
+	var list []byte
+	for i, k := range keys {
+		if i > 0 {
+			list = append(list, ',')
+		}
+		list = k.Append(list)
+	}
+	return list
+}
+
+// onceElsewhere forwards the request to the holder of its key. It is safe to do
+// so again, because the holder runs it once.
+func (e *Entry) onceElsewhere(c *call, key pimentokey.Key) *refusal {
+	if c.purpose == pimentolink.PurposeKey {
+		return refuse(502, ReasonIssuer, RunUnknown, "the holder of the key has changed")
+	}
+	again := c.view.Allows(c.org, e.settings.Region)
+	if again {
+		if f := c.readBody(); f != nil {
+			return f
+		}
+	}
+	for n := 1; ; n++ {
+		address, purpose, ok := e.wayTo(key)
+		if ok {
+			err := e.forward(c, address, purpose)
+			if err == nil {
+				return nil
+			}
+			e.counters.retries[RetryPeer].Inc()
+			if !again && !unreachable(err) {
+				break
+			}
+		}
+		if n == maxPeerAttempts || time.Until(c.deadline) < peerPause || c.ctx.Err() != nil {
+			break
+		}
+		time.Sleep(peerPause)
+	}
+	return refuse(502, ReasonIssuer, RunUnknown, "the holder of the key wasn't reached; the request may have run before")
+}
+
+func unreachable(err error) bool {
+	var linkErr *pimentolink.Error
+	return errors.As(err, &linkErr) && linkErr.Kind == pimentolink.KindUnreachable
+}
+
+// wayTo returns the peer to which a request with the key is forwarded: the
+// holder, or an entry of the region where the key was issued.
+func (e *Entry) wayTo(key pimentokey.Key) (address string, purpose pimentolink.Purpose, ok bool) {
+	holder, _ := e.keys.holder(key.Issuer)
+	if p := e.peers.byIncarnation(holder); p != nil {
+		return p.Address, pimentolink.PurposeKey, true
+	}
+	if key.Hint == hint(e.settings.Region) {
+		return "", 0, false
+	}
+	if p := e.peers.byHint(e.now(), key.Hint); p != nil {
+		return p.Address, pimentolink.PurposeHome, true
+	}
+	return "", 0, false
+}
+
+// onceHere serves a request whose key this entry holds.
+func (e *Entry) onceHere(c *call, key pimentokey.Key) *refusal {
+	fingerprint := pimentokey.Fingerprint(c.digest())
+	for {
+		v, answer, settled := e.keys.begin(key, c.scope(), fingerprint)
+		switch v {
+		case pimentokey.VerdictRun:
+			return e.runOnce(c, key)
+		case pimentokey.VerdictWait:
+			if f := c.wait(settled); f != nil {
+				return f
+			}
+		case pimentokey.VerdictReplay:
+			return replay(c.resp, answer)
+		case pimentokey.VerdictForgotten:
+			return refuse(410, ReasonForgotten, RunYes, "the request has run; its answer is no longer kept")
+		case pimentokey.VerdictMismatch:
+			return refuse(422, ReasonReused, RunNo, "another request was sent under the key").prove()
+		case pimentokey.VerdictVoid:
+			return refuse(409, ReasonVoid, RunNo, "the key was refused before and is void; a new one is needed").prove()
+		case pimentokey.VerdictForged:
+			return refuse(400, ReasonForged, RunNo, "the key was never issued for this service and organisation").prove()
+		case pimentokey.VerdictStopped:
+			return e.onceStopped(c)
+		default:
+			return refuse(502, ReasonLost, RunUnknown, "the answer to the request was lost; it may have run")
+		}
+	}
+}
+
+// wait waits for the end of another dispatch under the same key.
+func (c *call) wait(settled <-chan struct{}) *refusal {
+	timer := time.NewTimer(time.Until(c.deadline))
+	defer timer.Stop()
+	select {
+	case <-settled:
+		return nil
+	case <-c.ctx.Done():
+		return refuse(499, ReasonGone, RunUnknown, "the caller has gone")
+	case <-timer.C:
+		return refuse(504, ReasonSlow, RunUnknown, "the request is still running")
+	}
+}
+
+// onceStopped serves a request under an unused key after this entry has begun
+// to stop: its successor runs it.
+func (e *Entry) onceStopped(c *call) *refusal {
+	timer := time.NewTimer(min(successorWait, time.Until(c.deadline)))
+	defer timer.Stop()
+	select {
+	case <-e.keys.settled:
+	case <-timer.C:
+	}
+	next := e.keys.next()
+	if next == nil {
+		return refuse(503, ReasonStopping, RunNo, "the holder of the key stops, and no other entry can take the key over").prove()
+	}
+	if err := e.forward(c, next.address, pimentolink.PurposeKey); err != nil {
+		return refuse(502, ReasonIssuer, RunUnknown, "the successor of the key's holder wasn't reached")
+	}
+	return nil
+}
+
+func (k *keyring) next() *successor {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.successor
+}
+
+// runOnce dispatches a request that the ledger has allowed, and settles its key.
+func (e *Entry) runOnce(c *call, key pimentokey.Key) *refusal {
+	var avoid []*pimentotarget.Target
+	for n := 1; ; n++ {
+		a, f := e.sendOnce(c, avoid)
+		if f != nil {
+			e.keys.settle(key, pimentokey.OutcomeNotRun, nil)
+			return f.prove()
+		}
+		if a.ok() {
+			e.keys.settle(key, pimentokey.OutcomeDone, keep(a.Resp))
+			move(c.resp, a.Resp)
+			return nil
+		}
+		f = a.refusal()
+		a.discard()
+		switch {
+		case f.run == RunUnknown:
+			e.keys.settle(key, pimentokey.OutcomeUnknown, nil)
+			return refuse(502, ReasonLost, RunUnknown, "the target's answer was lost; the request may have run")
+		case n == maxAttempts || time.Now().After(c.deadline):
+			e.keys.settle(key, pimentokey.OutcomeNotRun, nil)
+			return f.prove()
+		}
+		e.counters.retries[a.retryReason()].Inc()
+		avoid = append(avoid, a.target)
+	}
+}
+
+// sendOnce waits for a target and sends the request to it on a new connection.
+// A refusal says that nothing was sent.
+func (e *Entry) sendOnce(c *call, avoid []*pimentotarget.Target) (*attempt, *refusal) {
+	r := requests.Get().(*pimentotarget.Request)
+	defer requests.Put(r)
+	c.fill(r, e.now(), avoid)
+	if !e.store.View().Allows(c.org, e.settings.Region) {
+		return nil, refuse(421, ReasonHome, RunNo, "the organisation's home regions don't include this one")
+	}
+	if f := e.bind(c, r); f != nil {
+		return nil, f
+	}
+	a := c.newAttempt(r.Target, r.Sent)
+	if !e.allowed(c, r.Target) || !e.quarantine.allow(a.print, c.deadline) {
+		e.done(c.service, r.Target, r.Sent, pimentotarget.ResultCancelled, 0)
+		a.discard()
+		return nil, refuse(421, ReasonHome, RunNo, "the organisation's home regions have changed")
+	}
+	a.Fresh = true
+	e.send(c, c.body.retain(), a)
+	return a, nil
+}
+
+// maxKept bounds the body in bytes of an answer that is kept.
+const maxKept = 64 << 10
+
+// keep returns a copy of an answer for resends, or nil if it isn't kept.
+func keep(resp *fasthttp.Response) *pimentokey.Answer {
+	if resp.IsBodyStream() || len(resp.Body()) > maxKept {
+		return nil
+	}
+	return &pimentokey.Answer{
+		Status: resp.StatusCode(),
+		Header: bytes.Clone(resp.Header.Header()),
+		Body:   bytes.Clone(resp.Body()),
+	}
+}
+
+// replay writes a kept answer.
+func replay(resp *fasthttp.Response, a *pimentokey.Answer) *refusal {
+	if err := resp.Header.Read(bufio.NewReaderSize(bytes.NewReader(a.Header), len(a.Header)+1)); err != nil {
+		return refuse(410, ReasonForgotten, RunYes, "the request has run; its answer is no longer kept")
+	}
+	for _, name := range hopHeaders {
+		resp.Header.Del(name)
+	}
+	resp.SetBody(a.Body)
+	return nil
+}
+
+// issueKeys serves POST /.pimento/keys.
+func (e *Entry) issueKeys(c *call) *refusal {
+	c.view = e.store.View()
+	if c.view.Revision == 0 {
+		return refuse(503, ReasonConfig, RunNo, "no configuration is known yet")
+	}
+	var args fasthttp.Args
+	_, query, _ := bytes.Cut(c.req.Header.RequestURI(), []byte{'?'})
+	args.ParseBytes(query)
+	c.info = c.view.Service(registerService(args.Peek("service")))
+	if c.info == nil {
+		return refuse(404, ReasonService, RunNo, "query service: the register has no such service")
+	}
+	n, err := strconv.Atoi(string(args.Peek("n")))
+	if err != nil || n < 1 || n > maxIssue {
+		return refuse(400, ReasonHead, RunNo, "query n: a number from 1 to "+strconv.Itoa(maxIssue)+" is required")
+	}
+	c.org = registerOrg(c.req.Header.Peek(headerOrg))
+	home, ok := c.view.Home(c.org)
+	if !ok {
+		return refuse(403, ReasonOrganisation, RunNo, "header "+headerOrg+": the register has no such organisation")
+	}
+	c.home = home
+	if f := c.setDeadline(); f != nil {
+		return f
+	}
+	if !e.issues(c) {
+		return e.passOn(c)
+	}
+	c.resp.Header.SetBytesV(headerKeys, joinKeys(e.keys.issue(c.scope(), n)))
+	c.resp.SetStatusCode(fasthttp.StatusOK)
+	return nil
+}
--- /dev/null
+++ b/pimentoentry/peers.go
@@ -0,0 +1,309 @@
+package pimentoentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentokey"
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentotarget"
+)
+
+// peers guards what is known of the other entries.
+type peers struct {
+	mu      sync.Mutex // Guards the fields below.
+	members pimentopeer.Members
+	journal pimentopeer.Journal
+	loops   map[string]*beatLoop // By address.
+	asked   map[pimentokey.Incarnation]int
+	wantAll int // How many more peers to ask for their whole state.
+}
+
+// beatLoop is the goroutine that sends heartbeats to one peer.
+type beatLoop struct {
+	name   pimentotarget.EntryName
+	urgent chan struct{}
+	cancel context.CancelFunc
+}
+
+const (
+	minPeriod = time.Second
+	// beatBytes is the traffic in bytes of one heartbeat and its answer.
+	beatBytes = 200
+	// beatRate is the traffic in bytes per second that heartbeats may cause.
+	beatRate = 2000
+	// urgentPause is the least time between two heartbeats to a peer.
+	urgentPause = 50 * time.Millisecond
+	// maxChanges bounds the news in one heartbeat.
+	maxChanges = 256
+	// stateSources is the number of peers that are asked for their whole state
+	// after a start or a pause.
+	stateSources = 3
+)
+
+// period is the time between heartbeats to each of n peers.
+func period(n int) time.Duration {
+	return max(minPeriod, time.Duration(n)*beatBytes*time.Second/beatRate)
+}
+
+func (p *peers) find(name pimentotarget.EntryName) *pimentopeer.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clonePeer(p.members.Peer(name))
+}
+
+func (p *peers) byIncarnation(inc pimentokey.Incarnation) *pimentopeer.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clonePeer(p.members.ByIncarnation(inc))
+}
+
+func (p *peers) gateway(now time.Duration, regions []pimentoregister.RegionName, turn int) *pimentopeer.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clonePeer(p.members.Gateway(now, regions, turn))
+}
+
+// byHint returns an entry of the region that a key hint names.
+func (p *peers) byHint(now time.Duration, h pimentokey.Hint) *pimentopeer.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.members.Peers() {
+		if hint(other.Region) == h {
+			return clonePeer(p.members.Gateway(now, []pimentoregister.RegionName{other.Region}, 0))
+		}
+	}
+	return nil
+}
+
+// clonePeer copies a peer for use without the lock.
+func clonePeer(p *pimentopeer.Peer) *pimentopeer.Peer {
+	if p == nil {
+		return nil
+	}
+	clone := *p
+	return &clone
+}
+
+// publish adds this entry's own news and sends them at once.
+func (e *Entry) publish(changes []pimentopeer.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	p := &e.peers
+	p.mu.Lock()
+	for _, c := range changes {
+		p.journal.Add(c, pimentopeer.OriginSelf)
+	}
+	p.mu.Unlock()
+	e.hurry()
+}
+
+// hurry sends the next heartbeats without delay.
+func (e *Entry) hurry() {
+	e.peers.mu.Lock()
+	defer e.peers.mu.Unlock()
+	for _, l := range e.peers.loops {
+		select {
+		case l.urgent <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// updateMembers takes a published list of entries.
+func (e *Entry) updateMembers(list []pimentopeer.Published) {
+	now := e.now()
+	p := &e.peers
+	p.mu.Lock()
+	p.members.Update(now, list)
+	e.reconcile()
+	entries := p.members.Entries(e.settings.Region)
+	p.mu.Unlock()
+	for _, s := range e.allServices() {
+		s.mu.Lock()
+		s.table.SetEntries(now, entries)
+		s.pump(now)
+		s.mu.Unlock()
+	}
+	e.setEntries(entries)
+}
+
+// reconcile starts and stops heartbeat loops. It is called with peers.mu held.
+func (e *Entry) reconcile() {
+	p := &e.peers
+	want := make(map[string]pimentotarget.EntryName)
+	for _, partner := range p.members.Partners() {
+		want[partner.Address] = partner.Name
+	}
+	for address, l := range p.loops {
+		if want[address] != l.name {
+			l.cancel()
+			delete(p.loops, address)
+			e.node.Drop(address)
+		}
+	}
+	for address, name := range want {
+		if p.loops[address] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(e.ctx)
+		l := &beatLoop{name: name, urgent: make(chan struct{}, 1), cancel: cancel}
+		if p.loops == nil {
+			p.loops = make(map[string]*beatLoop)
+		}
+		p.loops[address] = l
+		go e.beat(ctx, address, l)
+	}
+}
+
+// beat sends heartbeats to one peer until ctx ends.
+func (e *Entry) beat(ctx context.Context, address string, l *beatLoop) {
+	heart, cleanup := e.node.Heart(address)
+	defer cleanup()
+	for ctx.Err() == nil {
+		e.beatOnce(heart, l.name)
+		pause := time.NewTimer(e.beatPeriod())
+		select {
+		case <-ctx.Done():
+		case <-pause.C:
+		case <-l.urgent:
+			time.Sleep(urgentPause)
+		}
+		pause.Stop()
+	}
+}
+
+type heart interface {
+	Beat(pimentopeer.Heartbeat) (pimentopeer.Heartbeat, int, error)
+}
+
+func (e *Entry) beatOnce(h heart, name pimentotarget.EntryName) {
+	hb, ok := e.heartbeat(name)
+	if !ok {
+		return
+	}
+	reply, size, err := h.Beat(hb)
+	e.counters.control.Add(size)
+	if err != nil {
+		e.peers.mu.Lock()
+		e.peers.members.Lost(name)
+		e.peers.mu.Unlock()
+		_ = level.Debug(e.log).Log("msg", "heartbeat failed", "peer", name, "err", err)
+		return
+	}
+	e.heard(reply)
+}
+
+func (e *Entry) beatPeriod() time.Duration {
+	e.peers.mu.Lock()
+	defer e.peers.mu.Unlock()
+	return period(len(e.peers.loops))
+}
+
+// heartbeat returns the next heartbeat for a peer. It reports false if the peer
+// isn't known.
+func (e *Entry) heartbeat(to pimentotarget.EntryName) (pimentopeer.Heartbeat, bool) {
+	hb := pimentopeer.Heartbeat{
+		Name:        e.settings.Name,
+		Incarnation: e.incarnation,
+		Revision:    e.store.View().Revision,
+		Leaving:     e.stopping.Load(),
+		Held:        e.keys.adoptedRanges(),
+	}
+	p := &e.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.members.Peer(to)
+	if peer == nil {
+		return hb, false
+	}
+	if peer.Incarnation != 0 {
+		hb.Changes = p.members.News(&p.journal, peer, maxChanges)
+	}
+	if p.wantAll > 0 && peer.Region == e.settings.Region && peer.Reachable(e.now()) && p.asked[peer.Incarnation] == 0 {
+		p.wantAll--
+		p.asked[peer.Incarnation]++
+		hb.WantAll = true
+	}
+	return hb, true
+}
+
+// onHeartbeat takes a peer's heartbeat and returns the own one.
+func (e *Entry) onHeartbeat(hb pimentopeer.Heartbeat) pimentopeer.Heartbeat {
+	e.heard(hb)
+	reply, _ := e.heartbeat(hb.Name)
+	return reply
+}
+
+// heard takes what a peer has told.
+func (e *Entry) heard(hb pimentopeer.Heartbeat) {
+	now := e.now()
+	p := &e.peers
+	p.mu.Lock()
+	before := p.members.Peer(hb.Name)
+	var gone pimentokey.Incarnation
+	if before != nil && before.Incarnation != hb.Incarnation {
+		gone = before.Incarnation
+	}
+	peer, fresh := p.members.Heard(now, hb, p.journal.Last())
+	p.mu.Unlock()
+	if gone != 0 {
+		e.keys.abandon(gone)
+	}
+	if peer == nil {
+		return
+	}
+	if fresh {
+		_ = level.Info(e.log).Log("msg", "peer heard", "peer", hb.Name, "revision", hb.Revision)
+	}
+	e.keys.note(hb.Incarnation, hb.Held)
+	e.merge(now, peer.Region, hb.Changes)
+	if hb.Revision > e.store.View().Revision {
+		e.fetch(peer.Address)
+	}
+}
+
+// merge takes a peer's news, and keeps those that were news for passing on.
+func (e *Entry) merge(now time.Duration, from pimentoregister.RegionName, changes []pimentopeer.Change) {
+	origin := pimentopeer.OriginRemote
+	if from == e.settings.Region {
+		origin = pimentopeer.OriginRegion
+	}
+	var fresh []pimentopeer.Change
+	for _, c := range changes {
+		if e.mergeOne(now, c) {
+			fresh = append(fresh, c)
+		}
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	e.peers.mu.Lock()
+	defer e.peers.mu.Unlock()
+	for _, c := range fresh {
+		e.peers.journal.Add(c, origin)
+	}
+}
+
+func (e *Entry) mergeOne(now time.Duration, c pimentopeer.Change) bool {
+	if c.Target == "" {
+		return e.quarantine.merge(c.Print, c.Crashes)
+	}
+	s := e.service(c.Service)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tg := s.table.Target(c.Target)
+	if tg == nil || !s.table.Merge(now, tg, c.Mark) {
+		return false
+	}
+	s.pump(now)
+	return true
+}
--- /dev/null
+++ b/pimentoentry/probe.go
@@ -0,0 +1,53 @@
+package pimentoentry
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentohttp"
+	"pimentoarch/pimentotarget"
+)
+
+// probeTimeout bounds one probe.
+const probeTimeout = time.Second
+
+// probe asks the load endpoints of targets that traffic tells nothing of. The
+// owner of a target alone probes it, so that no two entries with the same list
+// spend its budget.
+func (e *Entry) probe(now time.Duration) {
+	for _, s := range e.allServices() {
+		s.mu.Lock()
+		due := s.table.Probes(now)
+		info := s.view
+		s.mu.Unlock()
+		for _, tg := range due {
+			if e.workers.Submit(func() { e.probeOne(s, tg, info.Probe, info.Boot) }) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (e *Entry) probeOne(s *service, tg *pimentotarget.Target, path, bootHeader string) {
+	e.counters.probes.Inc()
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(path)
+	req.Header.SetHost(tg.Address)
+	req.UseHostHeader = true
+	x := &pimentohttp.Exchange{Address: tg.Address, Req: req, Resp: resp, Deadline: time.Now().Add(probeTimeout)}
+	err := e.client.Do(x)
+	boot := uint64(0)
+	if err == nil && bootHeader != "" {
+		boot = bootMark(resp.Header.Peek(bootHeader))
+	}
+	_ = resp.CloseBodyStream()
+	s.mu.Lock()
+	s.table.Probed(e.now(), tg, err == nil, boot)
+	changes := s.changes()
+	s.mu.Unlock()
+	e.publish(changes)
+}
--- /dev/null
+++ b/pimentoentry/quarantine.go
@@ -0,0 +1,69 @@
+package pimentoentry
+
+import (
+	"sync"
+	"time"
+
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoretry"
+)
+
+// quarantine guards the requests that crash targets.
+type quarantine struct {
+	now func() time.Duration
+
+	mu    sync.Mutex // Guards state.
+	state pimentoretry.Quarantine
+}
+
+// trialWait is the time between two looks at a request that is being tried.
+const trialWait = 2 * time.Millisecond
+
+// allow reports whether the request may be sent. While another exchange of the
+// request decides that, it waits.
+func (q *quarantine) allow(p pimentoretry.Print, deadline time.Time) bool {
+	for {
+		q.mu.Lock()
+		ok := q.state.Allow(q.now(), p)
+		busy := q.state.Busy(p)
+		q.mu.Unlock()
+		if ok || !busy || time.Now().After(deadline) {
+			return ok
+		}
+		time.Sleep(trialWait)
+	}
+}
+
+func (q *quarantine) passed(p pimentoretry.Print) {
+	q.mu.Lock()
+	q.state.Passed(p)
+	q.mu.Unlock()
+}
+
+func (q *quarantine) ended(p pimentoretry.Print) {
+	q.mu.Lock()
+	q.state.Ended(p)
+	q.mu.Unlock()
+}
+
+func (q *quarantine) merge(p pimentoretry.Print, count int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.Merge(q.now(), p, count)
+}
+
+func (q *quarantine) len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.Len()
+}
+
+// crashed notes that a request's target dropped the connection without an
+// answer, and tells the peers in the regions that may hear of the request.
+func (e *Entry) crashed(c *call, p pimentoretry.Print) {
+	q := &e.quarantine
+	q.mu.Lock()
+	count := q.state.Crashed(q.now(), p)
+	q.mu.Unlock()
+	e.publish([]pimentopeer.Change{{Print: p, Crashes: count, Regions: c.home}})
+}
--- /dev/null
+++ b/pimentoentry/serve.go
@@ -0,0 +1,150 @@
+package pimentoentry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentoregister"
+)
+
+func registerService(b []byte) pimentoregister.ServiceName { return pimentoregister.ServiceName(b) }
+
+func registerOrg(b []byte) pimentoregister.OrganisationName {
+	return pimentoregister.OrganisationName(b)
+}
+
+// keysPath is the path at which callers get keys.
+const keysPath = "/.pimento/keys"
+
+// serve answers a request.
+func (e *Entry) serve(c *call) {
+	e.counters.requests.Inc()
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	defer e.recover(c)
+	start := time.Now()
+	once, f := e.route(c)
+	if f != nil {
+		e.refused(c, f)
+	}
+	if once {
+		e.addKeys(c)
+	}
+	if c.body != nil {
+		c.body.release()
+	}
+	e.counters.latency.UpdateDuration(start)
+}
+
+// route chooses the way of a request, and reports whether it is non-idempotent.
+func (e *Entry) route(c *call) (once bool, f *refusal) {
+	if path, _, _ := bytes.Cut(c.req.Header.RequestURI(), []byte{'?'}); string(path) == keysPath {
+		if string(c.req.Header.Method()) != fasthttp.MethodPost {
+			return false, refuse(405, ReasonHead, RunNo, "the method is POST")
+		}
+		return false, e.issueKeys(c)
+	}
+	if f := e.parse(c); f != nil {
+		return false, f
+	}
+	if c.isOnce() {
+		return true, e.once(c)
+	}
+	if !c.view.Allows(c.org, e.settings.Region) {
+		return false, e.passOn(c)
+	}
+	return false, e.read(c)
+}
+
+// refused answers with a refusal, and counts it.
+func (e *Entry) refused(c *call, f *refusal) {
+	f.honest(c)
+	e.counters.refusals[f.reason][f.run].Inc()
+	f.write(c.resp)
+	_ = level.Debug(e.log).Log("msg", "refused", "reason", f.reason, "run", f.run, "detail", f.detail)
+}
+
+// recover turns a panic into an answer, so that one request can't end the
+// process.
+func (e *Entry) recover(c *call) {
+	r := recover()
+	if r == nil {
+		return
+	}
+	e.counters.panics.Inc()
+	_ = level.Error(e.log).Log("msg", "panic while serving", "panic", r, "stack", string(debug.Stack()))
+	refuse(500, ReasonFailed, RunUnknown, "an internal error").write(c.resp)
+}
+
+// serveCaller is the handler of the callers' port.
+func (e *Entry) serveCaller(ctx *fasthttp.RequestCtx) {
+	callCtx, cancel := context.WithCancel(e.ctx)
+	defer cancel()
+	watched := e.watch.Add(ctx.Conn(), cancel)
+	defer e.watch.Remove(watched)
+	c := &call{
+		req:    &ctx.Request,
+		source: ctx.RequestBodyStream(),
+		resp:   &ctx.Response,
+		ctx:    callCtx,
+	}
+	e.serve(c)
+	if e.closing.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// callerErrors answers requests whose head isn't valid.
+func (e *Entry) callerErrors(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	f := refuse(400, ReasonHead, RunNo, "the head of the request isn't valid HTTP")
+	if errors.As(err, &small) {
+		f = refuse(431, ReasonLong, RunNo, "the head of the request is too long")
+	}
+	e.counters.refusals[f.reason][f.run].Inc()
+	f.write(&ctx.Response)
+	ctx.SetConnectionClose()
+}
+
+const (
+	// maxHead bounds the head of a request in bytes.
+	maxHead = 16 << 10
+	// callerIdle is the time after which an idle caller's connection is closed.
+	callerIdle = 2 * time.Minute
+	// callerRead bounds the time in which a caller sends a request.
+	callerRead = time.Minute
+)
+
+func (e *Entry) callerServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      e.serveCaller,
+		ErrorHandler:                 e.callerErrors,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadBufferSize:               maxHead,
+		MaxRequestBodySize:           64 << 10, // Beyond it the body is read as it arrives.
+		IdleTimeout:                  callerIdle,
+		ReadTimeout:                  callerRead,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+		Logger:                       serverLog{level.Debug(e.log)},
+	}
+}
+
+// serverLog adapts a logger for the HTTP server.
+type serverLog struct {
+	logger log.Logger
+}
+
+// Printf implements fasthttp.Logger.
+func (l serverLog) Printf(format string, args ...any) {
+	_ = l.logger.Log("msg", "http server", "event", formatLine(format, args))
+}
--- /dev/null
+++ b/pimentoentry/service.go
@@ -0,0 +1,165 @@
+package pimentoentry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentoretry"
+	"pimentoarch/pimentotarget"
+)
+
+// service is the state of one service.
+type service struct {
+	name pimentoregister.ServiceName
+
+	mu     sync.Mutex // Guards the fields below.
+	table  pimentotarget.Table
+	budget pimentoretry.Budget
+	delay  pimentoretry.Delay
+	view   *pimentoregister.ServiceView
+
+	waiting atomic.Int32
+}
+
+// newService returns the state of a service that has become known.
+func (e *Entry) newService(name pimentoregister.ServiceName) *service {
+	return &service{
+		name: name,
+		table: pimentotarget.Table{
+			Self:      e.settings.Name,
+			Place:     pimentotarget.Place{Region: e.settings.Region, Domain: e.settings.Domain},
+			MaxQueue:  e.settings.Queue,
+			OwnerWait: millis(e.settings.Lag),
+		},
+	}
+}
+
+// requests are reused, because each call that waits needs one.
+var requests = sync.Pool{New: func() any {
+	return &pimentotarget.Request{Ready: make(chan struct{}, 1)}
+}}
+
+// pump hands waiting requests their targets. It is called with s.mu held.
+func (s *service) pump(now time.Duration) {
+	for {
+		r := s.table.Next(now)
+		if r == nil {
+			break
+		}
+		r.Ready <- struct{}{}
+	}
+	s.waiting.Store(int32(s.table.Waiting()))
+}
+
+// poll hands out targets that have become usable with time.
+func (s *service) poll(now time.Duration) {
+	if s.waiting.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	s.pump(now)
+	s.mu.Unlock()
+}
+
+// bind waits for a target. It returns nil when r has one, and otherwise why not.
+func (e *Entry) bind(c *call, r *pimentotarget.Request) *refusal {
+	s := c.service
+	s.mu.Lock()
+	if !s.table.Serves(r.Regions) {
+		s.mu.Unlock()
+		return refuse(503, ReasonTargets, RunNo, "service "+string(s.name)+" has no usable target")
+	}
+	if !s.table.Offer(r) {
+		s.mu.Unlock()
+		return refuse(503, ReasonQueue, RunNo, "too many requests wait for service "+string(s.name))
+	}
+	s.pump(e.now())
+	s.mu.Unlock()
+	select {
+	case <-r.Ready:
+	default:
+		if f := e.await(c, r); f != nil {
+			return f
+		}
+	}
+	if r.Target == nil {
+		return refuse(503, ReasonDeadline, RunNo, "the deadline passed while the request waited for a target")
+	}
+	return nil
+}
+
+// await waits until the queue gives the request back, or the caller has gone.
+func (e *Entry) await(c *call, r *pimentotarget.Request) *refusal {
+	timer := time.NewTimer(time.Until(c.deadline))
+	defer timer.Stop()
+	select {
+	case <-r.Ready:
+		return nil
+	case <-c.ctx.Done():
+		return e.withdraw(c, r, refuse(499, ReasonGone, RunNo, "the caller has gone"))
+	case <-timer.C:
+		return e.withdraw(c, r, refuse(503, ReasonDeadline, RunNo, "the deadline passed while the request waited for a target"))
+	}
+}
+
+// withdraw takes a request out of the queue. If it has just got a target, the
+// target is given back.
+func (e *Entry) withdraw(c *call, r *pimentotarget.Request, f *refusal) *refusal {
+	s := c.service
+	s.mu.Lock()
+	cancelled := s.table.Cancel(r)
+	s.mu.Unlock()
+	if cancelled {
+		return f
+	}
+	<-r.Ready
+	if r.Target != nil {
+		e.done(s, r.Target, r.Sent, pimentotarget.ResultCancelled, 0)
+	}
+	return f
+}
+
+// done takes the end of an exchange with a target.
+func (e *Entry) done(s *service, tg *pimentotarget.Target, sent time.Duration, res pimentotarget.Result, boot uint64) {
+	now := e.now()
+	s.mu.Lock()
+	s.table.Done(now, tg, sent, res, boot)
+	if res == pimentotarget.ResultOK {
+		s.delay.Add(now - sent)
+	}
+	changes := s.changes()
+	s.pump(now)
+	s.mu.Unlock()
+	e.publish(changes)
+}
+
+// changes returns the news about targets. It is called with s.mu held.
+func (s *service) changes() []pimentopeer.Change {
+	var list []pimentopeer.Change
+	for _, tg := range s.table.Changed() {
+		list = append(list, pimentopeer.Change{Service: s.name, Target: tg.Name, Mark: tg.Mark})
+	}
+	return list
+}
+
+// helper returns the entry that may send to a cold target when this one may
+// send to none.
+func (e *Entry) helper(s *service) (pimentotarget.EntryName, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, ok := s.table.Helper(e.now())
+	return name, ok && name != e.settings.Name
+}
+
+// bootMark hashes the value of the service's boot header.
+func bootMark(value []byte) uint64 {
+	if len(value) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(value) | 1
+}
--- /dev/null
+++ b/pimentoentry/status.go
@@ -0,0 +1,184 @@
+package pimentoentry
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentotarget"
+)
+
+// Status is what an entry knows, as JSON at /status.
+type Status struct {
+	Name     pimentotarget.EntryName  `json:"name"`
+	Revision pimentoregister.Revision `json:"revision"`
+	// Refused is the newest configuration that was refused, if it is newer.
+	Refused  pimentoregister.Revision `json:"refused,omitempty"`
+	Why      string                   `json:"why,omitempty"`
+	Ready    bool                     `json:"ready"`
+	Stopping bool                     `json:"stopping"`
+	Running  int64                    `json:"running"`
+	Services []ServiceStatus          `json:"services"`
+	Peers    []PeerStatus             `json:"peers"`
+	Keys     string                   `json:"keys"`
+}
+
+// ServiceStatus is the state of one service.
+type ServiceStatus struct {
+	Name    pimentoregister.ServiceName `json:"name"`
+	Waiting int                         `json:"waiting"`
+	Running int                         `json:"running"`
+	// Latency is the average time in microseconds that targets take.
+	Latency int64          `json:"latency"`
+	Targets []TargetStatus `json:"targets"`
+}
+
+// TargetStatus is the state of one target.
+type TargetStatus struct {
+	Name        pimentoregister.VMName `json:"name"`
+	State       string                 `json:"state"`
+	Why         string                 `json:"why,omitempty"`
+	Outstanding int                    `json:"outstanding"`
+	Share       int                    `json:"share"`
+}
+
+// PeerStatus is the state of one other entry.
+type PeerStatus struct {
+	Name      pimentotarget.EntryName    `json:"name"`
+	Region    pimentoregister.RegionName `json:"region"`
+	Reachable bool                       `json:"reachable"`
+	Stopping  bool                       `json:"stopping"`
+	Revision  pimentoregister.Revision   `json:"revision"`
+}
+
+// Status returns what the entry knows now.
+func (e *Entry) Status() Status {
+	now := e.now()
+	st := Status{
+		Name:     e.settings.Name,
+		Revision: e.store.View().Revision,
+		Ready:    e.ready.Load(),
+		Stopping: e.stopping.Load(),
+		Running:  e.running.Load(),
+	}
+	if r := e.store.Refused(); r.Err != nil {
+		st.Refused = r.Revision
+		st.Why = r.Err.Error()
+	}
+	for _, info := range e.store.View().Services() {
+		if s := e.service(info.Name); s != nil {
+			st.Services = append(st.Services, s.status(now))
+		}
+	}
+	e.peers.mu.Lock()
+	for _, p := range e.peers.members.Peers() {
+		st.Peers = append(st.Peers, PeerStatus{
+			Name: p.Name, Region: p.Region, Reachable: p.Reachable(now),
+			Stopping: p.Stopping || p.Leaving, Revision: p.Revision,
+		})
+	}
+	e.peers.mu.Unlock()
+	e.keys.mu.Lock()
+	st.Keys = e.keys.ledger.String()
+	e.keys.mu.Unlock()
+	return st
+}
+
+func (s *service) status(now time.Duration) ServiceStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := ServiceStatus{
+		Name:    s.name,
+		Waiting: s.table.Waiting(),
+		Running: s.table.Running(),
+		Latency: s.table.Latency().Microseconds(),
+	}
+	for _, tg := range s.table.Targets() {
+		state, why := s.table.State(now, tg)
+		out.Targets = append(out.Targets, TargetStatus{
+			Name: tg.Name, State: state, Why: why, Outstanding: tg.Outstanding, Share: tg.Share,
+		})
+	}
+	return out
+}
+
+// adminServer serves operators and the platform's balancer.
+func (e *Entry) adminServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               e.serveAdmin,
+		NoDefaultServerHeader: true,
+		ReadTimeout:           callerRead,
+		IdleTimeout:           callerIdle,
+		CloseOnShutdown:       true,
+		Logger:                serverLog{e.log},
+	}
+}
+
+func (e *Entry) serveAdmin(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/health":
+		e.serveHealth(ctx)
+	case "/metrics":
+		var buf bytes.Buffer
+		e.counters.set.WritePrometheus(&buf)
+		metrics.WriteProcessMetrics(&buf)
+		ctx.SetContentType("text/plain; charset=utf-8")
+		ctx.SetBody(buf.Bytes())
+	case "/status":
+		body, err := json.MarshalIndent(e.Status(), "", "  ")
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(body)
+	default:
+		ctx.Error("the paths are /health, /metrics and /status", fasthttp.StatusNotFound)
+	}
+}
+
+// serveHealth fails while callers should be sent elsewhere.
+func (e *Entry) serveHealth(ctx *fasthttp.RequestCtx) {
+	switch {
+	case e.stopping.Load():
+		ctx.Error("stopping", fasthttp.StatusServiceUnavailable)
+	case !e.ready.Load():
+		ctx.Error("starting", fasthttp.StatusServiceUnavailable)
+	case e.store.View().IsOut(e.settings.Domain):
+		ctx.Error("the failure domain is out of service", fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBodyString("ok\n")
+	}
+}
+
+// gauges registers the metrics that are read when they are asked for.
+func (e *Entry) gauges() {
+	set := e.counters.set
+	set.NewGauge("pimento_config_revision", func() float64 { return float64(e.store.View().Revision) })
+	set.NewGauge("pimento_config_refused_revision", func() float64 { return float64(e.store.Refused().Revision) })
+	set.NewGauge("pimento_running", func() float64 { return float64(e.running.Load()) })
+	set.NewGauge("pimento_quarantined", func() float64 { return float64(e.quarantine.len()) })
+	set.NewGauge("pimento_target_connections", func() float64 { return float64(e.client.Open()) })
+	set.NewGauge("pimento_platform_calls", func() float64 { return float64(e.platform.Calls()) })
+	set.NewGauge("pimento_peer_sessions", func() float64 { return float64(e.node.Sessions()) })
+	set.NewGauge("pimento_key_bytes", func() float64 {
+		e.keys.mu.Lock()
+		defer e.keys.mu.Unlock()
+		return float64(e.keys.ledger.Bytes())
+	})
+}
+
+func cryptoUint64() uint64 {
+	var buf [8]byte
+	_, _ = rand.Read(buf[:])
+	return binary.BigEndian.Uint64(buf[:])
+}
+
+func formatLine(format string, args []any) string { return fmt.Sprintf(format, args...) }
--- /dev/null
+++ b/pimentofake/load.go
@@ -0,0 +1,235 @@
+package pimentofake
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentocaller"
+)
+
+// Gate stands in for the platform's balancer: it names the entries whose health
+// is good, in turn.
+type Gate struct {
+	// Entries lists the entries' addresses for callers, and Health those for
+	// operators, in the same order.
+	Entries, Health []string
+
+	good atomic.Pointer[[]string]
+	turn atomic.Uint32
+}
+
+const (
+	healthInterval = 200 * time.Millisecond
+	healthTimeout  = 150 * time.Millisecond
+)
+
+// Run asks for the entries' health until stop is closed.
+func (g *Gate) Run(stop <-chan struct{}) {
+	for {
+		g.check()
+		select {
+		case <-stop:
+			return
+		case <-time.After(healthInterval):
+		}
+	}
+}
+
+func (g *Gate) check() {
+	results := make([]bool, len(g.Health))
+	var wg sync.WaitGroup
+	for i, address := range g.Health {
+		wg.Go(func() {
+			code, _, err := fasthttp.GetTimeout(nil, "http://"+address+"/health", healthTimeout)
+			results[i] = err == nil && code == fasthttp.StatusOK
+		})
+	}
+	wg.Wait()
+	var good []string
+	for i, ok := range results {
+		if ok {
+			good = append(good, g.Entries[i])
+		}
+	}
+	if len(good) > 0 {
+		g.good.Store(&good)
+	}
+}
+
+// Next returns the address of an entry.
+func (g *Gate) Next() string {
+	good := g.good.Load()
+	if good == nil {
+		return g.Entries[int(g.turn.Add(1))%len(g.Entries)]
+	}
+	return (*good)[int(g.turn.Add(1))%len(*good)]
+}
+
+// Route is one kind of request in a load.
+type Route struct {
+	Service string  `json:"service"`
+	Method  string  `json:"method"`
+	Path    string  `json:"path"`
+	Org     string  `json:"org"`
+	Once    bool    `json:"once"`
+	Rate    float64 `json:"rate"` // Requests per second.
+	Size    int     `json:"size"` // Bytes of the answer, 0 for a short one.
+}
+
+// Load is a bounded load of callers.
+type Load struct {
+	Routes []Route
+	// Time bounds the load.
+	Time time.Duration
+	// Address names the entry for each try.
+	Address func() string
+	// Log gets a CallLine for each non-idempotent request. It may be nil.
+	Log io.Writer
+
+	mu     sync.Mutex // Guards the fields below.
+	routes map[string]*RouteSummary
+}
+
+// CallLine is one line of a caller's log: how one non-idempotent request ended.
+type CallLine struct {
+	Reference string            `json:"reference"`
+	Run       pimentocaller.Run `json:"run"`
+	Reason    string            `json:"reason,omitempty"`
+}
+
+// RouteSummary is what callers saw on one route.
+type RouteSummary struct {
+	Sent, Answered, Wrong int
+	Refused               map[string]int
+	latency               *hdrhistogram.Histogram // Microseconds.
+}
+
+// Quantile returns a quantile, in percent, of the latency of answers.
+func (s *RouteSummary) Quantile(q float64) time.Duration {
+	return time.Duration(s.latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// loadTimeout bounds one request.
+const loadTimeout = 10 * time.Second
+
+// Run sends the load and returns what the callers saw, by method and service.
+func (l *Load) Run() map[string]*RouteSummary {
+	l.routes = make(map[string]*RouteSummary)
+	clients := make(map[string]*pimentocaller.Client)
+	for _, r := range l.Routes {
+		if clients[r.Org] == nil {
+			c, cleanup := pimentocaller.New(r.Org, l.Address)
+			defer cleanup()
+			clients[r.Org] = c
+		}
+	}
+	var wg sync.WaitGroup
+	for i, r := range l.Routes {
+		summary := l.summary(r)
+		wg.Go(func() { l.route(i, r, clients[r.Org], summary) })
+	}
+	wg.Wait()
+	return l.routes
+}
+
+func (l *Load) summary(r Route) *RouteSummary {
+	name := r.Method + " " + r.Service
+	if l.routes[name] == nil {
+		l.routes[name] = &RouteSummary{
+			Refused: make(map[string]int),
+			latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3),
+		}
+	}
+	return l.routes[name]
+}
+
+// route sends the requests of one route at random times.
+func (l *Load) route(number int, r Route, c *pimentocaller.Client, s *RouteSummary) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	start := time.Now()
+	next := start
+	run := rand.Uint32()
+	for n := 0; ; n++ {
+		next = next.Add(time.Duration(rand.ExpFloat64() / r.Rate * float64(time.Second)))
+		if next.Sub(start) > l.Time {
+			return
+		}
+		time.Sleep(time.Until(next))
+		reference := fmt.Sprintf("%08x-%d-%d", run, number, n)
+		wg.Go(func() { l.call(r, c, s, reference) })
+	}
+}
+
+func (l *Load) call(r Route, c *pimentocaller.Client, s *RouteSummary, reference string) {
+	req := &pimentocaller.Request{
+		Service: r.Service, Method: r.Method, Path: r.Path, Once: r.Once, Timeout: loadTimeout,
+		Header: []pimentocaller.Field{{Name: ReferenceHeader, Value: reference}},
+	}
+	if r.Size > 0 {
+		req.Path += fmt.Sprintf("?size=%d", r.Size)
+	}
+	if r.Method == fasthttp.MethodPost {
+		req.Body = []byte(reference)
+	}
+	start := time.Now()
+	answer, err := c.Do(req)
+	took := time.Since(start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.Sent++
+	line := CallLine{Reference: reference, Run: pimentocaller.RunYes}
+	switch {
+	case err != nil:
+		line.Reason = errorReason(err)
+		s.Refused[line.Reason]++
+		line.Run = pimentocaller.RunUnknown
+		if strings.HasPrefix(line.Reason, "unreachable") {
+			line.Run = pimentocaller.RunNo
+		}
+	case answer.Refused():
+		line.Run = answer.Run
+		line.Reason = answer.Reason
+		s.Refused[answer.Reason+" (run "+string(answer.Run)+")"]++
+	case answer.Status != fasthttp.StatusOK || !right(answer, reference, r.Size):
+		s.Wrong++
+	default:
+		s.Answered++
+		_ = s.latency.RecordValue(took.Microseconds())
+	}
+	l.log(r, line)
+}
+
+func errorReason(err error) string {
+	if e, ok := err.(*pimentocaller.Error); ok && e.Kind == pimentocaller.KindUnreachable {
+		return "unreachable (run no)"
+	}
+	return "unanswered (run unknown)"
+}
+
+// right reports whether an answer belongs to the request and is whole.
+func right(a *pimentocaller.Answer, reference string, size int) bool {
+	return string(a.Header.Peek(ReferenceHeader)) == reference && bytes.Equal(a.Body, Body(reference, size))
+}
+
+// log is called with l.mu held.
+func (l *Load) log(r Route, line CallLine) {
+	if l.Log == nil || !r.Once {
+		return
+	}
+	data, err := json.Marshal(line)
+	if err != nil {
+		return
+	}
+	_, _ = l.Log.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/pimentofake/platform.go
@@ -0,0 +1,210 @@
+package pimentofake
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// VM is one VM in the published list.
+type VM struct {
+	Name    string `json:"name"`
+	Role    string `json:"role"`
+	Address string `json:"address"`
+	Region  string `json:"region"`
+	Domain  string `json:"domain"`
+	State   string `json:"state"`
+}
+
+// watchTime bounds a waiting watch.
+const watchTime = 20 * time.Second
+
+// Platform stands in for the platform's service. The zero value is ready to
+// use. It is safe for concurrent use.
+type Platform struct {
+	// Lag is the time after which a new list of VMs is published.
+	Lag time.Duration
+
+	mu      sync.Mutex // Guards the fields below.
+	values  map[string]published
+	list    published
+	changed chan struct{} // Closed at each change.
+	down    bool
+	slow    time.Duration
+	stale   map[string]published // Served in place of values if it isn't nil.
+
+	calls atomic.Uint64
+}
+
+type published struct {
+	revision uint64
+	data     []byte
+}
+
+// Calls returns the number of reads so far, each waiting watch counted once.
+func (p *Platform) Calls() uint64 { return p.calls.Load() }
+
+// Set publishes a value in its next revision, and returns the revision.
+func (p *Platform) Set(name string, data []byte) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.values == nil {
+		p.values = make(map[string]published)
+	}
+	rev := p.values[name].revision + 1
+	p.values[name] = published{revision: rev, data: data}
+	p.wake()
+	return rev
+}
+
+// SetRevision publishes a value in a given revision, which may be an older one.
+func (p *Platform) SetRevision(name string, rev uint64, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.values == nil {
+		p.values = make(map[string]published)
+	}
+	p.values[name] = published{revision: rev, data: data}
+	p.wake()
+}
+
+// SetVMs publishes a list of VMs after the lag.
+func (p *Platform) SetVMs(vms []VM) {
+	data, err := json.Marshal(vms)
+	if err != nil {
+		panic(err)
+	}
+	time.AfterFunc(p.Lag, func() { p.publishList(data) })
+}
+
+func (p *Platform) publishList(data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = published{revision: p.list.revision + 1, data: data}
+	p.wake()
+}
+
+// SetDown lets all reads fail.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// SetSlow delays all reads.
+func (p *Platform) SetSlow(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow = d
+}
+
+// SetStale lets reads return the values of now until it is called with false.
+func (p *Platform) SetStale(stale bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = nil
+	if stale {
+		p.stale = make(map[string]published)
+		for name, v := range p.values {
+			p.stale[name] = v
+		}
+	}
+	p.wake()
+}
+
+// wake is called with p.mu held.
+func (p *Platform) wake() {
+	if p.changed != nil {
+		close(p.changed)
+	}
+	p.changed = make(chan struct{})
+}
+
+// Handler serves the platform's protocol, and orders below /fake/.
+func (p *Platform) Handler(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if strings.HasPrefix(path, "/fake/") {
+		p.order(ctx, strings.TrimPrefix(path, "/fake/"))
+		return
+	}
+	p.calls.Add(1)
+	after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	deadline := time.Now().Add(watchTime)
+	for {
+		v, ok, changed := p.read(path)
+		switch {
+		case !ok:
+			ctx.Error("no such value", fasthttp.StatusServiceUnavailable)
+			return
+		case v.revision > after:
+			ctx.Response.Header.Set("Revision", strconv.FormatUint(v.revision, 10))
+			ctx.SetBody(v.data)
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Until(deadline)):
+			ctx.SetStatusCode(fasthttp.StatusNotModified)
+			return
+		}
+	}
+}
+
+// read returns what a path has now, and a channel that is closed at the next
+// change.
+func (p *Platform) read(path string) (published, bool, <-chan struct{}) {
+	p.mu.Lock()
+	slow := p.slow
+	p.mu.Unlock()
+	time.Sleep(slow)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	if p.down {
+		return published{}, false, nil
+	}
+	if path == "/vms" {
+		return p.list, p.list.revision > 0, p.changed
+	}
+	values := p.values
+	if p.stale != nil {
+		values = p.stale
+	}
+	v, ok := values[strings.TrimPrefix(path, "/values/")]
+	return v, ok, p.changed
+}
+
+// order carries out an order of a script.
+func (p *Platform) order(ctx *fasthttp.RequestCtx, what string) {
+	args := ctx.QueryArgs()
+	switch what {
+	case "set":
+		rev := p.Set(string(args.Peek("name")), append([]byte(nil), ctx.PostBody()...))
+		ctx.SetBodyString(strconv.FormatUint(rev, 10) + "\n")
+	case "vms":
+		var vms []VM
+		if err := json.Unmarshal(ctx.PostBody(), &vms); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		p.SetVMs(vms)
+	case "down":
+		p.SetDown(args.GetBool("on"))
+	case "stale":
+		p.SetStale(args.GetBool("on"))
+	case "slow":
+		p.SetSlow(time.Duration(args.GetUintOrZero("ms")) * time.Millisecond)
+	case "calls":
+		ctx.SetBodyString(strconv.FormatUint(p.Calls(), 10) + "\n")
+	default:
+		ctx.Error("no such order", fasthttp.StatusNotFound)
+	}
+}
--- /dev/null
+++ b/pimentofake/verdict.go
@@ -0,0 +1,124 @@
+package pimentofake
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"pimentoarch/pimentocaller"
+)
+
+// Verdict compares what targets ran with what callers were told.
+type Verdict struct {
+	runs   map[string]int // By reference, of requests with a key.
+	keys   map[string]int // By key.
+	calls  map[string]CallLine
+	abroad int
+	home   map[string]map[string]bool
+}
+
+// NewVerdict returns an empty verdict. home lists the regions in which requests
+// of an organisation may run; an organisation that it doesn't have may run
+// anywhere.
+func NewVerdict(home map[string][]string) *Verdict {
+	v := &Verdict{runs: make(map[string]int), keys: make(map[string]int), calls: make(map[string]CallLine), home: make(map[string]map[string]bool)}
+	for org, regions := range home {
+		v.home[org] = make(map[string]bool)
+		for _, r := range regions {
+			v.home[org][r] = true
+		}
+	}
+	return v
+}
+
+// AddRuns reads a target's log.
+func (v *Verdict) AddRuns(r io.Reader) error {
+	return eachLine(r, func(data []byte) error {
+		var line RunLine
+		if err := json.Unmarshal(data, &line); err != nil {
+			return err
+		}
+		if regions := v.home[line.Org]; len(regions) > 0 && !regions[line.Region] {
+			v.abroad++
+		}
+		if line.Key != "" {
+			v.keys[line.Key]++
+			v.runs[line.Reference]++
+		}
+		return nil
+	})
+}
+
+// AddCalls reads a caller's log.
+func (v *Verdict) AddCalls(r io.Reader) error {
+	return eachLine(r, func(data []byte) error {
+		var line CallLine
+		if err := json.Unmarshal(data, &line); err != nil {
+			return err
+		}
+		v.calls[line.Reference] = line
+		return nil
+	})
+}
+
+// eachLine skips a last line that was cut short by a kill.
+func eachLine(r io.Reader, take func([]byte) error) error {
+	s := bufio.NewScanner(r)
+	for s.Scan() {
+		if err := take(s.Bytes()); err != nil && s.Scan() {
+			return err
+		}
+	}
+	return s.Err()
+}
+
+// Findings counts what must not be.
+type Findings struct {
+	// Doubled counts keys and references that ran more than once.
+	Doubled int
+	// False counts references that ran although their caller was told "not run".
+	False int
+	// Lost counts references that didn't run although their caller has an answer.
+	Lost int
+	// Abroad counts runs outside the home regions.
+	Abroad int
+	// Unknown counts references whose caller was told that they may have run.
+	// It isn't a fault.
+	Unknown int
+}
+
+// Findings returns the comparison.
+func (v *Verdict) Findings() Findings {
+	f := Findings{Abroad: v.abroad}
+	for _, n := range v.keys {
+		if n > 1 {
+			f.Doubled++
+		}
+	}
+	for _, n := range v.runs {
+		if n > 1 {
+			f.Doubled++
+		}
+	}
+	for ref, line := range v.calls {
+		switch {
+		case line.Run == pimentocaller.RunNo && v.runs[ref] > 0:
+			f.False++
+		case line.Run == pimentocaller.RunYes && v.runs[ref] == 0:
+			f.Lost++
+		case line.Run == pimentocaller.RunUnknown:
+			f.Unknown++
+		}
+	}
+	return f
+}
+
+// Bad reports whether a promise was broken.
+func (f Findings) Bad() bool { return f.Doubled+f.False+f.Lost+f.Abroad > 0 }
+
+// String formats the findings for people.
+func (f Findings) String() string {
+	return fmt.Sprintf("doubled runs %d, untrue \"not run\" %d, answers without a run %d, runs outside home regions %d, unknown outcomes %d",
+		f.Doubled, f.False, f.Lost, f.Abroad, f.Unknown)
+}
--- /dev/null
+++ b/pimentohttp/client.go
@@ -0,0 +1,239 @@
+package pimentohttp
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	defaultMaxIdle     = 5 * time.Second
+	defaultDialTimeout = 500 * time.Millisecond
+	readBuffer         = 8 << 10
+	writeBuffer        = 4 << 10
+)
+
+// Client holds the connections to targets. The zero value is ready to use. Its
+// exported fields are set before the first exchange.
+type Client struct {
+	// MaxIdle is the age from which an idle connection isn't used again.
+	MaxIdle time.Duration
+	// DialTimeout bounds the time to open a connection.
+	DialTimeout time.Duration
+
+	mu    sync.Mutex // Guards pools.
+	pools map[string]*pool
+}
+
+// pool holds the idle connections to one target, the newest last.
+type pool struct {
+	mu    sync.Mutex // Guards the fields below. Taken after Client.mu, never before.
+	idle  []*conn
+	open  int
+	limit int // 0 means none.
+}
+
+// conn is one connection to a target.
+type conn struct {
+	net.Conn
+	pool    *pool
+	r       *bufio.Reader
+	w       *bufio.Writer
+	written atomic.Int64
+	usedAt  time.Time
+	closed  sync.Once
+}
+
+// Write implements net.Conn and counts the bytes.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// destroy closes the connection for good. It may be called at any time.
+func (c *conn) destroy() {
+	c.closed.Do(func() {
+		_ = c.Conn.Close()
+		c.pool.mu.Lock()
+		c.pool.open--
+		c.pool.mu.Unlock()
+	})
+}
+
+func (c *Client) pool(address string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pools == nil {
+		c.pools = make(map[string]*pool)
+	}
+	p := c.pools[address]
+	if p == nil {
+		p = new(pool)
+		c.pools[address] = p
+	}
+	return p
+}
+
+// SetLimit bounds the connections to a target to this entry's share.
+func (c *Client) SetLimit(address string, limit int) {
+	p := c.pool(address)
+	p.mu.Lock()
+	p.limit = limit
+	p.mu.Unlock()
+}
+
+// Forget closes the idle connections to a target that is gone.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	p := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.closeIdle(time.Time{})
+	}
+}
+
+// CloseIdle closes the connections that have been idle for too long.
+func (c *Client) CloseIdle(now time.Time) {
+	c.mu.Lock()
+	pools := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		pools = append(pools, p)
+	}
+	c.mu.Unlock()
+	for _, p := range pools {
+		p.closeIdle(now.Add(-c.maxIdle()))
+	}
+}
+
+// Open returns the number of open connections.
+func (c *Client) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, p := range c.pools {
+		p.mu.Lock()
+		n += p.open
+		p.mu.Unlock()
+	}
+	return n
+}
+
+// closeIdle closes connections last used before the time, or all if it is zero.
+func (p *pool) closeIdle(before time.Time) {
+	p.mu.Lock()
+	var old []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if before.IsZero() || c.usedAt.Before(before) {
+			old = append(old, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range old {
+		c.destroy()
+	}
+}
+
+func (c *Client) maxIdle() time.Duration {
+	if c.MaxIdle > 0 {
+		return c.MaxIdle
+	}
+	return defaultMaxIdle
+}
+
+// get returns an idle connection that was open a moment ago, or a new one.
+// fresh asks for a new one.
+func (c *Client) get(address string, fresh bool, deadline time.Time) (*conn, error) {
+	p := c.pool(address)
+	for !fresh {
+		idle := p.take()
+		if idle == nil {
+			break
+		}
+		if time.Since(idle.usedAt) < c.maxIdle() && quiet(idle.Conn) {
+			return idle, nil
+		}
+		idle.destroy()
+	}
+	return c.dial(p, address, deadline)
+}
+
+func (p *pool) take() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle[n-1] = nil
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+// errBusy is the cause of errors of KindBusy.
+var errBusy = errors.New("all connections of this entry's share are in use")
+
+func (c *Client) dial(p *pool, address string, deadline time.Time) (*conn, error) {
+	if !p.reserve() {
+		return nil, &Error{Op: "connect", Kind: KindBusy, Address: address, Err: errBusy}
+	}
+	timeout := c.DialTimeout
+	if timeout <= 0 {
+		timeout = defaultDialTimeout
+	}
+	nc, err := net.DialTimeout("tcp", address, min(timeout, max(time.Until(deadline), time.Millisecond)))
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, &Error{Op: "connect", Kind: KindConnect, Address: address, Err: err}
+	}
+	cn := &conn{Conn: nc, pool: p}
+	cn.r = bufio.NewReaderSize(nc, readBuffer)
+	cn.w = bufio.NewWriterSize(cn, writeBuffer)
+	return cn, nil
+}
+
+// reserve counts a new connection. Above the limit it gives up an idle one.
+func (p *pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limit > 0 && p.open >= p.limit {
+		if len(p.idle) == 0 {
+			return false
+		}
+		old := p.idle[0]
+		p.idle = p.idle[1:]
+		old.closed.Do(func() {
+			_ = old.Conn.Close()
+			p.open--
+		})
+	}
+	p.open++
+	return true
+}
+
+// put makes a connection idle after a whole exchange.
+func (c *conn) put() {
+	if c.r.Buffered() > 0 {
+		// Bytes that no request asked for must not reach the next one.
+		c.destroy()
+		return
+	}
+	_ = c.SetDeadline(time.Time{})
+	c.usedAt = time.Now()
+	c.written.Store(0)
+	c.pool.mu.Lock()
+	c.pool.idle = append(c.pool.idle, c)
+	c.pool.mu.Unlock()
+}
--- /dev/null
+++ b/pimentohttp/error.go
@@ -0,0 +1,43 @@
+package pimentohttp
+
+import "fmt"
+
+// Kind classifies an error of this package.
+type Kind uint8
+
+const (
+	// KindConnect means that no connection could be opened.
+	KindConnect Kind = iota + 1
+	// KindBroken means that the connection broke before an answer.
+	KindBroken
+	// KindShort means that the connection broke within an answer.
+	KindShort
+	// KindInvalid means that the answer isn't valid HTTP.
+	KindInvalid
+	// KindTimeout means that the deadline passed.
+	KindTimeout
+	// KindCancelled means that the exchange was cancelled.
+	KindCancelled
+	// KindBusy means that the share of connections is in use.
+	KindBusy
+)
+
+// Error is the error type of this package.
+type Error struct {
+	// Op is the step that failed: "connect", "write", "read" or "body".
+	Op string
+	// Kind classifies the error.
+	Kind Kind
+	// Address is the target's.
+	Address string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("pimentohttp: %s %s: %v", e.Op, e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/pimentohttp/watch.go
@@ -0,0 +1,91 @@
+package pimentohttp
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Watch finds callers that have closed their connections while their requests
+// are served. The server reads nothing from a connection meanwhile, so one
+// goroutine looks at all of them in turn.
+type Watch struct {
+	mu      sync.Mutex // Guards waiting.
+	waiting map[*Watched]struct{}
+}
+
+// Watched is one caller's connection.
+type Watched struct {
+	conn  net.Conn
+	since time.Time
+	gone  func()
+}
+
+const (
+	// watchInterval is the time between two looks at a connection.
+	watchInterval = 20 * time.Millisecond
+	// watchAge is the age from which a request's caller is looked at.
+	watchAge = 10 * time.Millisecond
+)
+
+// Add watches a connection until Remove. gone is called once, from another
+// goroutine, if the caller closes it.
+func (w *Watch) Add(c net.Conn, gone func()) *Watched {
+	item := &Watched{conn: c, since: time.Now(), gone: gone}
+	w.mu.Lock()
+	if w.waiting == nil {
+		w.waiting = make(map[*Watched]struct{})
+	}
+	w.waiting[item] = struct{}{}
+	w.mu.Unlock()
+	return item
+}
+
+// Remove ends the watch over a connection.
+func (w *Watch) Remove(item *Watched) {
+	w.mu.Lock()
+	delete(w.waiting, item)
+	w.mu.Unlock()
+}
+
+// Run looks at the connections until stop is closed.
+func (w *Watch) Run(stop <-chan struct{}) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	var due []*Watched
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-tick.C:
+			due = w.due(now, due[:0])
+			w.look(due)
+		}
+	}
+}
+
+func (w *Watch) due(now time.Time, list []*Watched) []*Watched {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for item := range w.waiting {
+		if now.Sub(item.since) >= watchAge {
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
+func (w *Watch) look(list []*Watched) {
+	for _, item := range list {
+		if open, _ := peek(item.conn); open {
+			continue
+		}
+		w.mu.Lock()
+		_, still := w.waiting[item]
+		delete(w.waiting, item)
+		w.mu.Unlock()
+		if still {
+			item.gone()
+		}
+	}
+}
--- /dev/null
+++ b/pimentokey/handover.go
@@ -0,0 +1,122 @@
+package pimentokey
+
+import "fmt"
+
+// Range is the state of the keys of one incarnation, as handed over.
+type Range struct {
+	Issuer  Incarnation
+	Secret  Secret
+	Next    Seq
+	Floor   Seq
+	Pages   []NumberedPage
+	Records []Record
+}
+
+// NumberedPage is a bitmap page with its place in the range.
+type NumberedPage struct {
+	Number uint64
+	Page   Page
+}
+
+// Record is the handed over record of one used key. Outcome is zero while the
+// dispatch still runs at the process that hands over.
+type Record struct {
+	Seq         Seq
+	Fingerprint Fingerprint
+	Outcome     Outcome
+	Answer      *Answer
+}
+
+// Export returns all ranges for a successor, with kept answers of at most
+// maxBytes in all; other answers become marks. It panics unless the ledger is
+// stopped, because a range with two dispatchers could run a request twice.
+func (l *Ledger) Export(maxBytes int) []Range {
+	if !l.stopped {
+		panic("pimentokey: Export before Stop")
+	}
+	l.shrink(maxBytes)
+	list := make([]Range, 0, len(l.ranges))
+	for issuer, r := range l.ranges {
+		list = append(list, r.export(issuer))
+	}
+	return list
+}
+
+// shrink evicts settled records down to maxBytes.
+func (l *Ledger) shrink(maxBytes int) {
+	l.MaxBytes = min(l.MaxBytes, maxBytes)
+	l.evict()
+}
+
+func (r *keyRange) export(issuer Incarnation) Range {
+	out := Range{Issuer: issuer, Secret: r.secret, Next: r.next, Floor: r.floor}
+	for n, p := range r.pages {
+		out.Pages = append(out.Pages, NumberedPage{Number: n, Page: *p})
+	}
+	for seq, rec := range r.records {
+		out.Records = append(out.Records, Record{
+			Seq:         seq,
+			Fingerprint: rec.fingerprint,
+			Outcome:     rec.outcome(),
+			Answer:      rec.answer,
+		})
+	}
+	return out
+}
+
+func (rec *record) outcome() Outcome {
+	switch rec.state {
+	case stateDone:
+		return OutcomeDone
+	case stateUnknown:
+		return OutcomeUnknown
+	case stateVoid:
+		return OutcomeNotRun
+	}
+	return 0
+}
+
+// Adopt takes over a range that its holder has exported. It refuses a range
+// that this ledger holds or has held, and every range after Stop.
+func (l *Ledger) Adopt(in Range) error {
+	switch {
+	case l.stopped:
+		return &Error{Op: "adopt", Kind: KindStopped, Err: fmt.Errorf("range %x: the ledger is stopped", in.Issuer)}
+	case l.ranges[in.Issuer] != nil || l.gone[in.Issuer]:
+		return &Error{Op: "adopt", Kind: KindHeld, Err: fmt.Errorf("range %x was adopted before", in.Issuer)}
+	case in.Next == 0 || in.Floor == 0:
+		return &Error{Op: "adopt", Kind: KindCorrupt, Err: fmt.Errorf("range %x: next %d, floor %d", in.Issuer, in.Next, in.Floor)}
+	}
+	r := newRange(in.Secret)
+	r.next = in.Next
+	r.floor = in.Floor
+	for _, p := range in.Pages {
+		page := p.Page
+		r.pages[p.Number] = &page
+	}
+	for _, rec := range in.Records {
+		l.adoptRecord(in.Issuer, r, rec)
+	}
+	l.ranges[in.Issuer] = r
+	l.evict()
+	return nil
+}
+
+func (l *Ledger) adoptRecord(issuer Incarnation, r *keyRange, in Record) {
+	rec := &record{fingerprint: in.Fingerprint, answer: in.Answer}
+	switch in.Outcome {
+	case OutcomeDone:
+		rec.state = stateDone
+	case OutcomeUnknown:
+		rec.state = stateUnknown
+	case OutcomeNotRun:
+		rec.state = stateVoid
+	default:
+		rec.state = stateElsewhere
+	}
+	r.records[in.Seq] = rec
+	l.bytes += rec.answer.size()
+	if rec.state != stateElsewhere {
+		l.settled = append(l.settled, Key{Issuer: issuer, Seq: in.Seq})
+	}
+}
--- /dev/null
+++ b/pimentolink/fetch.go
@@ -0,0 +1,66 @@
+package pimentolink
+
+import (
+	"bufio"
+	"time"
+
+	"github.com/VictoriaMetrics/easyproto"
+	"github.com/hashicorp/yamux"
+
+	"pimentoarch/pimentoregister"
+)
+
+// Fetch returns the configuration in force at a peer.
+func (n *Node) Fetch(address string) (pimentoregister.Revision, []byte, error) {
+	stream, err := n.open(address, streamFetch)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetDeadline(time.Now().Add(transferTimeout))
+	msg, err := readMessage(bufio.NewReader(stream))
+	if err != nil {
+		return 0, nil, &Error{Op: "fetch", Kind: KindBroken, Peer: address, Err: err}
+	}
+	rev, data, err := unmarshalValue(msg)
+	if err != nil {
+		return 0, nil, &Error{Op: "fetch", Kind: KindInvalid, Peer: address, Err: err}
+	}
+	return rev, data, nil
+}
+
+func (n *Node) serveFetch(stream *yamux.Stream) error {
+	rev, data := n.OnFetch()
+	_ = stream.SetWriteDeadline(time.Now().Add(transferTimeout))
+	return writeMessage(stream, marshalValue(rev, data))
+}
+
+// message Value { uint64 revision = 1; bytes data = 2; }
+
+func marshalValue(rev pimentoregister.Revision, data []byte) []byte {
+	m := marshalers.Get()
+	defer marshalers.Put(m)
+	mm := m.MessageMarshaler()
+	mm.AppendUint64(1, uint64(rev))
+	mm.AppendBytes(2, data)
+	return m.Marshal(nil)
+}
+
+func unmarshalValue(src []byte) (pimentoregister.Revision, []byte, error) {
+	var rev pimentoregister.Revision
+	var data []byte
+	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+		switch fc.FieldNum {
+		case 1:
+			v, ok := fc.Uint64()
+			rev = pimentoregister.Revision(v)
+			return ok
+		case 2:
+			v, ok := fc.Bytes()
+			data = v
+			return ok
+		}
+		return true
+	})
+	return rev, data, err
+}
--- /dev/null
+++ b/pimentoregister/check.go
@@ -0,0 +1,214 @@
+package pimentoregister
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+)
+
+// maxNameLen is the length limit in bytes of every name.
+const maxNameLen = 64
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
+
+// Check returns every field of d whose value isn't allowed. It depends on
+// nothing but d. A document without faults can be used for a View.
+func Check(d *Document) []Fault {
+	c := checker{}
+	c.regions(d.Regions)
+	c.services(d.Services)
+	c.vms(d.VMs)
+	c.organisations(d.Organisations)
+	c.rules(&d.Rules)
+	return c.faults
+}
+
+// Parse decodes and checks a document.
+func Parse(data []byte) (*Document, error) {
+	d, err := Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	if faults := Check(d); len(faults) > 0 {
+		return nil, &Error{Op: "check", Kind: KindContent, Faults: faults}
+	}
+	return d, nil
+}
+
+// checker collects faults, and the names seen so far.
+type checker struct {
+	faults      []Fault
+	regionSeen  map[RegionName]bool
+	domainSeen  map[DomainName]bool
+	serviceSeen map[ServiceName]bool
+}
+
+func (c *checker) fault(field string, value any, reason string, args ...any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		text = []byte(fmt.Sprint(value))
+	}
+	c.faults = append(c.faults, Fault{Field: field, Value: string(text), Reason: fmt.Sprintf(reason, args...)})
+}
+
+func (c *checker) name(field, name string, doubled bool) {
+	switch {
+	case name == "":
+		c.fault(field, name, "a name is required")
+	case len(name) > maxNameLen:
+		c.fault(field, name, "the name has %d bytes, the limit is %d", len(name), maxNameLen)
+	case !namePattern.MatchString(name):
+		c.fault(field, name, "a name has lower-case letters, digits, '.', '_' and '-' only")
+	case doubled:
+		c.fault(field, name, "the name stands twice")
+	}
+}
+
+// atLeast checks that a number isn't below its lower limit.
+func (c *checker) atLeast(field string, value, limit int64) {
+	if value < limit {
+		c.fault(field, value, "the lower limit is %d", limit)
+	}
+}
+
+func (c *checker) regions(regions []Region) {
+	c.regionSeen = make(map[RegionName]bool)
+	c.domainSeen = make(map[DomainName]bool)
+	if len(regions) == 0 {
+		c.fault("regions", regions, "at least one region is required")
+	}
+	for i, r := range regions {
+		field := fmt.Sprintf("regions[%d]", i)
+		c.name(field+".name", string(r.Name), c.regionSeen[r.Name])
+		c.regionSeen[r.Name] = true
+		if len(r.Domains) == 0 {
+			c.fault(field+".domains", r.Domains, "a region needs a failure domain")
+		}
+		for j, d := range r.Domains {
+			c.name(fmt.Sprintf("%s.domains[%d]", field, j), string(d), c.domainSeen[d])
+			c.domainSeen[d] = true
+		}
+	}
+}
+
+func (c *checker) services(services []Service) {
+	c.serviceSeen = make(map[ServiceName]bool)
+	for i := range services {
+		s := &services[i]
+		field := fmt.Sprintf("services[%d]", i)
+		c.name(field+".name", string(s.Name), c.serviceSeen[s.Name])
+		c.serviceSeen[s.Name] = true
+		c.service(field, s)
+	}
+}
+
+func (c *checker) service(field string, s *Service) {
+	switch s.Class {
+	case ClassRead, ClassOnce, ClassBulk:
+	default:
+		c.fault(field+".class", s.Class, "the classes are read, once and bulk")
+	}
+	c.atLeast(field+".slots", int64(s.Slots), 1)
+	c.atLeast(field+".connections", int64(s.Connections), 1)
+	c.atLeast(field+".cold", int64(s.Cold), 1)
+	c.atLeast(field+".warmup", int64(s.Warmup), 0)
+	c.atLeast(field+".timeout", int64(s.Timeout), 1)
+	if s.Connections >= 1 && s.Connections < s.Slots {
+		c.fault(field+".connections", s.Connections, "fewer connections than the %d slots", s.Slots)
+	}
+	if s.Slots >= 1 && s.Cold > s.Slots {
+		c.fault(field+".cold", s.Cold, "more than the %d slots", s.Slots)
+	}
+	if s.Probe != "" {
+		c.probe(field, s)
+	}
+	for j, status := range s.Refusals {
+		if status < 400 || status > 599 {
+			c.fault(fmt.Sprintf("%s.refusals[%d]", field, j), status, "a refusal has a status from 400 to 599")
+		}
+	}
+}
+
+func (c *checker) probe(field string, s *Service) {
+	if !strings.HasPrefix(s.Probe, "/") {
+		c.fault(field+".probe", s.Probe, "a path begins with '/'")
+	}
+	c.atLeast(field+".cost", int64(s.Cost), 1)
+	c.atLeast(field+".budget", int64(s.Budget), 1)
+}
+
+func (c *checker) vms(vms []VM) {
+	names := make(map[VMName]bool)
+	addresses := make(map[string]bool)
+	for i := range vms {
+		v := &vms[i]
+		field := fmt.Sprintf("vms[%d]", i)
+		c.name(field+".name", string(v.Name), names[v.Name])
+		names[v.Name] = true
+		if !c.serviceSeen[v.Service] {
+			c.fault(field+".service", v.Service, "no such service")
+		}
+		if !c.domainSeen[v.Domain] {
+			c.fault(field+".domain", v.Domain, "no such failure domain")
+		}
+		if _, err := netip.ParseAddrPort(v.Address); err != nil {
+			c.fault(field+".address", v.Address, "an address is IP:port")
+		} else if addresses[v.Address] {
+			c.fault(field+".address", v.Address, "the address stands twice")
+		}
+		addresses[v.Address] = true
+	}
+}
+
+func (c *checker) organisations(orgs []Organisation) {
+	names := make(map[OrganisationName]bool)
+	for i, o := range orgs {
+		field := fmt.Sprintf("organisations[%d]", i)
+		c.name(field+".name", string(o.Name), names[o.Name])
+		names[o.Name] = true
+		seen := make(map[RegionName]bool)
+		for j, r := range o.Home {
+			c.reference(fmt.Sprintf("%s.home[%d]", field, j), string(r), "region", c.regionSeen[r], seen[r])
+			seen[r] = true
+		}
+	}
+}
+
+// reference checks that a name refers to something and stands once in its list.
+func (c *checker) reference(field, name, kind string, exists, doubled bool) {
+	if !exists {
+		c.fault(field, name, "no such %s", kind)
+		return
+	}
+	if doubled {
+		c.fault(field, name, "the %s stands twice", kind)
+	}
+}
+
+func (c *checker) rules(r *Rules) {
+	routes := make(map[Route]bool)
+	for i, route := range r.Once {
+		field := fmt.Sprintf("rules.once[%d]", i)
+		if !c.serviceSeen[route.Service] {
+			c.fault(field+".service", route.Service, "no such service")
+		}
+		if route.Method == "" || route.Method != strings.ToUpper(route.Method) {
+			c.fault(field+".method", route.Method, "a method is required, in upper case")
+		}
+		if route.Path != "" && !strings.HasPrefix(route.Path, "/") {
+			c.fault(field+".path", route.Path, "a path begins with '/'")
+		}
+		if routes[route] {
+			c.fault(field, route, "the route stands twice")
+		}
+		routes[route] = true
+	}
+	seen := make(map[DomainName]bool)
+	for i, d := range r.Out {
+		c.reference(fmt.Sprintf("rules.out[%d]", i), string(d), "failure domain", c.domainSeen[d], seen[d])
+		seen[d] = true
+	}
+	c.atLeast("rules.links.capacity", int64(r.Links.Capacity), 1)
+}
--- /dev/null
+++ b/pimentoregister/document.go
@@ -0,0 +1,170 @@
+package pimentoregister
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// MaxBytes is the size limit in bytes of one published value.
+const MaxBytes = 1 << 20
+
+// Names of the things in a document. Each is unique within its kind.
+type (
+	// RegionName names a region.
+	RegionName string
+	// DomainName names a failure domain. It is unique over all regions.
+	DomainName string
+	// ServiceName names a service.
+	ServiceName string
+	// VMName names a target VM.
+	VMName string
+	// OrganisationName names an organisation.
+	OrganisationName string
+)
+
+// Revision is the platform's revision of the published document.
+type Revision uint64
+
+// Millis is a duration in milliseconds.
+type Millis int64
+
+// Class says how a service's requests are queued.
+type Class string
+
+const (
+	// ClassRead is for cheap reads.
+	ClassRead Class = "read"
+	// ClassOnce is for services whose requests are mostly non-idempotent.
+	ClassOnce Class = "once"
+	// ClassBulk is for large answers that must not delay the other classes.
+	ClassBulk Class = "bulk"
+)
+
+// Document is the published inventory and rules.
+type Document struct {
+	Regions       []Region       `json:"regions"`
+	Services      []Service      `json:"services"`
+	VMs           []VM           `json:"vms"`
+	Organisations []Organisation `json:"organisations"`
+	Rules         Rules          `json:"rules"`
+}
+
+// Region is a set of failure domains with short links between them.
+type Region struct {
+	Name    RegionName   `json:"name"`
+	Domains []DomainName `json:"domains"`
+}
+
+// Service is a set of interchangeable targets.
+type Service struct {
+	Name  ServiceName `json:"name"`
+	Class Class       `json:"class"`
+	// Slots is the number of requests that one target runs at a time.
+	Slots int `json:"slots"`
+	// Connections is the number of open connections that one target bears.
+	Connections int `json:"connections"`
+	// Cold is the number of outstanding requests that a cold target bears.
+	Cold int `json:"cold"`
+	// Warmup is the time under load after which a target is warm.
+	Warmup Millis `json:"warmup"`
+	// Timeout is the longest time that a request may take.
+	Timeout Millis `json:"timeout"`
+	// Probe is the path of the load endpoint. Empty means that targets of
+	// this service are never probed.
+	Probe string `json:"probe,omitempty"`
+	// Cost is the processing time in milliseconds that one probe costs.
+	Cost Millis `json:"cost,omitempty"`
+	// Budget is the processing time in milliseconds per second that probes may
+	// cost each target, over all entries.
+	Budget Millis `json:"budget,omitempty"`
+	// Refusals lists the statuses by which a target says that it did not run
+	// the request.
+	Refusals []int `json:"refusals,omitempty"`
+	// Boot names the answer header whose value changes when a target restarts.
+	Boot string `json:"boot,omitempty"`
+}
+
+// VM is one target machine.
+type VM struct {
+	Name    VMName      `json:"name"`
+	Service ServiceName `json:"service"`
+	Domain  DomainName  `json:"domain"`
+	// Address is the IP and port of the target.
+	Address string `json:"address"`
+}
+
+// Organisation is a customer.
+type Organisation struct {
+	Name OrganisationName `json:"name"`
+	// Home lists the only regions that may serve and store the organisation's
+	// requests. Empty means any region.
+	Home []RegionName `json:"home,omitempty"`
+}
+
+// Rules are what operators add to the inventory.
+type Rules struct {
+	// Once lists the routes whose requests are non-idempotent.
+	Once []Route `json:"once,omitempty"`
+	// Out lists the failure domains that are out of service.
+	Out []DomainName `json:"out,omitempty"`
+	// Links limits the traffic between regions.
+	Links Links `json:"links"`
+}
+
+// Links limits the traffic between regions.
+type Links struct {
+	// Capacity is the rate in Mbit/s that a region's entries together may
+	// send to other regions.
+	Capacity int `json:"capacity"`
+}
+
+// Route selects requests by service, method and path prefix.
+type Route struct {
+	Service ServiceName `json:"service"`
+	Method  string      `json:"method"`
+	// Path is a prefix of the path below the service. Empty matches all.
+	Path string `json:"path,omitempty"`
+}
+
+// Decode reads a document and refuses unknown fields and trailing data.
+// It doesn't check the content.
+func Decode(data []byte) (*Document, error) {
+	if len(data) > MaxBytes {
+		return nil, &Error{Op: "decode", Kind: KindSize, Err: fmt.Errorf("document has %d bytes, the limit is %d", len(data), MaxBytes)}
+	}
+	return decode(data)
+}
+
+func decode(data []byte) (*Document, error) {
+	d := new(Document)
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(d); err != nil {
+		return nil, &Error{Op: "decode", Kind: KindSyntax, Err: locate(data, dec.InputOffset(), err)}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, &Error{Op: "decode", Kind: KindSyntax, Err: fmt.Errorf("line %d: data after the end of the document", line(data, dec.InputOffset()))}
+	}
+	return d, nil
+}
+
+// locate adds the line and, where it is known, the field to a JSON error.
+func locate(data []byte, offset int64, err error) error {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return fmt.Errorf("line %d: field %q: value is a JSON %s, want %s", line(data, typeErr.Offset), typeErr.Field, typeErr.Value, typeErr.Type)
+	}
+	var syntaxErr *json.SyntaxError
+	if errors.As(err, &syntaxErr) {
+		offset = syntaxErr.Offset
+	}
+	return fmt.Errorf("line %d: %w", line(data, offset), err)
+}
+
+func line(data []byte, offset int64) int {
+	offset = min(max(offset, 0), int64(len(data)))
+	return 1 + bytes.Count(data[:offset], []byte{'\n'})
+}
--- /dev/null
+++ b/pimentoregister/error.go
@@ -0,0 +1,62 @@
+package pimentoregister
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Kind classifies an error of this package.
+type Kind uint8
+
+const (
+	// KindSyntax means that the bytes aren't the JSON of a Document.
+	KindSyntax Kind = iota + 1
+	// KindSize means that the document is larger than MaxBytes.
+	KindSize
+	// KindContent means that at least one field has a value that isn't allowed.
+	KindContent
+	// KindStale means that the revision isn't above the one in force.
+	KindStale
+)
+
+// Error is the error type of this package.
+type Error struct {
+	// Op is the operation that failed, such as "decode" or "check".
+	Op string
+	// Kind classifies the error.
+	Kind Kind
+	// Faults lists every field that isn't allowed, for KindContent.
+	Faults []Fault
+	// Err is the cause, if there is one.
+	Err error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if len(e.Faults) == 0 {
+		return fmt.Sprintf("pimentoregister: %s: %v", e.Op, e.Err)
+	}
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return fmt.Sprintf("pimentoregister: %s: %s", e.Op, strings.Join(lines, "; "))
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Fault is one field with a value that isn't allowed.
+type Fault struct {
+	// Field is the path of the field, such as "vms[3].domain".
+	Field string
+	// Value is the value found, as JSON.
+	Value string
+	// Reason says what is wrong with the value.
+	Reason string
+}
+
+// String formats the fault as one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: value %s: %s", f.Field, f.Value, f.Reason)
+}
--- /dev/null
+++ b/pimentoregister/parts.go
@@ -0,0 +1,97 @@
+package pimentoregister
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// A document larger than MaxBytes is published as a manifest with parts. Each
+// part is a document with some of the lists; the document is their
+// concatenation. The manifest names each part by its checksum, so a reader
+// never joins parts of different revisions.
+
+// MaxParts is the largest number of parts of one document.
+const MaxParts = 64
+
+// manifest is the published value of a document in parts.
+type manifest struct {
+	Parts []Part `json:"parts"`
+}
+
+// Part names one part of a document.
+type Part struct {
+	// Name is the name under which the platform publishes the part.
+	Name string `json:"name"`
+	// Sum is the SHA-256 of the part's bytes, in hexadecimal.
+	Sum string `json:"sum"`
+}
+
+// Manifest returns the parts that a published value names, or nil when the
+// value is a document by itself.
+func Manifest(data []byte) []Part {
+	var m manifest
+	if json.Unmarshal(data, &m) != nil || len(m.Parts) > MaxParts {
+		return nil
+	}
+	return m.Parts
+}
+
+// bundleMark begins the joined parts of a document. No JSON begins with it.
+const bundleMark = 0x01
+
+// Join returns one value from the parts of a manifest, for Store.Offer.
+// It refuses a part whose checksum differs from the manifest's.
+func Join(parts []Part, values [][]byte) ([]byte, error) {
+	data := []byte{bundleMark}
+	for i, p := range parts {
+		sum := sha256.Sum256(values[i])
+		if hex.EncodeToString(sum[:]) != p.Sum {
+			return nil, &Error{Op: "join", Kind: KindContent, Err: fmt.Errorf("part %q: checksum %x, the manifest has %s", p.Name, sum, p.Sum)}
+		}
+		data = binary.AppendUvarint(data, uint64(len(values[i])))
+		data = append(data, values[i]...)
+	}
+	return data, nil
+}
+
+// Assemble parses a value that is either a document or the result of Join.
+func Assemble(data []byte) (*Document, error) {
+	if len(data) == 0 || data[0] != bundleMark {
+		return Parse(data)
+	}
+	whole := new(Document)
+	rest := data[1:]
+	for len(rest) > 0 {
+		size, n := binary.Uvarint(rest)
+		if n <= 0 || size > MaxBytes || uint64(len(rest)-n) < size {
+			return nil, &Error{Op: "assemble", Kind: KindSyntax, Err: errors.New("a part is cut short")}
+		}
+		d, err := decode(rest[n : n+int(size)])
+		if err != nil {
+			return nil, err
+		}
+		whole.add(d)
+		rest = rest[n+int(size):]
+	}
+	if faults := Check(whole); len(faults) > 0 {
+		return nil, &Error{Op: "check", Kind: KindContent, Faults: faults}
+	}
+	return whole, nil
+}
+
+func (d *Document) add(o *Document) {
+	d.Regions = slices.Concat(d.Regions, o.Regions)
+	d.Services = slices.Concat(d.Services, o.Services)
+	d.VMs = slices.Concat(d.VMs, o.VMs)
+	d.Organisations = slices.Concat(d.Organisations, o.Organisations)
+	d.Rules.Once = slices.Concat(d.Rules.Once, o.Rules.Once)
+	d.Rules.Out = slices.Concat(d.Rules.Out, o.Rules.Out)
+	if o.Rules.Links != (Links{}) {
+		d.Rules.Links = o.Rules.Links
+	}
+}
--- /dev/null
+++ b/pimentoregister/view.go
@@ -0,0 +1,160 @@
+package pimentoregister
+
+import (
+	"slices"
+	"strings"
+)
+
+// View is an index of an accepted document. It is immutable.
+type View struct {
+	// Revision is the document's revision. Zero means that there is none.
+	Revision Revision
+	// Links limits the traffic between regions.
+	Links Links
+
+	services map[ServiceName]*ServiceView
+	orgs     map[OrganisationName][]RegionName
+	domains  map[DomainName]RegionName
+	out      map[DomainName]bool
+}
+
+// ServiceView is a service with its targets and its non-idempotent routes.
+type ServiceView struct {
+	Service
+	// Targets lists the service's VMs in the order of their names.
+	Targets []TargetView
+	// Once lists the service's non-idempotent routes.
+	Once []Route
+}
+
+// TargetView is a VM with its place.
+type TargetView struct {
+	VM
+	// Region is the region of the VM's failure domain.
+	Region RegionName
+	// Out is set while the VM's failure domain is out of service.
+	Out bool
+}
+
+// NewView indexes a document that Check finds no fault in. Parts of prev that
+// are alike are reused, so that a caller can tell by pointer which services
+// have changed. prev may be nil.
+func NewView(d *Document, rev Revision, prev *View) *View {
+	v := &View{
+		Revision: rev,
+		Links:    d.Rules.Links,
+		services: make(map[ServiceName]*ServiceView, len(d.Services)),
+		orgs:     make(map[OrganisationName][]RegionName, len(d.Organisations)),
+		domains:  make(map[DomainName]RegionName),
+		out:      make(map[DomainName]bool, len(d.Rules.Out)),
+	}
+	for _, r := range d.Regions {
+		for _, name := range r.Domains {
+			v.domains[name] = r.Name
+		}
+	}
+	for _, name := range d.Rules.Out {
+		v.out[name] = true
+	}
+	for _, o := range d.Organisations {
+		v.orgs[o.Name] = o.Home
+	}
+	v.indexServices(d)
+	v.reuse(prev)
+	return v
+}
+
+func (v *View) indexServices(d *Document) {
+	for _, s := range d.Services {
+		v.services[s.Name] = &ServiceView{Service: s}
+	}
+	for _, vm := range d.VMs {
+		s := v.services[vm.Service]
+		s.Targets = append(s.Targets, TargetView{VM: vm, Region: v.domains[vm.Domain], Out: v.out[vm.Domain]})
+	}
+	for _, route := range d.Rules.Once {
+		s := v.services[route.Service]
+		s.Once = append(s.Once, route)
+	}
+	for _, s := range v.services {
+		slices.SortFunc(s.Targets, func(a, b TargetView) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	}
+}
+
+// reuse replaces services that equal those of prev.
+func (v *View) reuse(prev *View) {
+	if prev == nil {
+		return
+	}
+	for name, s := range v.services {
+		if old := prev.services[name]; old != nil && old.equal(s) {
+			v.services[name] = old
+		}
+	}
+}
+
+func (s *ServiceView) equal(o *ServiceView) bool {
+	return s.sameSettings(o) && slices.Equal(s.Targets, o.Targets) && slices.Equal(s.Once, o.Once)
+}
+
+func (s *ServiceView) sameSettings(o *ServiceView) bool {
+	a, b := s.Service, o.Service
+	if !slices.Equal(a.Refusals, b.Refusals) {
+		return false
+	}
+	a.Refusals, b.Refusals = nil, nil
+	return a.Name == b.Name && a.Class == b.Class && a.Slots == b.Slots && a.Connections == b.Connections &&
+		a.Cold == b.Cold && a.Warmup == b.Warmup && a.Timeout == b.Timeout && a.Probe == b.Probe &&
+		a.Cost == b.Cost && a.Budget == b.Budget && a.Boot == b.Boot
+}
+
+// Service returns the named service, or nil.
+func (v *View) Service(name ServiceName) *ServiceView { return v.services[name] }
+
+// Services returns all services in the order of their names.
+func (v *View) Services() []*ServiceView {
+	list := make([]*ServiceView, 0, len(v.services))
+	for _, s := range v.services {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *ServiceView) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return list
+}
+
+// Home returns the home regions of an organisation and whether the register
+// has it. An empty list means any region.
+func (v *View) Home(org OrganisationName) ([]RegionName, bool) {
+	home, ok := v.orgs[org]
+	return home, ok
+}
+
+// Allows reports whether requests of org may be served and stored in region.
+// An organisation that the register doesn't have is allowed nowhere.
+func (v *View) Allows(org OrganisationName, region RegionName) bool {
+	home, ok := v.orgs[org]
+	if !ok {
+		return false
+	}
+	return len(home) == 0 || slices.Contains(home, region)
+}
+
+// RegionOf returns the region of a failure domain, or an empty name.
+func (v *View) RegionOf(d DomainName) RegionName { return v.domains[d] }
+
+// IsOut reports whether a failure domain is out of service.
+func (v *View) IsOut(d DomainName) bool { return v.out[d] }
+
+// IsOnce reports whether a request to path below the service is non-idempotent.
+func (s *ServiceView) IsOnce(method, path string) bool {
+	for _, r := range s.Once {
+		if r.Method == method && strings.HasPrefix(path, r.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsRefusal reports whether a target's status says that it did not run the request.
+func (s *ServiceView) IsRefusal(status int) bool {
+	return slices.Contains(s.Refusals, status)
+}
--- /dev/null
+++ b/pimentotarget/choose.go
@@ -0,0 +1,118 @@
+package pimentotarget
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// domainTrip is the time there and back between domains of a region.
+	domainTrip = 2 * time.Millisecond
+	// regionTrip is the time there and back between regions.
+	regionTrip = 60 * time.Millisecond
+	// slowFactor is the multiple of the service's average latency from which
+	// an outstanding request's age counts as a delay of its target.
+	slowFactor = 3
+	// noDelay is used before any latency is known.
+	defaultLatency = 5 * time.Millisecond
+)
+
+// choose returns the target with the least expected delay, or nil if waiting
+// is expected to be better.
+func (t *Table) choose(now time.Duration, r *Request) *Target {
+	var best *Target
+	bestDelay := t.waitDelay()
+	n := len(t.working)
+	for i := range n {
+		tg := t.working[(t.rotation+i)%n]
+		if !t.allowed(now, r, tg) {
+			continue
+		}
+		if d := t.delay(now, tg); d < bestDelay {
+			best = tg
+			bestDelay = d
+		}
+	}
+	if best != nil {
+		t.rotation++
+	}
+	return best
+}
+
+// allowed reports whether the request may go to the target now.
+func (t *Table) allowed(now time.Duration, r *Request, tg *Target) bool {
+	if !tg.usable() || now < tg.notBefore {
+		return false
+	}
+	if len(r.Regions) > 0 && !slices.Contains(r.Regions, tg.Region) {
+		return false
+	}
+	if slices.Contains(r.Avoid, tg) {
+		return false
+	}
+	return tg.Outstanding < t.limit(now, tg)
+}
+
+// limit is the number of requests that this entry may have outstanding at the
+// target.
+func (t *Table) limit(now time.Duration, tg *Target) int {
+	if tg.Mark.Phase == PhaseWarm {
+		if tg.failures > 0 {
+			return 1
+		}
+		return t.service.Slots
+	}
+	if !tg.owned || now-tg.ownedAt < t.OwnerWait {
+		return 0
+	}
+	return t.coldLimit()
+}
+
+// coldLimit is the owner's part of the cold limit. The other half is kept for
+// an entry that is the owner according to another list.
+func (t *Table) coldLimit() int {
+	return max(1, t.service.Cold/2)
+}
+
+// delay is the expected time that the target adds to its own work.
+func (t *Table) delay(now time.Duration, tg *Target) time.Duration {
+	mean := t.mean()
+	d := t.distance(tg)
+	if over := tg.Outstanding + 1 - tg.Share; over > 0 && tg.Mark.Phase == PhaseWarm {
+		d += time.Duration(over) * mean / time.Duration(2*t.service.Slots)
+	}
+	if age := tg.oldest(now); age > slowFactor*mean {
+		d += age - slowFactor*mean
+	}
+	if tg.latency.count > 0 && tg.latency.value > mean {
+		d += tg.latency.value - mean
+	}
+	return d
+}
+
+func (t *Table) distance(tg *Target) time.Duration {
+	switch {
+	case tg.Region != t.Place.Region:
+		return regionTrip
+	case tg.Domain != t.Place.Domain:
+		return domainTrip
+	}
+	return 0
+}
+
+// waitDelay is the expected time until a request that stays in the queue gets
+// a slot: the queue drains at the pace of the outstanding requests.
+func (t *Table) waitDelay() time.Duration {
+	if t.running == 0 {
+		return time.Hour
+	}
+	perSlot := t.mean() / time.Duration(t.running)
+	return max(perSlot*time.Duration(len(t.queue.items)+1), domainTrip) + t.mean()
+}
+
+func (t *Table) mean() time.Duration {
+	if t.latency.count == 0 {
+		return defaultLatency
+	}
+	return max(t.latency.value, time.Microsecond)
+}
--- /dev/null
+++ b/pimentotarget/done.go
@@ -0,0 +1,148 @@
+package pimentotarget
+
+import "time"
+
+// Result says how an exchange with a target ended.
+type Result uint8
+
+const (
+	// ResultOK means that the target answered.
+	ResultOK Result = iota + 1
+	// ResultRefused means that the target said that it did not run the request.
+	ResultRefused
+	// ResultConnect means that no connection could be opened.
+	ResultConnect
+	// ResultBroken means that the connection broke, or the answer was invalid.
+	ResultBroken
+	// ResultTimeout means that no answer came in time.
+	ResultTimeout
+	// ResultCancelled means that the caller no longer wanted the answer.
+	ResultCancelled
+)
+
+const (
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = 2 * time.Second
+	// coldRefusals is the number of consecutive refusals within the own share
+	// that turn a target cold.
+	coldRefusals = 3
+	// minColdOK is the number of answers that a target gives before it is warm.
+	minColdOK = 3
+)
+
+// Done takes the end of an exchange that began at the time sent. boot is a
+// hash of the boot mark in the answer, or 0 if there was none.
+func (t *Table) Done(now time.Duration, tg *Target, sent time.Duration, res Result, boot uint64) {
+	within := tg.Outstanding <= max(tg.Share, 1)
+	tg.end(sent)
+	t.running--
+	if boot != 0 {
+		t.noteBoot(now, tg, boot)
+	}
+	switch res {
+	case ResultOK:
+		t.succeed(now, tg, now-sent)
+	case ResultRefused:
+		t.refuse(now, tg, within)
+	case ResultConnect, ResultBroken:
+		t.backOff(now, tg)
+		t.turnCold(now, tg)
+	case ResultTimeout:
+		tg.latency.add(now - sent)
+		t.backOff(now, tg)
+	case ResultCancelled:
+		// Age is a lower bound of the latency.
+		if age := now - sent; age > tg.latency.value {
+			tg.latency.add(age)
+		}
+	}
+}
+
+func (t *Table) noteBoot(now time.Duration, tg *Target, boot uint64) {
+	if tg.boot != 0 && tg.boot != boot {
+		t.turnCold(now, tg)
+	}
+	tg.boot = boot
+}
+
+func (t *Table) succeed(now time.Duration, tg *Target, took time.Duration) {
+	tg.failures = 0
+	tg.refusals = 0
+	tg.notBefore = 0
+	tg.heardAt = now
+	tg.latency.add(took)
+	t.latency.add(took)
+	if tg.Mark.Phase != PhaseCold || !tg.owned {
+		return
+	}
+	tg.coldOK++
+	if tg.coldOK == 1 {
+		tg.coldSince = now
+	}
+	warmup := time.Duration(t.service.Warmup) * time.Millisecond
+	if tg.coldOK >= minColdOK && now-tg.coldSince >= warmup {
+		t.setMark(tg, Mark{Epoch: tg.Mark.Epoch, Phase: PhaseWarm})
+	}
+}
+
+func (t *Table) refuse(now time.Duration, tg *Target, within bool) {
+	t.backOff(now, tg)
+	if !within {
+		return
+	}
+	tg.refusals++
+	if tg.refusals >= coldRefusals {
+		t.turnCold(now, tg)
+	}
+}
+
+func (t *Table) backOff(now time.Duration, tg *Target) {
+	tg.notBefore = now + min(maxBackoff, minBackoff<<min(tg.failures, 10))
+	tg.failures++
+}
+
+// turnCold starts a new epoch, unless the target is cold already.
+func (t *Table) turnCold(now time.Duration, tg *Target) {
+	tg.refusals = 0
+	tg.coldOK = 0
+	tg.coldSince = now
+	if tg.Mark.Phase == PhaseWarm {
+		t.setMark(tg, Mark{Epoch: tg.Mark.Epoch + 1, Phase: PhaseCold})
+	}
+}
+
+func (t *Table) setMark(tg *Target, m Mark) {
+	tg.Mark = m
+	t.changed = append(t.changed, tg)
+}
+
+// Changed returns the targets whose marks this entry has changed since the
+// last call, for its peers.
+func (t *Table) Changed() []*Target {
+	list := t.changed
+	t.changed = nil
+	return list
+}
+
+// Merge takes a mark from a peer. It reports whether the mark was news.
+func (t *Table) Merge(now time.Duration, tg *Target, m Mark) bool {
+	if !tg.Mark.Less(m) {
+		return false
+	}
+	tg.Mark = m
+	if m.Phase == PhaseCold {
+		tg.coldOK = 0
+		tg.coldSince = now
+	}
+	return true
+}
+
+// Distrust counts all warm marks as old, after this process has paused. Peers'
+// marks of the same epoch restore them.
+func (t *Table) Distrust(now time.Duration) {
+	for _, tg := range t.targets {
+		tg.Mark.Phase = PhaseCold
+		tg.ownedAt = now
+		tg.coldOK = 0
+	}
+}
