pimentoentry: relay bookings to owners of cold targets; end to end tests

Cause: a holder of a key whose targets were all cold and owned by other entries waited until its deadline, because only an owner sends to a cold target and an owner without traffic never warms it (TestBookingRunsOnceThroughAllEntries: 503 after 5 s). Ruled out: lending the cold slot to the holder, whose pause after the loan could put two requests on a cold target. Before: 503 deadline. Also: a planned stop no longer waits for the platform's watch, which takes 20 s (TestStopDoesNotWaitForWatch, failing first); targets can't set our headers; bodies are read after the head was judged. The demo's stop under load still takes 21 s; next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+GO ?= go
+
+.PHONY: all build test lint format-check unit demo demo-vanua slopes overhead soak fuzz
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# All that CI does.
+test: format-check lint build check-examples unit
+
+format-check:
+	@files=$$(git ls-files '*.go' | xargs gofmt -l); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck -checks all,-ST1000 ./...
+
+check-examples: build
+	bin/pimentoarch check examples/atriles/config.json
+	bin/pimentoarch check examples/vanua/config.json
+
+unit:
+	$(GO) test -race -timeout 30m ./...
+
+demo: build
+	examples/demo.sh atriles
+
+demo-vanua: build
+	examples/demo.sh vanua
--- a/pimentoentry/call.go
+++ b/pimentoentry/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"strconv"
 	"sync/atomic"
@@ -149,9 +148,6 @@
 	return c.info.IsOnce(c.method, string(uri.Path()))
 }
 
-// errLarge is returned for bodies above maxBody.
-var errLarge = errors.New("the body is too large")
-
 // readBody reads the body of the request.
 func (c *call) readBody() *refusal {
 	b := &body{buf: bytebufferpool.Get()}
--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -45,6 +45,7 @@
 	a.err = e.client.Do(&a.Exchange)
 	if a.err == nil {
 		a.refused = c.info.IsRefusal(a.Resp.StatusCode())
+		sanitize(a.Resp)
 		return
 	}
 	e.failed(c, a)
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -154,7 +154,7 @@
 	wg.Go(func() { e.node.Serve(ctx, peerLn) })
 	wg.Go(func() { e.watch.Run(ctx.Done()) })
 	wg.Go(func() { e.ticks(ctx) })
-	wg.Go(func() { e.watchPlatform(ctx) })
+	go e.watchPlatform(ctx) // Not waited for: a waiting watch can't be cut short.
 	wg.Go(func() { e.awaitReady(ctx) })
 	wg.Go(func() { _ = callerServer.Serve(callers) })
 	_ = level.Info(e.log).Log("msg", "entry started", "name", e.settings.Name, "region", e.settings.Region,
--- /dev/null
+++ b/pimentoentry/fleet_test.go
@@ -0,0 +1,238 @@
+package pimentoentry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentocaller"
+	"pimentoarch/pimentofake"
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentotarget"
+)
+
+// fleet is a platform, targets and entries in one process.
+type fleet struct {
+	t        testing.TB
+	is       *is.I
+	platform *pimentofake.Platform
+	address  string // Of the platform.
+	doc      pimentoregister.Document
+	targets  []*pimentofake.Target
+	logs     []*safeBuffer
+	entries  []*member
+	vms      []pimentofake.VM
+}
+
+// member is one entry of a fleet.
+type member struct {
+	*Entry
+	stop chan struct{}
+	done chan error
+}
+
+// safeBuffer is a log of runs.
+type safeBuffer struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.data = append(b.data, p...)
+	return len(p), nil
+}
+
+func (b *safeBuffer) lines(t testing.TB) []pimentofake.RunLine {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []pimentofake.RunLine
+	dec := json.NewDecoder(bytes.NewReader(b.data))
+	for {
+		var line pimentofake.RunLine
+		if err := dec.Decode(&line); err == io.EOF {
+			return list
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, line)
+	}
+}
+
+// newFleet starts a platform and the targets of a register with two regions,
+// "west" and "east", of two domains each.
+func newFleet(t testing.TB, perService int) *fleet {
+	f := &fleet{t: t, is: is.New(t), platform: &pimentofake.Platform{}}
+	f.doc = pimentoregister.Document{
+		Regions: []pimentoregister.Region{
+			{Name: "west", Domains: []pimentoregister.DomainName{"west-a", "west-b"}},
+			{Name: "east", Domains: []pimentoregister.DomainName{"east-a", "east-b"}},
+		},
+		Organisations: []pimentoregister.Organisation{
+			{Name: "any"},
+			{Name: "westerly", Home: []pimentoregister.RegionName{"west"}},
+		},
+		Rules: pimentoregister.Rules{
+			Once:  []pimentoregister.Route{{Service: "bookings", Method: "POST", Path: "/book"}},
+			Links: pimentoregister.Links{Capacity: 1000},
+		},
+	}
+	for name, class := range map[pimentoregister.ServiceName]pimentoregister.Class{"charts": "read", "bookings": "once"} {
+		f.doc.Services = append(f.doc.Services, pimentoregister.Service{
+			Name: name, Class: class, Slots: 3, Connections: 260, Cold: 3, Warmup: 0, Timeout: 5000,
+			Refusals: []int{503}, Boot: pimentofake.BootHeader,
+		})
+		for i := range perService {
+			f.addTarget(name, i)
+		}
+	}
+	f.publish()
+	f.address = f.serve(f.platform.Handler)
+	return f
+}
+
+func (f *fleet) addTarget(service pimentoregister.ServiceName, i int) {
+	domains := []pimentoregister.DomainName{"west-a", "east-a", "west-b", "east-b"}
+	domain := domains[i%len(domains)]
+	log := &safeBuffer{}
+	tg := &pimentofake.Target{
+		Name: fmt.Sprintf("%s-%d", service, i), Domain: string(domain), Region: string(domain[:4]),
+		Slots: 3, Queue: 50, Cold: 50, Work: time.Millisecond, Log: log,
+	}
+	ln := f.listen()
+	go func() { _ = tg.Serve(ln) }()
+	f.targets = append(f.targets, tg)
+	f.logs = append(f.logs, log)
+	f.doc.VMs = append(f.doc.VMs, pimentoregister.VM{
+		Name: pimentoregister.VMName(tg.Name), Service: service, Domain: domain, Address: ln.Addr().String(),
+	})
+}
+
+func (f *fleet) listen() net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	f.is.NoErr(err)
+	f.t.Cleanup(func() { _ = ln.Close() })
+	return ln
+}
+
+func (f *fleet) serve(h fasthttp.RequestHandler) string {
+	ln := f.listen()
+	server := &fasthttp.Server{Handler: h}
+	go func() { _ = server.Serve(ln) }()
+	return ln.Addr().String()
+}
+
+// publish publishes the register.
+func (f *fleet) publish() {
+	data, err := json.Marshal(f.doc)
+	f.is.NoErr(err)
+	f.platform.Set("config", data)
+}
+
+// start starts an entry in a domain.
+func (f *fleet) start(domain pimentoregister.DomainName) *member {
+	name := fmt.Sprintf("entry-%d", len(f.entries))
+	s := DefaultSettings()
+	s.Region, s.Domain = pimentoregister.RegionName(domain[:4]), domain
+	s.Platform = []string{f.address}
+	s.Grace, s.Drain, s.Lag = 100, 5000, 100
+	s.Callers, s.Peers, s.Admin = f.freePort(), f.freePort(), f.freePort()
+	s.Name = pimentotarget.EntryName(name)
+	e, cleanup, err := New(s, log.NewNopLogger())
+	f.is.NoErr(err)
+	m := &member{Entry: e, stop: make(chan struct{}), done: make(chan error, 1)}
+	go func() {
+		m.done <- e.Run(m.stop)
+		cleanup()
+	}()
+	f.t.Cleanup(e.cancel)
+	f.entries = append(f.entries, m)
+	f.vms = append(f.vms, pimentofake.VM{
+		Name: name, Role: "entry", Address: s.Peers, Region: string(s.Region), Domain: string(domain), State: "live",
+	})
+	f.platform.SetVMs(f.vms)
+	return m
+}
+
+func (f *fleet) freePort() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	f.is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// await waits until ok reports true.
+func (f *fleet) await(what string, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// awaitReady waits until all entries are ready, know each other, and have
+// targets for both services.
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	for _, m := range f.entries {
+		f.await("entry ready", func() bool {
+			st := m.Status()
+			heard := 0
+			for _, p := range st.Peers {
+				if p.Reachable {
+					heard++
+				}
+			}
+			return st.Ready && heard >= len(f.entries)-1
+		})
+	}
+}
+
+// client returns a caller whose tries go to the entry that at names.
+func (f *fleet) client(org string, at func() *member) *pimentocaller.Client {
+	c, cleanup := pimentocaller.New(org, func() string { return at().settings.Callers })
+	f.t.Cleanup(cleanup)
+	return c
+}
+
+// runs returns the runs with a key, by key.
+func (f *fleet) runs() map[string][]pimentofake.RunLine {
+	byKey := make(map[string][]pimentofake.RunLine)
+	for _, log := range f.logs {
+		for _, line := range log.lines(f.t) {
+			if line.Key != "" {
+				byKey[line.Key] = append(byKey[line.Key], line)
+			}
+		}
+	}
+	return byKey
+}
+
+// raw sends a request without a caller's logic, and returns the answer.
+func (f *fleet) raw(m *member, method, path, org, body string, header ...string) *fasthttp.Response {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := &fasthttp.Response{}
+	req.SetRequestURI("http://" + m.settings.Callers + path)
+	req.Header.SetMethod(method)
+	req.Header.Set(headerOrg, org)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	req.SetBodyString(body)
+	f.is.NoErr(fasthttp.DoTimeout(req, resp, 10*time.Second))
+	return resp
+}
--- a/pimentoentry/keyring.go
+++ b/pimentoentry/keyring.go
@@ -32,7 +32,6 @@
 type successor struct {
 	address     string
 	incarnation pimentokey.Incarnation
-	accepted    bool
 }
 
 // hint returns the key hint of a region.
--- a/pimentoentry/once.go
+++ b/pimentoentry/once.go
@@ -202,6 +202,10 @@
 
 // runOnce dispatches a request that the ledger has allowed, and settles its key.
 func (e *Entry) runOnce(c *call, key pimentokey.Key) *refusal {
+	if o, ok := e.relayed(c); ok {
+		e.keys.settle(key, o, keep(c.resp))
+		return nil
+	}
 	var avoid []*pimentotarget.Target
 	for n := 1; ; n++ {
 		a, f := e.sendOnce(c, avoid)
--- a/pimentoentry/serve.go
+++ b/pimentoentry/serve.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"runtime/debug"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentolink"
 	"pimentoarch/pimentoregister"
 )
 
@@ -54,6 +56,9 @@
 	if f := e.parse(c); f != nil {
 		return false, f
 	}
+	if c.purpose == pimentolink.PurposeRelay {
+		return false, e.relay(c)
+	}
 	if c.isOnce() {
 		return true, e.once(c)
 	}
@@ -105,8 +110,11 @@
 func (e *Entry) callerErrors(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
 	f := refuse(400, ReasonHead, RunNo, "the head of the request isn't valid HTTP")
-	if errors.As(err, &small) {
+	switch {
+	case errors.As(err, &small):
 		f = refuse(431, ReasonLong, RunNo, "the head of the request is too long")
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		f = refuse(400, ReasonBody, RunNo, "the request was cut short")
 	}
 	e.counters.refusals[f.reason][f.run].Inc()
 	f.write(&ctx.Response)
@@ -129,7 +137,7 @@
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		ReadBufferSize:               maxHead,
-		MaxRequestBodySize:           64 << 10, // Beyond it the body is read as it arrives.
+		MaxRequestBodySize:           1, // Beyond it the body is read after the head was judged.
 		IdleTimeout:                  callerIdle,
 		ReadTimeout:                  callerRead,
 		NoDefaultServerHeader:        true,
--- a/pimentolink/forward.go
+++ b/pimentolink/forward.go
@@ -23,6 +23,10 @@
 	PurposeKey
 	// PurposeCold requests go to the owner of a cold target.
 	PurposeCold
+	// PurposeRelay requests are non-idempotent ones that the holder of their
+	// key dispatches through the owner of a cold target. The owner sends each
+	// of them once at the most.
+	PurposeRelay
 )
 
 // Outgoing is a request to forward. Its exported fields are set before Do.
--- a/pimentotarget/table.go
+++ b/pimentotarget/table.go
@@ -21,10 +21,10 @@
 	Self EntryName
 	// Place is where the entry runs.
 	Place Place
-	// MaxQueue bounds the waiting requests.
+	// MaxQueue bounds the waiting requests. 0 means 256.
 	MaxQueue int
 	// OwnerWait is the time that a new owner of a cold target waits before it
-	// sends. It exceeds the lag of the platform's list of VMs.
+	// sends. It exceeds the lag of the platform's list of VMs. 0 means 5 s.
 	OwnerWait time.Duration
 
 	service  pimentoregister.Service
@@ -41,7 +41,7 @@
 
 const (
 	defaultMaxQueue  = 256
-	defaultOwnerWait = 2 * time.Second
+	defaultOwnerWait = 5 * time.Second
 	// maxWorking bounds the targets that one choice looks at.
 	maxWorking = 32
 	// maxScan bounds the waiting requests that one call of Next looks at.
@@ -53,7 +53,7 @@
 func (t *Table) Update(now time.Duration, s *pimentoregister.ServiceView) {
 	if t.byName == nil {
 		t.byName = make(map[pimentoregister.VMName]*Target)
-		t.MaxQueue = max(t.MaxQueue, 1)
+		t.setDefaults()
 	}
 	t.service = s.Service
 	for _, old := range t.targets {
@@ -71,6 +71,15 @@
 	t.deal(now)
 }
 
+func (t *Table) setDefaults() {
+	if t.MaxQueue == 0 {
+		t.MaxQueue = defaultMaxQueue
+	}
+	if t.OwnerWait == 0 {
+		t.OwnerWait = defaultOwnerWait
+	}
+}
+
 // keep returns the known target, or a new one. A target whose address has
 // changed is another process, so it starts cold.
 func (t *Table) keep(now time.Duration, view pimentoregister.TargetView) *Target {
