pimentoretry: count crashes by target and incident

Ruled out: raising the limit of two, which the promise about crashing requests forbids. Change: copies that one target drops together are one crash; a request that was answered within 10 s is excused once; peers hear of the crash by target, so that merging is a union.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -107,6 +107,13 @@
 echo
 echo "runs by domain while $out was out and elsewhere:"
 cat "$run"/runs-*.log | sed -n 's/.*"domain":"\([^"]*\)".*/\1/p' | sort | uniq -c
+falls=0
+for address in $(sed -n 's/.*"address": "\(127[^"]*\)".*/\1/p' "$dir/config.json"); do
+	n=$(curl -fsS "http://$address/fake/state" | sed -n 's/.*"falls":\([0-9]*\).*/\1/p')
+	[ "${n:-0}" -eq 0 ] || echo "$address fell over $n times while cold"
+	falls=$((falls + ${n:-0}))
+done
+echo "targets that fell over while cold: $falls"
 grep -h 'level=error' "$run/entries.log" | head -n 5
 [ "$stopped" -eq 0 ] || status=1
 exit "$status"
--- a/pimentocaller/client.go
+++ b/pimentocaller/client.go
@@ -1,7 +1,9 @@
 package pimentocaller
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -195,7 +197,7 @@
 	if err != nil {
 		t.err = err
 		t.last = nil
-		t.doubtful = true
+		t.doubtful = t.doubtful || sent(err)
 		return false
 	}
 	t.last = answer
@@ -256,6 +258,12 @@
 	return tryTimeout
 }
 
+// sent reports whether an error leaves it open that the request was sent.
+func sent(err error) bool {
+	var op *net.OpError
+	return !errors.As(err, &op) || op.Op != "dial"
+}
+
 func (t *transfer) answer(resp *fasthttp.Response) *Answer {
 	a := &Answer{
 		Status: resp.StatusCode(),
--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -85,7 +85,7 @@
 	}
 	e.done(c.service, a.target, a.sent, res, 0)
 	if a.kind() == pimentohttp.KindBroken && a.Sent() {
-		e.crashed(c, a.print)
+		e.crashed(c, a)
 		return
 	}
 	e.quarantine.ended(a.print)
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -65,6 +65,8 @@
 	// pauseLimit is the time between two ticks from which this process counts
 	// as having been paused.
 	pauseLimit = time.Second
+	// adminClose bounds the time to end operators' requests.
+	adminClose = time.Second
 	// idleSweep is the time between two searches for idle connections.
 	idleSweep = time.Second
 )
@@ -165,7 +167,9 @@
 	}
 	err := e.stop(callerServer)
 	e.cancel()
-	_ = adminServer.Shutdown()
+	closeCtx, cancel := context.WithTimeout(context.Background(), adminClose)
+	defer cancel()
+	_ = adminServer.ShutdownWithContext(closeCtx)
 	wg.Wait()
 	return err
 }
--- a/pimentoentry/peers.go
+++ b/pimentoentry/peers.go
@@ -292,7 +292,7 @@
 
 func (e *Entry) mergeOne(now time.Duration, c pimentopeer.Change) bool {
 	if c.Target == "" {
-		return e.quarantine.merge(c.Print, c.Crashes)
+		return e.quarantine.merge(c.Print, c.Crash)
 	}
 	s := e.service(c.Service)
 	if s == nil {
--- a/pimentoentry/quarantine.go
+++ b/pimentoentry/quarantine.go
@@ -36,7 +36,7 @@
 
 func (q *quarantine) passed(p pimentoretry.Print) {
 	q.mu.Lock()
-	q.state.Passed(p)
+	q.state.Passed(q.now(), p)
 	q.mu.Unlock()
 }
 
@@ -46,10 +46,10 @@
 	q.mu.Unlock()
 }
 
-func (q *quarantine) merge(p pimentoretry.Print, count int) bool {
+func (q *quarantine) merge(p pimentoretry.Print, c pimentoretry.Crash) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.state.Merge(q.now(), p, count)
+	return q.state.Merge(q.now(), p, c)
 }
 
 func (q *quarantine) len() int {
@@ -60,10 +60,12 @@
 
 // crashed notes that a request's target dropped the connection without an
 // answer, and tells the peers in the regions that may hear of the request.
-func (e *Entry) crashed(c *call, p pimentoretry.Print) {
+func (e *Entry) crashed(c *call, a *attempt) {
 	q := &e.quarantine
 	q.mu.Lock()
-	count := q.state.Crashed(q.now(), p)
+	crash, news := q.state.Crashed(q.now(), a.print, string(a.target.Name))
 	q.mu.Unlock()
-	e.publish([]pimentopeer.Change{{Print: p, Crashes: count, Regions: c.home}})
+	if news {
+		e.publish([]pimentopeer.Change{{Print: a.print, Crash: crash, Regions: c.home}})
+	}
 }
--- a/pimentolink/heartbeat.go
+++ b/pimentolink/heartbeat.go
@@ -180,6 +180,7 @@
 // message Change {
 //   string service = 1; string target = 2; uint64 epoch = 3; uint32 phase = 4;
 //   fixed64 print = 5; uint32 crashes = 6; repeated string regions = 7;
+//   string crashed = 8;
 // }
 
 func marshalChange(mm *easyproto.MessageMarshaler, c *pimentopeer.Change) {
@@ -191,7 +192,8 @@
 		return
 	}
 	mm.AppendFixed64(5, uint64(c.Print))
-	mm.AppendUint32(6, uint32(c.Crashes))
+	mm.AppendUint32(6, uint32(c.Crash.Count))
+	mm.AppendString(8, c.Crash.Target)
 	for _, r := range c.Regions {
 		mm.AppendString(7, string(r))
 	}
@@ -223,12 +225,16 @@
 			return ok
 		case 6:
 			v, ok := fc.Uint32()
-			c.Crashes = int(v)
+			c.Crash.Count = int(v)
 			return ok
 		case 7:
 			v, ok := fc.String()
 			c.Regions = append(c.Regions, pimentoregister.RegionName([]byte(v)))
 			return ok
+		case 8:
+			v, ok := fc.String()
+			c.Crash.Target = string([]byte(v))
+			return ok
 		}
 		return true
 	})
--- a/pimentopeer/journal.go
+++ b/pimentopeer/journal.go
@@ -20,10 +20,9 @@
 	Target  pimentoregister.VMName
 	Mark    pimentotarget.Mark
 
-	// Print identifies a request, and Crashes counts the targets that it has
-	// crashed.
-	Print   pimentoretry.Print
-	Crashes int
+	// Print identifies a request that has crashed a target.
+	Print pimentoretry.Print
+	Crash pimentoretry.Crash
 	// Regions limits where the news of a request may be sent and kept. Empty
 	// means anywhere.
 	Regions []pimentoregister.RegionName
@@ -34,10 +33,11 @@
 	service pimentoregister.ServiceName
 	target  pimentoregister.VMName
 	print   pimentoretry.Print
+	crashed string
 }
 
 func (c *Change) subject() subject {
-	return subject{service: c.Service, target: c.Target, print: c.Print}
+	return subject{service: c.Service, target: c.Target, print: c.Print, crashed: c.Crash.Target}
 }
 
 // Origin says where an entry has a change from.
--- a/pimentoretry/quarantine.go
+++ b/pimentoretry/quarantine.go
@@ -11,33 +11,70 @@
 	// quarantineTerm is the time after the last crash until which a request
 	// is refused.
 	quarantineTerm = 10 * time.Minute
+	// passTerm is the time for which an answer speaks for a request.
+	passTerm = 10 * time.Second
+	// sameCrash is the time within which drops by one target are one crash.
+	sameCrash = 2 * time.Second
 	// maxPrints bounds the requests that are remembered.
 	maxPrints = 4096
 )
 
-// crash is what is known of a request that crashed targets.
-type crash struct {
-	count int
-	last  time.Duration
+// Crash is what is known of one request at one target.
+type Crash struct {
+	// Target names the target.
+	Target string
+	// Count is the number of times that the request has crashed it.
+	Count int
+
+	last time.Duration
+}
+
+// suspect is a request whose targets dropped the connection.
+type suspect struct {
+	crashes []Crash
+	last    time.Duration
+}
+
+func (s *suspect) count() int {
+	n := 0
+	for _, c := range s.crashes {
+		n += c.Count
+	}
+	return n
+}
+
+// find returns the crash of a target, which it adds where it is new.
+func (s *suspect) find(target string) *Crash {
+	for i := range s.crashes {
+		if s.crashes[i].Target == target {
+			return &s.crashes[i]
+		}
+	}
+	s.crashes = append(s.crashes, Crash{Target: target, last: -sameCrash})
+	return &s.crashes[len(s.crashes)-1]
 }
 
 // Quarantine remembers requests whose targets dropped the connection without
-// an answer. The zero value is ready to use. It isn't safe for concurrent use.
+// an answer. Of several copies of a request that one target drops at a time,
+// one counts. A drop soon after the same request was answered by a target isn't
+// counted, because a popular request is on most targets that crash for other
+// causes. The zero value is ready to use. It isn't safe for concurrent use.
 type Quarantine struct {
-	crashes map[Print]crash
-	running map[Print]int
+	suspects map[Print]*suspect
+	running  map[Print]int
+	passed   recent
 }
 
 // Allow reports whether the request may be sent. Each request that it allows
-// must be ended by Crashed or Passed. A request that has crashed a target may
-// be sent once more at the most, and by one exchange at a time.
+// must be ended by Crashed, Passed or Ended. A request that has crashed a
+// target may be sent once more at the most, and by one exchange at a time.
 func (q *Quarantine) Allow(now time.Duration, p Print) bool {
-	c, known := q.crashes[p]
-	if known && now-c.last > quarantineTerm {
-		delete(q.crashes, p)
-		known = false
+	s := q.suspects[p]
+	if s != nil && now-s.last > quarantineTerm {
+		delete(q.suspects, p)
+		s = nil
 	}
-	if known && c.count+q.running[p] >= MaxCrashes {
+	if s != nil && s.count() > 0 && s.count()+q.running[p] >= MaxCrashes {
 		return false
 	}
 	if q.running == nil {
@@ -53,61 +90,77 @@
 
 // Passed ends an exchange that was answered. The request is cleared, because
 // it was another cause that made targets drop it before.
-func (q *Quarantine) Passed(p Print) {
-	q.end(p)
-	delete(q.crashes, p)
+func (q *Quarantine) Passed(now time.Duration, p Print) {
+	q.Ended(p)
+	delete(q.suspects, p)
+	q.passed.add(now, p)
 }
 
 // Ended ends an exchange that says nothing about the request.
-func (q *Quarantine) Ended(p Print) { q.end(p) }
-
-// Crashed ends an exchange whose target dropped the connection without an
-// answer, and returns the number of such exchanges of this request.
-func (q *Quarantine) Crashed(now time.Duration, p Print) int {
-	q.end(p)
-	return q.note(now, p, q.crashes[p].count+1)
-}
-
-func (q *Quarantine) end(p Print) {
+func (q *Quarantine) Ended(p Print) {
 	q.running[p]--
 	if q.running[p] <= 0 {
 		delete(q.running, p)
 	}
 }
 
-// Merge takes a peer's count of a request's crashes. It reports whether the
-// count was news.
-func (q *Quarantine) Merge(now time.Duration, p Print, count int) bool {
-	if count <= q.crashes[p].count {
+// Crashed ends an exchange whose target dropped the connection without an
+// answer. It returns the crash to tell peers of, and whether there is news.
+func (q *Quarantine) Crashed(now time.Duration, p Print, target string) (Crash, bool) {
+	q.Ended(p)
+	s := q.suspect(now, p)
+	c := s.find(target)
+	if now-c.last < sameCrash {
+		return *c, false
+	}
+	c.last = now
+	if q.passed.take(now, p) {
+		return *c, false
+	}
+	c.Count++
+	return *c, true
+}
+
+// Merge takes a peer's news of a crash. It reports whether it was news.
+func (q *Quarantine) Merge(now time.Duration, p Print, in Crash) bool {
+	c := q.suspect(now, p).find(in.Target)
+	if in.Count <= c.Count {
 		return false
 	}
-	q.note(now, p, count)
+	c.Count = in.Count
+	c.last = now
 	return true
 }
 
-func (q *Quarantine) note(now time.Duration, p Print, count int) int {
-	if q.crashes == nil {
-		q.crashes = make(map[Print]crash)
+func (q *Quarantine) suspect(now time.Duration, p Print) *suspect {
+	if q.suspects == nil {
+		q.suspects = make(map[Print]*suspect)
 	}
-	if len(q.crashes) >= maxPrints {
-		q.evict()
+	s := q.suspects[p]
+	if s == nil {
+		if len(q.suspects) >= maxPrints {
+			q.evict()
+		}
+		s = new(suspect)
+		q.suspects[p] = s
 	}
-	q.crashes[p] = crash{count: count, last: now}
-	return count
+	s.last = now
+	return s
 }
 
 // evict forgets the request whose last crash is oldest.
 func (q *Quarantine) evict() {
 	var oldest Print
+	var last time.Duration
 	first := true
-	for p, c := range q.crashes {
-		if first || c.last < q.crashes[oldest].last {
-			oldest = p
+	for p, s := range q.suspects {
+		if first || s.last < last {
+			oldest, last = p, s.last
 			first = false
 		}
 	}
-	delete(q.crashes, oldest)
+	delete(q.suspects, oldest)
 }
 
 // Len returns the number of requests that are remembered.
-func (q *Quarantine) Len() int { return len(q.crashes) }
+func (q *Quarantine) Len() int { return len(q.suspects) }
