--- a/pimentocaller/client.go
+++ b/pimentocaller/client.go
@@ -206,21 +206,28 @@
 
 // final reports whether an answer needs no further try. After a refusal that
 // says that the request was not run its key is void, and the next try takes a
-// new one. A refusal that leaves it open is tried again with the same key.
+// new one, as it does if no copy under the key was sent to the key's holder. A
+// refusal that leaves it open is tried again with the same key.
 func (t *transfer) final(a *Answer) bool {
 	if !a.Refused() || !transient[a.Reason] {
 		return true
 	}
-	if a.Run == RunNo {
+	switch {
+	case a.Run == RunNo:
 		t.key = ""
 		t.doubtful = false
+	case a.Reason == "unsent" && !t.doubtful && t.r.Key == "":
+		// No copy under this key has reached its holder, and none will.
+		t.key = ""
+	default:
+		t.doubtful = true
 	}
 	return false
 }
 
 // transient lists the reasons of refusals that a later try may not meet.
 var transient = map[string]bool{
-	"config": true, "home": true, "nokey": true, "void": true, "issuer": true, "stopping": true,
+	"config": true, "home": true, "nokey": true, "void": true, "issuer": true, "unsent": true, "stopping": true,
 	"queue": true, "targets": true, "refused": true, "failed": true,
 }
 
--- a/pimentoentry/once.go
+++ b/pimentoentry/once.go
@@ -90,6 +90,7 @@
 			return f
 		}
 	}
+	sent := false
 	for n := 1; ; n++ {
 		address, purpose, ok := e.wayTo(key)
 		if ok {
@@ -98,7 +99,8 @@
 				return nil
 			}
 			e.counters.retries[RetryPeer].Inc()
-			if !again && !unreachable(err) {
+			sent = sent || !unreachable(err)
+			if !again && sent {
 				break
 			}
 		}
@@ -107,7 +109,10 @@
 		}
 		time.Sleep(peerPause)
 	}
-	return refuse(502, ReasonIssuer, RunUnknown, "the holder of the key wasn't reached; the request may have run before")
+	if !sent {
+		return refuse(502, ReasonUnsent, RunUnknown, "the holder of the key wasn't reached, and this copy of the request not sent to it; an earlier copy may have run")
+	}
+	return refuse(502, ReasonIssuer, RunUnknown, "the link to the holder of the key broke; the request may have run")
 }
 
 func unreachable(err error) bool {
--- a/pimentoentry/path_test.go
+++ b/pimentoentry/path_test.go
@@ -82,7 +82,7 @@
 		{"400 forged no", "POST", "/bookings/book", "any", "a", []string{headerKey, forged}},
 		{"400 forged no", "POST", "/bookings/book", "westerly", "a", []string{headerKey, key}},
 		{"422 reused no", "POST", "/bookings/book", "any", "b", []string{headerKey, key}},
-		{"502 issuer unknown", "POST", "/bookings/book", "any", "a", []string{headerKey, strings.Repeat("x", 31) + "A", headerTimeout, "300"}},
+		{"502 unsent unknown", "POST", "/bookings/book", "any", "a", []string{headerKey, strings.Repeat("x", 31) + "A", headerTimeout, "300"}},
 		{"404 service unknown", "POST", "/removed/book", "any", "a", []string{headerKey, key}},
 		{"400 head no", "POST", keysPath + "?service=bookings&n=65", "any", "", nil},
 	}
--- a/pimentoentry/refusal.go
+++ b/pimentoentry/refusal.go
@@ -41,6 +41,7 @@
 	ReasonVoid         Reason = "void"         // The key was refused before.
 	ReasonForgotten    Reason = "forgotten"    // The request has run; its answer isn't kept.
 	ReasonIssuer       Reason = "issuer"       // The holder of the key wasn't reached.
+	ReasonUnsent       Reason = "unsent"       // The holder of the key wasn't reached, and this copy not sent to it.
 	ReasonStopping     Reason = "stopping"     // The holder of the key stops without a successor.
 	ReasonLost         Reason = "lost"         // The target's answer to a non-idempotent request was lost.
 	ReasonQueue        Reason = "queue"        // Too many requests wait.
@@ -56,7 +57,7 @@
 var reasons = []Reason{
 	ReasonPath, ReasonService, ReasonOrganisation, ReasonTimeout, ReasonHead, ReasonLong, ReasonBody,
 	ReasonLarge, ReasonConfig, ReasonHome, ReasonNokey, ReasonForged, ReasonReused, ReasonVoid, ReasonForgotten,
-	ReasonIssuer, ReasonStopping, ReasonLost, ReasonQueue, ReasonDeadline, ReasonSlow, ReasonTargets,
+	ReasonIssuer, ReasonUnsent, ReasonStopping, ReasonLost, ReasonQueue, ReasonDeadline, ReasonSlow, ReasonTargets,
 	ReasonRefused, ReasonFailed, ReasonQuarantine, ReasonGone,
 }
 
--- /dev/null
+++ b/pimentokey/fuzz_test.go
@@ -0,0 +1,30 @@
+package pimentokey
+
+import "testing"
+
+// FuzzParse checks that a text is a key if and only if it is the text form of
+// what it parses to.
+func FuzzParse(f *testing.F) {
+	f.Add(Key{Hint: 9, Issuer: 1 << 63, Seq: maxSeq, Sum: 5}.String())
+	f.Add("")
+	f.Add("AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=")
+	f.Fuzz(func(t *testing.T, text string) {
+		k, err := Parse(text)
+		if err == nil && k.String() != text {
+			t.Fatalf("%q parses to a key with text %q", text, k)
+		}
+	})
+}
+
+// FuzzForged checks that a ledger takes no key that it hasn't issued.
+func FuzzForged(f *testing.F) {
+	f.Add(uint64(1), uint64(1), uint64(0))
+	f.Fuzz(func(t *testing.T, issuer, seq, sum uint64) {
+		l := NewLedger(1, Secret{2, 3})
+		real, _ := l.Issue(testScope)
+		k := Key{Issuer: Incarnation(issuer), Seq: Seq(seq % (maxSeq + 1)), Sum: Sum(sum)}
+		if v, _ := l.Begin(k, testScope, 0); v == VerdictRun && k != real {
+			t.Fatalf("key %v was taken", k)
+		}
+	})
+}
--- a/pimentokey/key.go
+++ b/pimentokey/key.go
@@ -73,9 +73,14 @@
 		return Key{}, &Error{Op: "parse", Kind: KindSyntax, Err: fmt.Errorf("key has %d characters, want %d", len(text), keyChars)}
 	}
 	var raw [keyBytes]byte
-	if _, err := encoding.Decode(raw[:], []byte(text)); err != nil {
+	n, err := encoding.Decode(raw[:], []byte(text))
+	if err != nil {
 		return Key{}, &Error{Op: "parse", Kind: KindSyntax, Err: err}
 	}
+	if n != keyBytes {
+		// The decoder passes over line breaks.
+		return Key{}, &Error{Op: "parse", Kind: KindSyntax, Err: fmt.Errorf("key has %d bytes, want %d", n, keyBytes)}
+	}
 	place := binary.BigEndian.Uint64(raw[8:])
 	return Key{
 		Hint:   Hint(place >> 48),
