--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -116,7 +116,7 @@
 		return RetryRefused
 	}
 	switch a.kind() {
-	case pimentohttp.KindConnect, pimentohttp.KindBusy:
+	case pimentohttp.KindConnect, pimentohttp.KindBusy, pimentohttp.KindStale:
 		return RetryConnect
 	case pimentohttp.KindInvalid:
 		return RetryInvalid
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -241,7 +241,7 @@
 		}
 		if now-sweep >= idleSweep {
 			sweep = now
-			e.client.CloseIdle(time.Now())
+			e.suspect(now, e.client.CloseIdle(time.Now()))
 			e.probe(now)
 		}
 	}
--- a/pimentoentry/probe.go
+++ b/pimentoentry/probe.go
@@ -1,6 +1,7 @@
 package pimentoentry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,6 +13,24 @@
 // probeTimeout bounds one probe.
 const probeTimeout = time.Second
 
+// suspect counts targets that closed idle connections as restarted.
+func (e *Entry) suspect(now time.Duration, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	for _, s := range e.allServices() {
+		s.mu.Lock()
+		for _, tg := range s.table.Targets() {
+			if slices.Contains(addresses, tg.Address) {
+				s.table.Suspect(now, tg)
+			}
+		}
+		changes := s.changes()
+		s.mu.Unlock()
+		e.publish(changes)
+	}
+}
+
 // probe asks the load endpoints of targets that traffic tells nothing of. The
 // owner of a target alone probes it, so that no two entries with the same list
 // spend its budget.
--- a/pimentoentry/read.go
+++ b/pimentoentry/read.go
@@ -57,7 +57,7 @@
 	if time.Now().After(c.deadline) || c.ctx.Err() != nil {
 		return false
 	}
-	if a.kind() == pimentohttp.KindConnect {
+	if a.kind() == pimentohttp.KindConnect || a.kind() == pimentohttp.KindStale {
 		return true
 	}
 	s := c.service
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -10,7 +11,7 @@
 )
 
 const (
-	defaultMaxIdle     = 5 * time.Second
+	defaultMaxIdle     = 2 * time.Second
 	defaultDialTimeout = 500 * time.Millisecond
 	readBuffer         = 8 << 10
 	writeBuffer        = 4 << 10
@@ -97,17 +98,42 @@
 	}
 }
 
-// CloseIdle closes the connections that have been idle for too long.
-func (c *Client) CloseIdle(now time.Time) {
+// CloseIdle closes the connections that have been idle for too long. It
+// returns the targets that have closed younger ones, which may have restarted.
+func (c *Client) CloseIdle(now time.Time) []string {
 	c.mu.Lock()
-	pools := make([]*pool, 0, len(c.pools))
-	for _, p := range c.pools {
-		pools = append(pools, p)
-	}
+	pools := maps.Clone(c.pools)
 	c.mu.Unlock()
-	for _, p := range pools {
+	var stale []string
+	for address, p := range pools {
 		p.closeIdle(now.Add(-c.maxIdle()))
+		if p.closeStale() {
+			stale = append(stale, address)
+		}
 	}
+	return stale
+}
+
+// closeStale closes idle connections that the target has closed, and reports
+// whether there were any.
+func (p *pool) closeStale() bool {
+	p.mu.Lock()
+	var stale []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if quiet(c.Conn) {
+			kept = append(kept, c)
+		} else {
+			stale = append(stale, c)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range stale {
+		c.destroy()
+	}
+	return len(stale) > 0
 }
 
 // Open returns the number of open connections.
@@ -150,8 +176,12 @@
 	return defaultMaxIdle
 }
 
+// errStale is the cause of errors of KindStale.
+var errStale = errors.New("the target has closed an idle connection")
+
 // get returns an idle connection that was open a moment ago, or a new one.
-// fresh asks for a new one.
+// fresh asks for a new one. A young idle connection that the target has closed
+// is an error, because the target may have restarted.
 func (c *Client) get(address string, fresh bool, deadline time.Time) (*conn, error) {
 	p := c.pool(address)
 	for !fresh {
@@ -159,10 +189,15 @@
 		if idle == nil {
 			break
 		}
-		if time.Since(idle.usedAt) < c.maxIdle() && quiet(idle.Conn) {
+		young := time.Since(idle.usedAt) < c.maxIdle()
+		open := quiet(idle.Conn)
+		if young && open {
 			return idle, nil
 		}
 		idle.destroy()
+		if young {
+			return nil, &Error{Op: "connect", Kind: KindStale, Address: address, Err: errStale}
+		}
 	}
 	return c.dial(p, address, deadline)
 }
--- a/pimentohttp/error.go
+++ b/pimentohttp/error.go
@@ -8,6 +8,9 @@
 const (
 	// KindConnect means that no connection could be opened.
 	KindConnect Kind = iota + 1
+	// KindStale means that the target has closed an idle connection. Nothing
+	// was sent.
+	KindStale
 	// KindBroken means that the connection broke before an answer.
 	KindBroken
 	// KindShort means that the connection broke within an answer.
--- a/pimentotarget/choose.go
+++ b/pimentotarget/choose.go
@@ -1,6 +1,7 @@
 package pimentotarget
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -13,7 +14,10 @@
 	// slowFactor is the multiple of the service's average latency from which
 	// an outstanding request's age counts as a delay of its target.
 	slowFactor = 3
-	// noDelay is used before any latency is known.
+	// overPrice is the part of a slot's time that exceeding the own share by one
+	// request is expected to cost.
+	overPrice = 0.5
+	// defaultLatency is used before any latency is known.
 	defaultLatency = 5 * time.Millisecond
 )
 
@@ -60,7 +64,7 @@
 		if tg.failures > 0 {
 			return 1
 		}
-		return t.service.Slots
+		return t.service.Slots + t.slack(tg)
 	}
 	if !tg.owned || now-tg.ownedAt < t.OwnerWait {
 		return 0
@@ -68,6 +72,13 @@
 	return t.coldLimit()
 }
 
+// slack is the number of requests beyond the slots that keep a target busy
+// while others are on their way.
+func (t *Table) slack(tg *Target) int {
+	onWay := float64(t.service.Slots) * float64(t.distance(tg)) / float64(t.mean())
+	return min(t.service.Slots, int(math.Ceil(onWay)))
+}
+
 // coldLimit is the owner's part of the cold limit. The other half is kept for
 // an entry that is the owner according to another list.
 func (t *Table) coldLimit() int {
@@ -79,7 +90,7 @@
 	mean := t.mean()
 	d := t.distance(tg)
 	if over := tg.Outstanding + 1 - tg.Share; over > 0 && tg.Mark.Phase == PhaseWarm {
-		d += time.Duration(over) * mean / time.Duration(2*t.service.Slots)
+		d += time.Duration(float64(over) * float64(mean) * (overPrice + t.price) / float64(t.service.Slots))
 	}
 	if age := tg.oldest(now); age > slowFactor*mean {
 		d += age - slowFactor*mean
--- a/pimentotarget/done.go
+++ b/pimentotarget/done.go
@@ -26,6 +26,10 @@
 	// coldRefusals is the number of consecutive refusals within the own share
 	// that turn a target cold.
 	coldRefusals = 3
+	// maxPrice bounds the price of exceeding the own shares, and priceDecay is
+	// what each answer takes off it. Each refusal adds one.
+	maxPrice   = 16
+	priceDecay = 0.05
 	// minColdOK is the number of answers that a target gives before it is warm.
 	minColdOK = 3
 )
@@ -69,6 +73,7 @@
 	tg.failures = 0
 	tg.refusals = 0
 	tg.notBefore = 0
+	t.price = max(t.price-priceDecay, 0)
 	tg.heardAt = now
 	tg.latency.add(took)
 	t.latency.add(took)
@@ -85,12 +90,17 @@
 	}
 }
 
+// refuse waits for about the time in which a slot becomes free, and makes
+// exceeding the own shares dearer. Refusals within the own share speak of more
+// than a full target.
 func (t *Table) refuse(now time.Duration, tg *Target, within bool) {
-	t.backOff(now, tg)
+	tg.notBefore = now + t.mean()
+	t.price = min(t.price+1, maxPrice)
 	if !within {
 		return
 	}
 	tg.refusals++
+	tg.notBefore = now + min(maxBackoff, t.mean()<<min(tg.refusals, 10))
 	if tg.refusals >= coldRefusals {
 		t.turnCold(now, tg)
 	}
@@ -111,6 +121,10 @@
 	}
 }
 
+// Suspect counts a target as restarted, because it closed connections that
+// were in use a moment ago.
+func (t *Table) Suspect(now time.Duration, tg *Target) { t.turnCold(now, tg) }
+
 func (t *Table) setMark(tg *Target, m Mark) {
 	tg.Mark = m
 	t.changed = append(t.changed, tg)
--- /dev/null
+++ b/pimentotarget/share_test.go
@@ -0,0 +1,250 @@
+package pimentotarget
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pimentoarch/pimentoregister"
+)
+
+// Shares of equal lists add up to the limit exactly, and no two entries differ
+// by more than one in all.
+func TestDealAddsUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(0, 40).Draw(t, "targets")
+		units := rapid.IntRange(1, 12).Draw(t, "units")
+		n := rapid.IntRange(1, 30).Draw(t, "entries")
+		sums := make([]int, count)
+		totals := make([]int, n)
+		for self := range n {
+			for i, share := range Deal(count, units, n, self) {
+				sums[i] += share
+				totals[self] += share
+			}
+		}
+		for i, sum := range sums {
+			if sum != units {
+				t.Fatalf("shares of target %d add up to %d, want %d", i, sum, units)
+			}
+		}
+		if count > 0 && slices.Max(totals)-slices.Min(totals) > max(1, units%n) {
+			t.Fatalf("totals differ too much: %v", totals)
+		}
+	})
+}
+
+// With two lists, of which the longer one has up to k more entries, the shares
+// of a target add up to twice the limit at the most: each list alone adds up
+// to the limit.
+func TestDealWithTwoLists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 20).Draw(t, "targets")
+		units := rapid.IntRange(1, 6).Draw(t, "units")
+		n := rapid.IntRange(1, 20).Draw(t, "entries")
+		more := rapid.IntRange(1, 5).Draw(t, "more")
+		sums := make([]int, count)
+		for self := range n + more {
+			size := n + more
+			if self < n && rapid.Bool().Draw(t, "short list") {
+				size = n
+			}
+			for i, share := range Deal(count, units, size, self) {
+				sums[i] += share
+			}
+		}
+		for i, sum := range sums {
+			if sum > 2*units {
+				t.Fatalf("shares of target %d add up to %d, the limit is %d", i, sum, units)
+			}
+		}
+	})
+}
+
+// Marks converge to the same one in whatever order they arrive.
+func TestMarksConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		marks := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Mark {
+			return Mark{Epoch: Epoch(rapid.IntRange(0, 3).Draw(t, "epoch")), Phase: Phase(rapid.IntRange(0, 1).Draw(t, "phase"))}
+		}), 1, 8).Draw(t, "marks")
+		shuffled := rapid.Permutation(marks).Draw(t, "shuffled")
+		a, b := coldTable("a", 1), coldTable("a", 1)
+		for i := range marks {
+			a.Merge(0, a.targets[0], marks[i])
+			b.Merge(0, b.targets[0], shuffled[i])
+		}
+		if a.targets[0].Mark != b.targets[0].Mark {
+			t.Fatalf("marks %v and %v", a.targets[0].Mark, b.targets[0].Mark)
+		}
+	})
+}
+
+// coldTable returns the table of one of n entries, with one target.
+func coldTable(self EntryName, n int) *Table {
+	t := &Table{Self: self, Place: Place{Region: "r", Domain: "d"}, OwnerWait: time.Second}
+	entries := []EntryName{"a", "b", "c", "d"}[:n]
+	t.SetEntries(0, entries)
+	t.Update(0, &pimentoregister.ServiceView{
+		Service: pimentoregister.Service{Name: "s", Slots: 3, Cold: 2, Warmup: 1000},
+		Targets: []pimentoregister.TargetView{{VM: pimentoregister.VM{Name: "t", Address: "1", Domain: "d"}, Region: "r"}},
+	})
+	return t
+}
+
+// A cold target's load stays within its limit, whatever two lists of entries
+// the fleet has, and whichever entries believe to be its owner.
+func TestColdLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const cold = 4
+		names := []EntryName{"a", "b", "c", "d"}
+		lists := [][]EntryName{names, names[:rapid.IntRange(1, 3).Draw(t, "short list")]}
+		var tables []*Table
+		for _, self := range names {
+			tb := coldTable(self, 4)
+			tb.service.Cold = cold
+			tb.SetEntries(0, lists[rapid.IntRange(0, 1).Draw(t, "list")])
+			tables = append(tables, tb)
+		}
+		now := 2 * time.Second
+		for range 20 {
+			tb := tables[rapid.IntRange(0, 3).Draw(t, "entry")]
+			tb.Offer(&Request{Deadline: time.Hour})
+			tb.Next(now)
+			load := 0
+			for _, other := range tables {
+				load += other.targets[0].Outstanding
+			}
+			if load > cold {
+				t.Fatalf("%d requests on a target that bears %d", load, cold)
+			}
+		}
+	})
+}
+
+// A new owner sends nothing before it has waited for longer than lists lag.
+func TestNewOwnerWaits(t *testing.T) {
+	tb := coldTable("a", 1)
+	tb.Offer(&Request{Deadline: time.Hour})
+	for _, c := range []struct {
+		at   time.Duration
+		sent bool
+	}{{999 * time.Millisecond, false}, {time.Second, true}} {
+		if got := tb.Next(c.at) != nil; got != c.sent {
+			t.Errorf("at %s: sent %t, want %t", c.at, got, c.sent)
+		}
+	}
+}
+
+// Targets that are out, leaving or gone get nothing.
+func TestNoNewWork(t *testing.T) {
+	cases := map[string]func(*Table, *pimentoregister.ServiceView){
+		"out": func(tb *Table, s *pimentoregister.ServiceView) { s.Targets[0].Out = true; tb.Update(0, s) },
+		"leaving": func(tb *Table, _ *pimentoregister.ServiceView) {
+			tb.SetLeaving(map[pimentoregister.VMName]bool{"t": true})
+		},
+		"gone": func(tb *Table, s *pimentoregister.ServiceView) { s.Targets = nil; tb.Update(0, s) },
+	}
+	for name, leave := range cases {
+		tb := coldTable("a", 1)
+		tb.Merge(0, tb.targets[0], Mark{Epoch: 1, Phase: PhaseWarm})
+		tb.Offer(&Request{Deadline: time.Hour})
+		if tb.Next(0) == nil {
+			t.Fatalf("%s: a warm target gets nothing", name)
+		}
+		view := &pimentoregister.ServiceView{Service: tb.service, Targets: []pimentoregister.TargetView{tb.targets[0].TargetView}}
+		leave(tb, view)
+		tb.Offer(&Request{Deadline: time.Hour})
+		if tb.Next(time.Second) != nil {
+			t.Errorf("%s: the target gets new work", name)
+		}
+	}
+}
+
+// BenchmarkChoose measures one choice with its end, by number of targets.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{4, 50, 200, 800, 2800} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			tb := warmTable(n, 16)
+			r := &Request{Deadline: 1 << 62}
+			b.ReportAllocs()
+			now := time.Duration(0)
+			for b.Loop() {
+				now += 100 * time.Microsecond
+				tb.Offer(r)
+				if tb.Next(now) == nil {
+					b.Fatal("no target")
+				}
+				tb.Done(now, r.Target, r.Sent, ResultOK, 0)
+			}
+		})
+	}
+}
+
+// BenchmarkChooseOutstanding measures the same with requests outstanding.
+func BenchmarkChooseOutstanding(b *testing.B) {
+	for _, n := range []int{0, 8, 24, 48} {
+		b.Run(fmt.Sprintf("outstanding=%d", n), func(b *testing.B) {
+			tb := warmTable(200, 16)
+			for range n {
+				tb.Offer(&Request{Deadline: 1 << 62})
+				tb.Next(0)
+			}
+			r := &Request{Deadline: 1 << 62}
+			b.ReportAllocs()
+			for b.Loop() {
+				tb.Offer(r)
+				if tb.Next(0) == nil {
+					b.Fatal("no target")
+				}
+				tb.Done(0, r.Target, r.Sent, ResultCancelled, 0)
+			}
+		})
+	}
+}
+
+// warmTable returns a table of n warm targets, shared by some entries.
+func warmTable(n, entries int) *Table {
+	tb := &Table{Self: "e00", Place: Place{Region: "r", Domain: "d0"}, OwnerWait: time.Second}
+	var names []EntryName
+	for i := range entries {
+		names = append(names, EntryName(fmt.Sprintf("e%02d", i)))
+	}
+	tb.SetEntries(0, names)
+	tb.Update(0, viewOf(n))
+	for _, tg := range tb.targets {
+		tb.Merge(0, tg, Mark{Epoch: 1, Phase: PhaseWarm})
+	}
+	return tb
+}
+
+func viewOf(n int) *pimentoregister.ServiceView {
+	s := &pimentoregister.ServiceView{Service: pimentoregister.Service{Name: "s", Slots: 3, Cold: 1}}
+	for i := range n {
+		name := pimentoregister.VMName(fmt.Sprintf("t%04d", i))
+		s.Targets = append(s.Targets, pimentoregister.TargetView{
+			VM:     pimentoregister.VM{Name: name, Address: string(name), Domain: pimentoregister.DomainName(fmt.Sprintf("d%d", i%8))},
+			Region: "r",
+		})
+	}
+	return s
+}
+
+// BenchmarkUpdate measures a register change, by number of targets.
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{50, 200, 800, 2800} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			tb := warmTable(n, 16)
+			views := []*pimentoregister.ServiceView{viewOf(n), viewOf(n)}
+			views[1].Targets[0].Out = true
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				tb.Update(0, views[i%2])
+				i++
+			}
+		})
+	}
+}
--- a/pimentotarget/table.go
+++ b/pimentotarget/table.go
@@ -37,6 +37,7 @@
 	rotation int     // Where the next scan begins.
 	changed  []*Target
 	running  int
+	price    float64 // Rises with refusals, see refuse.
 }
 
 const (
