pimentoplatform: reads are spread; pimentoentry: idle entries sleep

Ruled out: the number of targets (1.12% with 50). Change: both sleep while nothing waits. Also: 300 entries that start at once would have read 600 times in a second. Heartbeats are begun by one of two entries, and the time after which a peer counts as unreachable follows their period, which at 37 partners was longer.

--- a/cmd/pimentoarch/main.go
+++ b/cmd/pimentoarch/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -54,7 +55,13 @@
 	exitSettings = 2
 )
 
+// gcPercent lets the heap grow further between collections than by default. An
+// entry's live heap is a few MB, so that it would collect tens of times a
+// second under load.
+const gcPercent = 400
+
 func main() {
+	debug.SetGCPercent(gcPercent)
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
--- a/examples/overhead.sh
+++ b/examples/overhead.sh
@@ -13,7 +13,7 @@
 bin/pimentofake platform --listen 127.1.0.1:9000 --config "$run/config.json" --vms "$run/vms.json" &
 pids+=($!)
 for n in 01 02 07 08 13 14 19 20; do
-	bin/pimentofake target --config "$run/config.json" --name "charts-$n" --work 0 &
+	bin/pimentofake target --config "$run/config.json" --name "charts-$n" --work 0 --queue 1000 &
 	pids+=($!)
 done
 bin/pimentoarch entry --settings "$dir/entry-1.json" --log error &
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -46,13 +46,15 @@
 	leaving  map[pimentoregister.VMName]bool
 	listAt   time.Duration
 
-	ctx      context.Context // Ends when the process ends.
-	cancel   context.CancelFunc
-	fetching atomic.Bool
-	ready    atomic.Bool
-	stopping atomic.Bool  // A planned stop has begun.
-	closing  atomic.Bool  // No new requests are taken.
-	running  atomic.Int64 // Requests that are being served.
+	startSpread time.Duration   // See pimentoplatform.Watch; 0 means its default.
+	queued      chan struct{}   // Takes a token when a request begins to wait.
+	ctx         context.Context // Ends when the process ends.
+	cancel      context.CancelFunc
+	fetching    atomic.Bool
+	ready       atomic.Bool
+	stopping    atomic.Bool  // A planned stop has begun.
+	closing     atomic.Bool  // No new requests are taken.
+	running     atomic.Int64 // Requests that are being served.
 }
 
 const (
@@ -60,8 +62,10 @@
 	maxHedges = 4096
 	// maxStreams bounds the requests of peers that run at a time.
 	maxStreams = 8192
-	// tick is the time between two looks at waiting requests.
-	tick = 10 * time.Millisecond
+	// tick is the time between two looks at waiting requests, and idleTick the
+	// time between two looks at the clock while none wait.
+	tick     = 10 * time.Millisecond
+	idleTick = 100 * time.Millisecond
 	// pauseLimit is the time between two ticks from which this process counts
 	// as having been paused.
 	pauseLimit = time.Second
@@ -89,6 +93,7 @@
 		origin:      time.Now(),
 		counters:    newCounters(),
 		workers:     workers,
+		queued:      make(chan struct{}, 1),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.services.Store(&map[pimentoregister.ServiceName]*service{})
@@ -182,6 +187,7 @@
 		OnValue:   e.offer,
 		OnList:    e.takeList,
 		OnFailure: e.counters.platform.Inc,
+		Spread:    e.startSpread,
 	}
 	w.Run(ctx)
 }
@@ -221,23 +227,28 @@
 
 // ticks does what is due with time.
 func (e *Entry) ticks(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
 	last := e.now()
 	sweep := last
+	waiting := false
 	for {
+		pause := idleTick
+		if waiting {
+			pause = tick
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(pause):
+		case <-e.queued:
 		}
 		now := e.now()
 		if now-last > pauseLimit {
 			e.paused(now, now-last)
 		}
 		last = now
+		waiting = false
 		for _, s := range e.allServices() {
-			s.poll(now)
+			waiting = s.poll(now) || waiting
 		}
 		if now-sweep >= idleSweep {
 			sweep = now
@@ -247,6 +258,14 @@
 	}
 }
 
+// noteQueued lets ticks look at waiting requests soon.
+func (e *Entry) noteQueued() {
+	select {
+	case e.queued <- struct{}{}:
+	default:
+	}
+}
+
 // paused counts what this process knew before a pause as old.
 func (e *Entry) paused(now, pause time.Duration) {
 	e.counters.pauses.Inc()
--- a/pimentoentry/fleet_test.go
+++ b/pimentoentry/fleet_test.go
@@ -150,6 +150,7 @@
 	s.Name = pimentotarget.EntryName(name)
 	e, cleanup, err := New(s, log.NewNopLogger())
 	f.is.NoErr(err)
+	e.startSpread = time.Millisecond
 	m := &member{Entry: e, stop: make(chan struct{}), done: make(chan error, 1)}
 	go func() {
 		m.done <- e.Run(m.stop)
--- a/pimentoentry/peers.go
+++ b/pimentoentry/peers.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"pimentoarch/pimentokey"
+	"pimentoarch/pimentolink"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentotarget"
@@ -32,10 +33,15 @@
 
 const (
 	minPeriod = time.Second
-	// beatBytes is the traffic in bytes of one heartbeat and its answer.
-	beatBytes = 200
+	// beatBytes is the traffic in bytes of one heartbeat and its answer, with
+	// the headers of yamux, TCP and IP.
+	beatBytes = 300
 	// beatRate is the traffic in bytes per second that heartbeats may cause.
-	beatRate = 2000
+	beatRate = 2400
+	// beatTerms is the number of periods without a heartbeat after which a peer
+	// counts as unreachable, and half of it the number after which the peer
+	// that usually waits begins by itself.
+	beatTerms = 4
 	// urgentPause is the least time between two heartbeats to a peer.
 	urgentPause = 50 * time.Millisecond
 	// maxChanges bounds the news in one heartbeat.
@@ -122,6 +128,7 @@
 	p.mu.Lock()
 	p.members.Update(now, list)
 	e.reconcile()
+	p.members.Term = period(len(p.loops)) * beatTerms
 	entries := p.members.Entries(e.settings.Region)
 	p.mu.Unlock()
 	for _, s := range e.allServices() {
@@ -165,24 +172,38 @@
 func (e *Entry) beat(ctx context.Context, address string, l *beatLoop) {
 	heart, cleanup := e.node.Heart(address)
 	defer cleanup()
+	urgent := true
 	for ctx.Err() == nil {
-		e.beatOnce(heart, l.name)
+		if urgent || e.begins(l.name) {
+			e.beatOnce(heart, l.name)
+		}
+		urgent = false
 		pause := time.NewTimer(e.beatPeriod())
 		select {
 		case <-ctx.Done():
 		case <-pause.C:
 		case <-l.urgent:
+			urgent = true
 			time.Sleep(urgentPause)
 		}
 		pause.Stop()
 	}
 }
 
-type heart interface {
-	Beat(pimentopeer.Heartbeat) (pimentopeer.Heartbeat, int, error)
+// begins reports whether this entry begins the next exchange with a peer. Of
+// two entries the one with the lesser name begins; the other one does so only
+// when it has heard nothing for a while.
+func (e *Entry) begins(name pimentotarget.EntryName) bool {
+	if e.settings.Name < name {
+		return true
+	}
+	e.peers.mu.Lock()
+	defer e.peers.mu.Unlock()
+	p := e.peers.members.Peer(name)
+	return p != nil && !p.HeardWithin(e.now(), period(len(e.peers.loops))*beatTerms/2)
 }
 
-func (e *Entry) beatOnce(h heart, name pimentotarget.EntryName) {
+func (e *Entry) beatOnce(h *pimentolink.Heart, name pimentotarget.EntryName) {
 	hb, ok := e.heartbeat(name)
 	if !ok {
 		return
--- a/pimentoentry/service.go
+++ b/pimentoentry/service.go
@@ -56,14 +56,16 @@
 	s.waiting.Store(int32(s.table.Waiting()))
 }
 
-// poll hands out targets that have become usable with time.
-func (s *service) poll(now time.Duration) {
+// poll hands out targets that have become usable with time, and reports
+// whether requests still wait.
+func (s *service) poll(now time.Duration) bool {
 	if s.waiting.Load() == 0 {
-		return
+		return false
 	}
 	s.mu.Lock()
 	s.pump(now)
 	s.mu.Unlock()
+	return s.waiting.Load() > 0
 }
 
 // bind waits for a target. It returns nil when r has one, and otherwise why not.
@@ -95,6 +97,7 @@
 
 // await waits until the queue gives the request back, or the caller has gone.
 func (e *Entry) await(c *call, r *pimentotarget.Request) *refusal {
+	e.noteQueued()
 	timer := time.NewTimer(time.Until(c.deadline))
 	defer timer.Stop()
 	select {
--- a/pimentofake/target.go
+++ b/pimentofake/target.go
@@ -81,10 +81,14 @@
 
 // Serve serves until the listener is closed.
 func (t *Target) Serve(ln net.Listener) error {
+	t.mu.Lock()
 	t.slots = make(chan struct{}, t.Slots)
 	t.conns = make(map[net.Conn]time.Time)
-	t.slow = 1
+	if t.slow == 0 {
+		t.slow = 1
+	}
 	t.boot = strconv.FormatUint(rand.Uint64(), 36)
+	t.mu.Unlock()
 	stop := make(chan struct{})
 	defer close(stop)
 	go t.watch.Run(stop)
--- a/pimentohttp/watch.go
+++ b/pimentohttp/watch.go
@@ -10,8 +10,9 @@
 // are served. The server reads nothing from a connection meanwhile, so one
 // goroutine looks at all of them in turn.
 type Watch struct {
-	mu      sync.Mutex // Guards waiting.
+	mu      sync.Mutex // Guards the fields below.
 	waiting map[*Watched]struct{}
+	wake    chan struct{} // Takes a token when waiting is no longer empty.
 }
 
 // Watched is one caller's connection.
@@ -33,14 +34,26 @@
 func (w *Watch) Add(c net.Conn, gone func()) *Watched {
 	item := &Watched{conn: c, since: time.Now(), gone: gone}
 	w.mu.Lock()
-	if w.waiting == nil {
-		w.waiting = make(map[*Watched]struct{})
-	}
+	w.init()
 	w.waiting[item] = struct{}{}
+	if len(w.waiting) == 1 {
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	}
 	w.mu.Unlock()
 	return item
 }
 
+// init is called with w.mu held.
+func (w *Watch) init() {
+	if w.waiting == nil {
+		w.waiting = make(map[*Watched]struct{})
+		w.wake = make(chan struct{}, 1)
+	}
+}
+
 // Remove ends the watch over a connection.
 func (w *Watch) Remove(item *Watched) {
 	w.mu.Lock()
@@ -48,23 +61,34 @@
 	w.mu.Unlock()
 }
 
-// Run looks at the connections until stop is closed.
+// Run looks at the connections until stop is closed. It sleeps while there are
+// none.
 func (w *Watch) Run(stop <-chan struct{}) {
-	tick := time.NewTicker(watchInterval)
-	defer tick.Stop()
+	w.mu.Lock()
+	w.init()
+	wake := w.wake
+	w.mu.Unlock()
 	var due []*Watched
 	for {
 		select {
 		case <-stop:
 			return
-		case now := <-tick.C:
-			due = w.due(now, due[:0])
+		case <-wake:
+		}
+		for more := true; more; {
+			select {
+			case <-stop:
+				return
+			case <-time.After(watchInterval):
+			}
+			due, more = w.due(time.Now(), due[:0])
 			w.look(due)
 		}
 	}
 }
 
-func (w *Watch) due(now time.Time, list []*Watched) []*Watched {
+// due appends the connections to look at, and reports whether any are watched.
+func (w *Watch) due(now time.Time, list []*Watched) ([]*Watched, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for item := range w.waiting {
@@ -72,7 +96,7 @@
 			list = append(list, item)
 		}
 	}
-	return list
+	return list, len(w.waiting) > 0
 }
 
 func (w *Watch) look(list []*Watched) {
--- a/pimentopeer/members.go
+++ b/pimentopeer/members.go
@@ -56,12 +56,12 @@
 	listed  bool
 	heard   bool
 	heardAt time.Duration
+	members *Members
 }
 
 const (
-	// heardTerm is the time without a heartbeat after which a peer counts as
-	// unreachable.
-	heardTerm = 4 * time.Second
+	// defaultTerm is used for a Term of 0.
+	defaultTerm = 4 * time.Second
 	// remotePartners is the number of entries of each other region with which
 	// an entry exchanges heartbeats.
 	remotePartners = 2
@@ -76,6 +76,9 @@
 	Self pimentotarget.EntryName
 	// Region is the entry's own region.
 	Region pimentoregister.RegionName
+	// Term is the time without a heartbeat after which a peer counts as
+	// unreachable. 0 means 4 s. It may be changed at any time.
+	Term time.Duration
 
 	peers map[pimentotarget.EntryName]*Peer
 	byInc map[pimentokey.Incarnation]*Peer
@@ -96,7 +99,7 @@
 		}
 		p := m.peers[pub.Name]
 		if p == nil {
-			p = &Peer{}
+			p = &Peer{members: m}
 			m.peers[pub.Name] = p
 		}
 		p.Published = pub
@@ -167,7 +170,16 @@
 
 // Reachable reports whether the peer was heard lately.
 func (p *Peer) Reachable(now time.Duration) bool {
-	return p.heard && now-p.heardAt < heardTerm
+	term := p.members.Term
+	if term == 0 {
+		term = defaultTerm
+	}
+	return p.HeardWithin(now, term)
+}
+
+// HeardWithin reports whether the peer was heard within a time.
+func (p *Peer) HeardWithin(now, term time.Duration) bool {
+	return p.heard && now-p.heardAt < term
 }
 
 // Peer returns the named peer, or nil.
--- a/pimentopeer/peer_test.go
+++ b/pimentopeer/peer_test.go
@@ -87,7 +87,7 @@
 		t.Fatal("the first heartbeat isn't fresh")
 	}
 	p := m.Peer("entry-004")
-	if !p.Reachable(heardTerm-1) || p.Reachable(heardTerm) {
+	if !p.Reachable(defaultTerm-1) || p.Reachable(defaultTerm) {
 		t.Error("a peer must be reachable within its term only")
 	}
 	if m.Successor(0, func(r pimentoregister.RegionName) bool { return r == "region-0" }, nil) != p {
@@ -111,9 +111,8 @@
 func BenchmarkMembers(b *testing.B) {
 	for _, n := range []int{4, 20, 75, 300} {
 		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
-			pubs := list(n)
-			var bytes uint64
 			before := heap()
+			pubs := list(n)
 			m := &Members{Self: "entry-000", Region: "region-0"}
 			for b.Loop() {
 				m.Update(0, pubs)
@@ -121,10 +120,10 @@
 					m.Heard(0, Heartbeat{Name: p.Name, Incarnation: pimentokey.Incarnation(i + 1)}, 0)
 				}
 			}
-			bytes = heap() - before
-			b.ReportMetric(float64(bytes), "heap-bytes")
+			b.ReportMetric(float64(heap()-before), "heap-bytes")
 			b.ReportMetric(float64(len(m.Partners())), "partners")
 			runtime.KeepAlive(m)
+			runtime.KeepAlive(pubs)
 		})
 	}
 }
--- a/pimentoplatform/doc.go
+++ b/pimentoplatform/doc.go
@@ -10,8 +10,8 @@
 	GET /vms?after=N             waits likewise
 
 Each waiting watch counts as one read, so an entry keeps two waiting and polls
-nothing. After a failure it waits for a time that doubles up to maxDelay, with
-jitter, so that all entries together stay far below the service's rate even
-when all of them have been started at once.
+nothing. It begins after a random time, and pauses after each read, so that 300
+entries together stay below a tenth of the service's 2,000 reads/s, also when
+all start at once, when a change wakes all of them, and while the service fails.
 */
 package pimentoplatform
--- a/pimentoplatform/watch.go
+++ b/pimentoplatform/watch.go
@@ -12,26 +12,35 @@
 )
 
 const (
-	// minDelay is the least time between two reads of one resource.
+	// startSpread is the time over which entries that start together spread
+	// their first reads.
+	startSpread = 5 * time.Second
+	// minDelay and spread make the pause after a read that succeeded. Entries
+	// that a change wakes together read again at different times.
 	minDelay = 250 * time.Millisecond
-	// maxDelay is the longest time between two reads after failures.
-	maxDelay = 8 * time.Second
+	spread   = 2500 * time.Millisecond
+	// failDelay is the pause after a first failure, which doubles up to
+	// maxDelay.
+	failDelay = 5 * time.Second
+	maxDelay  = 8 * time.Second
 )
 
-// backoff computes the pauses between reads. The zero value is ready to use.
-type backoff struct {
+// pacer computes the pauses between reads of one resource, so that 300 entries
+// with two resources each stay below 200 reads/s. The zero value is ready to
+// use.
+type pacer struct {
 	failures int
 }
 
-// next returns the pause after a read: half of it is fixed, half is jitter.
-func (b *backoff) next(failed bool, random func() float64) time.Duration {
+// next returns the pause after a read.
+func (p *pacer) next(failed bool, random float64) time.Duration {
 	if !failed {
-		b.failures = 0
-		return minDelay
+		p.failures = 0
+		return minDelay + time.Duration(random*float64(spread))
 	}
-	d := min(maxDelay, minDelay<<min(b.failures, 10))
-	b.failures++
-	return d/2 + time.Duration(random()*float64(d/2)) + minDelay/2
+	d := min(maxDelay, failDelay<<min(p.failures, 10))
+	p.failures++
+	return d + time.Duration(random*float64(d)/4)
 }
 
 // Watch keeps reading the configuration and the list of VMs. Its exported
@@ -47,12 +56,17 @@
 	OnValue func(pimentoregister.Revision, []byte) error
 	// OnList takes a list of VMs.
 	OnList func(List)
+	// Spread is the time over which the first reads are spread. 0 means 5 s.
+	Spread time.Duration
 	// OnFailure counts failed reads. It may be nil.
 	OnFailure func()
 }
 
 // Run reads until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
+	if w.Spread == 0 {
+		w.Spread = startSpread
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -64,7 +78,8 @@
 
 // repeat calls read again and again, with pauses that grow while it fails.
 func (w *Watch) repeat(ctx context.Context, what string, read func() error) {
-	var b backoff
+	var p pacer
+	sleep(ctx, time.Duration(rand.Float64()*float64(w.Spread)))
 	for ctx.Err() == nil {
 		err := read()
 		if err != nil {
@@ -73,10 +88,14 @@
 				w.OnFailure()
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(b.next(err != nil, rand.Float64)):
-		}
+		sleep(ctx, p.next(err != nil, rand.Float64()))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
