pimentoentry: faults provoked in a fleet; what they found is mended

Each test failed first: - cold targets beside warm ones never got work, because choices went to the warm ones: 4 of 8 tests waited 20 s in vain. A cold target is now preferred by its owner, and other entries hand one request in 16 to an owner. - a crashing request crashed 4 targets through 4 entries, since the news took 50 ms and the caller resends at once. The entry now waits for its region's acknowledgements, up to 250 ms, before it answers or retries: 2 targets. - all connections silent: reads came back after 2.02 s with a timeout of 1 s, because the codec hides the cause of a timeout, which then counted as a crash. Now a timeout closes all idle connections, and reads are back after one. - a process that ended without a stop handed its keys over (test of a kill). Ruled out for the crash: a longer quarantine; the entries had not heard at all. Also proved: retries stay within a tenth while half of the targets refuse; configuration with the platform down, stale or invalid; domain out; a planned stop during a download; a target cold again.

--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -81,7 +81,7 @@
 		res = pimentotarget.ResultCancelled
 	case pimentohttp.KindTimeout:
 		res = pimentotarget.ResultTimeout
-		e.client.Forget(a.Address)
+		e.silent(a.Address)
 	}
 	e.done(c.service, a.target, a.sent, res, 0)
 	if a.kind() == pimentohttp.KindBroken && a.Sent() {
@@ -91,6 +91,20 @@
 	e.quarantine.ended(a.print)
 }
 
+// forgetPause is the least time between two losses of all idle connections.
+const forgetPause = time.Second
+
+// silent takes a connection that stayed silent. Whatever lost track of it has
+// probably lost others, so that idle ones aren't used again.
+func (e *Entry) silent(address string) {
+	e.client.Forget(address)
+	now := int64(e.now())
+	last := e.forgotAt.Load()
+	if now-last >= int64(forgetPause) && e.forgotAt.CompareAndSwap(last, now) {
+		e.client.ForgetAll()
+	}
+}
+
 // kind returns the kind of the attempt's error, or zero.
 func (a *attempt) kind() pimentohttp.Kind {
 	var err *pimentohttp.Error
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -51,6 +51,7 @@
 	ctx         context.Context // Ends when the process ends.
 	cancel      context.CancelFunc
 	fetching    atomic.Bool
+	forgotAt    atomic.Int64 // When all idle connections were closed, see silent.
 	ready       atomic.Bool
 	stopping    atomic.Bool  // A planned stop has begun.
 	closing     atomic.Bool  // No new requests are taken.
@@ -166,15 +167,17 @@
 	wg.Go(func() { _ = callerServer.Serve(callers) })
 	_ = level.Info(e.log).Log("msg", "entry started", "name", e.settings.Name, "region", e.settings.Region,
 		"domain", e.settings.Domain, "callers", callers.Addr(), "incarnation", fmt.Sprintf("%016x", e.incarnation))
+	var err error
 	select {
 	case <-stop:
+		err = e.stop(callerServer)
 	case <-ctx.Done():
 	}
-	err := e.stop(callerServer)
 	e.cancel()
 	closeCtx, cancel := context.WithTimeout(context.Background(), adminClose)
 	defer cancel()
 	_ = adminServer.ShutdownWithContext(closeCtx)
+	_ = callerServer.ShutdownWithContext(closeCtx)
 	wg.Wait()
 	return err
 }
--- /dev/null
+++ b/pimentoentry/fault_test.go
@@ -0,0 +1,315 @@
+package pimentoentry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentofake"
+	"pimentoarch/pimentoregister"
+)
+
+// warm sends reads until all local targets of a service are warm at all entries.
+func (f *fleet) warm(path string) {
+	f.t.Helper()
+	for _, m := range f.entries {
+		f.await("targets warm", func() bool {
+			for _, sender := range f.entries {
+				f.raw(sender, "GET", path, "any", "")
+			}
+			for _, s := range m.Status().Services {
+				if "/"+string(s.Name)+"/x" != path {
+					continue
+				}
+				for _, tg := range s.Targets {
+					if tg.State != "warm" && tg.Share > 0 {
+						return false
+					}
+				}
+			}
+			return true
+		})
+	}
+}
+
+// A request that crashes each target that runs it, sent a hundred times through
+// different entries, crashes two targets at the most.
+func TestCrashingRequest(t *testing.T) {
+	f := newFleet(t, 12)
+	for _, d := range []pimentoregister.DomainName{"west-a", "west-b", "west-a", "west-b"} {
+		f.start(d)
+	}
+	f.awaitReady()
+	f.warm("/charts/x")
+	for n := range 100 {
+		m := f.entries[n%len(f.entries)]
+		resp := f.raw(m, "GET", "/charts/poison", "any", "", pimentofake.CrashHeader, "1", headerTimeout, "1000")
+		if resp.StatusCode() == 200 {
+			t.Fatal("a crashed request has an answer")
+		}
+	}
+	if n := f.sum((*pimentofake.Target).Crashes); n > 2 {
+		t.Errorf("the request crashed %d targets", n)
+	}
+	f.is.Equal(f.raw(f.entries[0], "GET", "/charts/x", "any", "").StatusCode(), 200)
+}
+
+// While half of the targets refuse at once, retries stay within their budget,
+// and reads are answered as before when the targets return.
+func TestNoRetryStorm(t *testing.T) {
+	f := newFleet(t, 8)
+	m := f.start("west-a")
+	f.awaitReady()
+	f.warm("/charts/x")
+	shed := func(on bool) {
+		for i, tg := range f.targets {
+			if i%2 == 0 {
+				tg.SetShed(on)
+			}
+		}
+	}
+	shed(true)
+	before := f.sum((*pimentofake.Target).Runs)
+	const calls = 1000
+	for range calls {
+		f.raw(m, "GET", "/charts/x", "any", "")
+	}
+	retries := uint64(0)
+	for _, c := range m.counters.retries {
+		retries += c.Get()
+	}
+	if retries > calls/10+40 {
+		t.Errorf("%d retries for %d calls", retries, calls)
+	}
+	if runs := f.sum((*pimentofake.Target).Runs) - before; runs > calls+calls/10+40 {
+		t.Errorf("%d runs for %d calls", runs, calls)
+	}
+	shed(false)
+	time.Sleep(2 * time.Second)
+	for range 100 {
+		f.is.Equal(f.raw(m, "GET", "/charts/x", "any", "").StatusCode(), 200)
+	}
+}
+
+// All pooled connections go silent at once. No answer is wrong, no booking runs
+// twice, and reads are answered again within one timeout.
+func TestSilentConnections(t *testing.T) {
+	f := newFleet(t, 4)
+	m := f.start("west-a")
+	f.awaitReady()
+	f.warm("/charts/x")
+	for range 30 {
+		f.raw(m, "GET", "/charts/x", "any", "")
+	}
+	key := f.freshKey(m, "any")
+	f.is.Equal(f.book(m, key, "desk").StatusCode(), 200)
+	for _, tg := range f.targets {
+		tg.Silence()
+	}
+	start := time.Now()
+	f.await("answer", func() bool {
+		resp := f.raw(m, "GET", "/charts/x", "any", "", headerTimeout, "1000", pimentofake.ReferenceHeader, "r")
+		if resp.StatusCode() == 200 && string(resp.Body()) != string(pimentofake.Body("r", 0)) {
+			t.Fatalf("body %q", resp.Body())
+		}
+		return resp.StatusCode() == 200
+	})
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("reads were answered again after %s", took)
+	}
+	f.is.Equal(f.book(m, key, "desk").StatusCode(), 200)
+	f.is.Equal(f.book(m, f.freshKey(m, "any"), "desk 2").StatusCode(), 200)
+	for key, lines := range f.runs() {
+		if len(lines) != 1 {
+			t.Errorf("key %s ran %d times", key, len(lines))
+		}
+	}
+}
+
+func (f *fleet) revisionEverywhere(rev uint64) func() bool {
+	return func() bool {
+		for _, m := range f.entries {
+			if uint64(m.store.View().Revision) != rev {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Whatever the platform does, accepted revisions reach every entry, none
+// reverts, and an invalid one changes nothing but is named.
+func TestConfigurationUnderFaults(t *testing.T) {
+	f := newFleet(t, 4)
+	f.start("west-a")
+	f.start("east-a")
+	f.awaitReady()
+	f.await("revision 1", f.revisionEverywhere(1))
+
+	f.platform.Set("config", []byte(`{"regions":[]}`))
+	f.await("refusal named", func() bool {
+		st := f.entries[0].Status()
+		return st.Refused == 2 && st.Why != ""
+	})
+	f.is.True(f.revisionEverywhere(1)())
+
+	f.doc.Rules.Out = []pimentoregister.DomainName{"west-b"}
+	f.publish()
+	f.await("revision 3", f.revisionEverywhere(3))
+
+	// The platform goes back to an older revision with another content.
+	data, err := json.Marshal(f.doc)
+	f.is.NoErr(err)
+	f.platform.SetRevision("config", 2, data)
+	f.start("west-b") // It boots with the old one, and hears of the newer one.
+	f.await("revision 3 at the new entry", f.revisionEverywhere(3))
+
+	// The platform is down: an entry gets a revision, and all others from it.
+	f.platform.SetDown(true)
+	f.doc.Rules.Out = nil
+	data, err = json.Marshal(f.doc)
+	f.is.NoErr(err)
+	f.is.NoErr(f.entries[1].offer(9, data))
+	start := time.Now()
+	f.await("revision 9", f.revisionEverywhere(9))
+	if took := time.Since(start); took > 4*time.Second {
+		t.Errorf("a revision was in force everywhere after %s", took)
+	}
+}
+
+// Taking a domain out stops new work there, on each entry, within seconds.
+func TestDomainOut(t *testing.T) {
+	f := newFleet(t, 8)
+	f.start("west-a")
+	f.start("west-b")
+	f.awaitReady()
+	f.warm("/charts/x")
+	f.doc.Rules.Out = []pimentoregister.DomainName{"west-b"}
+	f.publish()
+	f.await("out everywhere", f.revisionEverywhere(2))
+	f.is.Equal(fasthttpStatus(f.entries[1].settings.Admin, "/health"), 503)
+	before := f.runsIn("west-b")
+	for n := range 200 {
+		f.is.Equal(f.raw(f.entries[n%2], "GET", "/charts/x", "any", "").StatusCode(), 200)
+	}
+	f.is.Equal(f.runsIn("west-b"), before)
+}
+
+func fasthttpStatus(address, path string) int {
+	code, _, err := fasthttp.Get(nil, "http://"+address+path)
+	if err != nil {
+		return 0
+	}
+	return code
+}
+
+func (f *fleet) runsIn(domain string) int64 {
+	var n int64
+	for _, tg := range f.targets {
+		if tg.Domain == domain {
+			n += tg.Runs()
+		}
+	}
+	return n
+}
+
+// slowReader reads a body at a bounded rate.
+func slowReader(r io.Reader, size int, d time.Duration) ([]byte, error) {
+	const steps = 40
+	var all bytes.Buffer
+	for range steps {
+		if _, err := io.CopyN(&all, r, int64(size/steps)); err != nil {
+			return all.Bytes(), err
+		}
+		time.Sleep(d / steps)
+	}
+	_, err := io.Copy(&all, r)
+	return all.Bytes(), err
+}
+
+// A planned stop cuts no download, refuses no request, and hands over keys:
+// unused ones run at the successor, used ones are answered from there.
+func TestPlannedStop(t *testing.T) {
+	f := newFleet(t, 8)
+	stopped, other := f.start("west-a"), f.start("west-b")
+	f.awaitReady()
+	f.warm("/charts/x")
+	used, unused := f.freshKey(stopped, "any"), f.freshKey(stopped, "any")
+	f.is.Equal(f.book(stopped, used, "used").StatusCode(), 200)
+
+	const size = 40 << 20
+	req, err := http.NewRequest("GET", fmt.Sprintf("http://%s/charts/pack?size=%d", stopped.settings.Callers, size), nil)
+	f.is.NoErr(err)
+	req.Header.Set(headerOrg, "any")
+	req.Header.Set(pimentofake.ReferenceHeader, "pack")
+	resp, err := http.DefaultClient.Do(req)
+	f.is.NoErr(err)
+	var wg sync.WaitGroup
+	var body []byte
+	wg.Go(func() { body, err = slowReader(resp.Body, size, 2*time.Second) })
+
+	close(stopped.stop)
+	f.await("health bad", func() bool { return fasthttpStatus(stopped.settings.Admin, "/health") == 503 })
+	f.await("keys adopted", func() bool { return len(other.keys.adoptedRanges()) == 1 })
+	// The entry that stops still takes requests for its grace time.
+	f.is.Equal(f.book(stopped, unused, "unused").StatusCode(), 200)
+	wg.Wait()
+	f.is.NoErr(err)
+	f.is.True(bytes.Equal(body, pimentofake.Body("pack", size)))
+	f.is.NoErr(<-stopped.done)
+
+	for key, text := range map[string]string{used: "used", unused: "unused"} {
+		resp := f.book(other, key, text)
+		f.is.Equal(resp.StatusCode(), 200)
+		f.is.Equal(string(resp.Body()), string(pimentofake.Body(text, 0)))
+		f.is.Equal(len(f.runs()[key]), 1)
+	}
+}
+
+// The holder of a key is gone without notice: the outcome is unknown, and no
+// other entry runs the request.
+func TestIssuerGone(t *testing.T) {
+	f := newFleet(t, 4)
+	gone, other := f.start("west-a"), f.start("west-b")
+	f.awaitReady()
+	key := f.freshKey(gone, "any")
+	gone.cancel() // All at once, without a hand-over.
+	<-gone.done
+	resp := f.raw(other, "POST", "/bookings/book", "any", "a", headerKey, key, headerTimeout, "1000")
+	f.is.Equal(string(resp.Header.Peek(headerRun)), "unknown")
+	f.is.Equal(len(f.runs()), 0)
+}
+
+// A target that restarts without warning turns cold at all entries.
+func TestColdAgain(t *testing.T) {
+	f := newFleet(t, 2)
+	f.start("west-a")
+	f.start("west-b")
+	f.awaitReady()
+	f.warm("/charts/x")
+	var tg *pimentofake.Target
+	for _, c := range f.targets {
+		if c.Name == "charts-0" {
+			tg = c
+		}
+	}
+	epoch := func(m *member) uint64 {
+		s := m.service("charts")
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return uint64(s.table.Target("charts-0").Mark.Epoch)
+	}
+	before := epoch(f.entries[0])
+	tg.Restart()
+	for _, m := range f.entries {
+		f.await("cold at all entries", func() bool { return epoch(m) > before })
+	}
+	f.warm("/charts/x")
+}
--- a/pimentoentry/peers.go
+++ b/pimentoentry/peers.go
@@ -29,6 +29,7 @@
 	name   pimentotarget.EntryName
 	urgent chan struct{}
 	cancel context.CancelFunc
+	acked  pimentopeer.Cursor // The news that the peer has acknowledged.
 }
 
 const (
@@ -109,6 +110,41 @@
 	e.hurry()
 }
 
+const (
+	// ackWait bounds the time for which news are awaited at peers.
+	ackWait = 250 * time.Millisecond
+	// ackPoll is the time between two looks at what peers have acknowledged.
+	ackPoll = time.Millisecond
+)
+
+// publishAndWait publishes news, and waits until the reachable peers of the own
+// region have them.
+func (e *Entry) publishAndWait(changes []pimentopeer.Change) {
+	e.publish(changes)
+	deadline := time.Now().Add(ackWait)
+	e.peers.mu.Lock()
+	want := e.peers.journal.Last()
+	e.peers.mu.Unlock()
+	for !e.acknowledged(want) && time.Now().Before(deadline) {
+		time.Sleep(ackPoll)
+	}
+}
+
+// acknowledged reports whether the reachable peers of the own region have all
+// news up to a cursor.
+func (e *Entry) acknowledged(want pimentopeer.Cursor) bool {
+	now := e.now()
+	e.peers.mu.Lock()
+	defer e.peers.mu.Unlock()
+	for _, l := range e.peers.loops {
+		p := e.peers.members.Peer(l.name)
+		if p != nil && p.Region == e.settings.Region && p.Reachable(now) && l.acked < want {
+			return false
+		}
+	}
+	return true
+}
+
 // hurry sends the next heartbeats without delay.
 func (e *Entry) hurry() {
 	e.peers.mu.Lock()
@@ -173,9 +209,12 @@
 	heart, cleanup := e.node.Heart(address)
 	defer cleanup()
 	urgent := true
+	var last time.Duration
 	for ctx.Err() == nil {
 		if urgent || e.begins(l.name) {
-			e.beatOnce(heart, l.name)
+			sleep(ctx, last+urgentPause-e.now())
+			last = e.now()
+			e.beatOnce(heart, l)
 		}
 		urgent = false
 		pause := time.NewTimer(e.beatPeriod())
@@ -184,7 +223,6 @@
 		case <-pause.C:
 		case <-l.urgent:
 			urgent = true
-			time.Sleep(urgentPause)
 		}
 		pause.Stop()
 	}
@@ -203,8 +241,9 @@
 	return p != nil && !p.HeardWithin(e.now(), period(len(e.peers.loops))*beatTerms/2)
 }
 
-func (e *Entry) beatOnce(h *pimentolink.Heart, name pimentotarget.EntryName) {
-	hb, ok := e.heartbeat(name)
+func (e *Entry) beatOnce(h *pimentolink.Heart, l *beatLoop) {
+	name := l.name
+	hb, cursor, ok := e.heartbeat(name)
 	if !ok {
 		return
 	}
@@ -217,6 +256,9 @@
 		_ = level.Debug(e.log).Log("msg", "heartbeat failed", "peer", name, "err", err)
 		return
 	}
+	e.peers.mu.Lock()
+	l.acked = max(l.acked, cursor)
+	e.peers.mu.Unlock()
 	e.heard(reply)
 }
 
@@ -226,9 +268,9 @@
 	return period(len(e.peers.loops))
 }
 
-// heartbeat returns the next heartbeat for a peer. It reports false if the peer
-// isn't known.
-func (e *Entry) heartbeat(to pimentotarget.EntryName) (pimentopeer.Heartbeat, bool) {
+// heartbeat returns the next heartbeat for a peer, and the cursor behind its
+// news. It reports false if the peer isn't known.
+func (e *Entry) heartbeat(to pimentotarget.EntryName) (pimentopeer.Heartbeat, pimentopeer.Cursor, bool) {
 	hb := pimentopeer.Heartbeat{
 		Name:        e.settings.Name,
 		Incarnation: e.incarnation,
@@ -241,7 +283,7 @@
 	defer p.mu.Unlock()
 	peer := p.members.Peer(to)
 	if peer == nil {
-		return hb, false
+		return hb, 0, false
 	}
 	if peer.Incarnation != 0 {
 		hb.Changes = p.members.News(&p.journal, peer, maxChanges)
@@ -251,13 +293,13 @@
 		p.asked[peer.Incarnation]++
 		hb.WantAll = true
 	}
-	return hb, true
+	return hb, peer.Cursor, true
 }
 
 // onHeartbeat takes a peer's heartbeat and returns the own one.
 func (e *Entry) onHeartbeat(hb pimentopeer.Heartbeat) pimentopeer.Heartbeat {
 	e.heard(hb)
-	reply, _ := e.heartbeat(hb.Name)
+	reply, _, _ := e.heartbeat(hb.Name)
 	return reply
 }
 
--- a/pimentoentry/quarantine.go
+++ b/pimentoentry/quarantine.go
@@ -59,13 +59,14 @@
 }
 
 // crashed notes that a request's target dropped the connection without an
-// answer, and tells the peers in the regions that may hear of the request.
+// answer, and tells the peers in the regions that may hear of the request. It
+// waits for them, because the caller resends as soon as it has an answer.
 func (e *Entry) crashed(c *call, a *attempt) {
 	q := &e.quarantine
 	q.mu.Lock()
 	crash, news := q.state.Crashed(q.now(), a.print, string(a.target.Name))
 	q.mu.Unlock()
 	if news {
-		e.publish([]pimentopeer.Change{{Print: a.print, Crash: crash, Regions: c.home}})
+		e.publishAndWait([]pimentopeer.Change{{Print: a.print, Crash: crash, Regions: c.home}})
 	}
 }
--- a/pimentoentry/read.go
+++ b/pimentoentry/read.go
@@ -71,9 +71,10 @@
 }
 
 // readElsewhere hands the request to the owner of a cold target if this entry
-// may send to no target. It reports whether that has answered.
+// may send to no target, or the owner needs traffic to warm it up. It reports
+// whether that has answered.
 func (e *Entry) readElsewhere(c *call) bool {
-	owner, ok := e.helper(c.service)
+	owner, _, ok := e.helper(c.service)
 	if !ok {
 		return false
 	}
--- a/pimentoentry/relay.go
+++ b/pimentoentry/relay.go
@@ -11,8 +11,8 @@
 // target, if this entry may send to no target itself. It reports false if that
 // provably did not send the request, so that this entry may still do so.
 func (e *Entry) relayed(c *call) (pimentokey.Outcome, bool) {
-	owner, ok := e.helper(c.service)
-	if !ok {
+	owner, must, ok := e.helper(c.service)
+	if !ok || !must {
 		return 0, false
 	}
 	p := e.peers.find(owner)
--- a/pimentoentry/service.go
+++ b/pimentoentry/service.go
@@ -150,13 +150,14 @@
 	return list
 }
 
-// helper returns the entry that may send to a cold target when this one may
-// send to none.
-func (e *Entry) helper(s *service) (pimentotarget.EntryName, bool) {
+// helper returns the entry to which a request should be handed because that
+// entry warms up a target, and whether it must be because this entry may send
+// to no target.
+func (e *Entry) helper(s *service) (owner pimentotarget.EntryName, must, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	name, ok := s.table.Helper(e.now())
-	return name, ok && name != e.settings.Name
+	owner, must, ok = s.table.Helper(e.now())
+	return owner, must, ok && owner != e.settings.Name
 }
 
 // bootMark hashes the value of the service's boot header.
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -136,6 +136,17 @@
 	return len(stale) > 0
 }
 
+// ForgetAll closes all idle connections, because one of them was silent and
+// others may be.
+func (c *Client) ForgetAll() {
+	c.mu.Lock()
+	pools := maps.Clone(c.pools)
+	c.mu.Unlock()
+	for _, p := range pools {
+		p.closeIdle(time.Time{})
+	}
+}
+
 // Open returns the number of open connections.
 func (c *Client) Open() int {
 	c.mu.Lock()
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -295,7 +295,8 @@
 	switch {
 	case cancelled:
 		kind = KindCancelled
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), !time.Now().Before(x.Deadline):
+		// The codec hides the cause of some errors.
 		kind = KindTimeout
 	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		kind = KindBroken
--- a/pimentotarget/choose.go
+++ b/pimentotarget/choose.go
@@ -89,6 +89,10 @@
 func (t *Table) delay(now time.Duration, tg *Target) time.Duration {
 	mean := t.mean()
 	d := t.distance(tg)
+	if tg.Mark.Phase == PhaseCold {
+		// Without a start a cold target would never get work beside warm ones.
+		d -= domainTrip + mean
+	}
 	if over := tg.Outstanding + 1 - tg.Share; over > 0 && tg.Mark.Phase == PhaseWarm {
 		d += time.Duration(float64(over) * float64(mean) * (overPrice + t.price) / float64(t.service.Slots))
 	}
--- a/pimentotarget/table.go
+++ b/pimentotarget/table.go
@@ -27,17 +27,18 @@
 	// sends. It exceeds the lag of the platform's list of VMs. 0 means 5 s.
 	OwnerWait time.Duration
 
-	service  pimentoregister.Service
-	targets  []*Target // In the order of names.
-	byName   map[pimentoregister.VMName]*Target
-	working  []*Target // The targets that choices look at.
-	entries  []EntryName
-	queue    queue
-	latency  average // Of all targets.
-	rotation int     // Where the next scan begins.
-	changed  []*Target
-	running  int
-	price    float64 // Rises with refusals, see refuse.
+	service   pimentoregister.Service
+	targets   []*Target // In the order of names.
+	byName    map[pimentoregister.VMName]*Target
+	working   []*Target // The targets that choices look at.
+	entries   []EntryName
+	queue     queue
+	latency   average // Of all targets.
+	rotation  int     // Where the next scan begins.
+	changed   []*Target
+	running   int
+	donations int     // Requests that met a cold target of another owner.
+	price     float64 // Rises with refusals, see refuse.
 }
 
 const (
@@ -132,28 +133,36 @@
 	t.working = t.pick(local)
 }
 
-// Helper returns the owner of a cold target of the own region when this entry
-// may send to no target at all, and reports whether there is one. Requests that
-// may be forwarded go there.
-func (t *Table) Helper(now time.Duration) (EntryName, bool) {
-	var cold []*Target
-	for _, tg := range t.targets {
-		if !tg.usable() {
-			continue
-		}
-		if t.limit(now, tg) > 0 {
-			return "", false
-		}
-		if tg.Region == t.Place.Region && !tg.owned {
-			cold = append(cold, tg)
+// donateEvery is the number of requests of which one is handed to the owner of
+// a cold target, so that owners with little traffic of their own warm it too.
+const donateEvery = 16
+
+// Helper returns the owner of a cold target of the own region to which a
+// request should be handed: every request if this entry may send to no target
+// at all, and otherwise one in donateEvery. It reports whether there is one.
+func (t *Table) Helper(now time.Duration) (owner EntryName, must, ok bool) {
+	must = true
+	var cold *Target
+	n := len(t.targets)
+	for i := range n {
+		tg := t.targets[(t.donations+i)%n]
+		switch {
+		case !tg.usable():
+		case t.limit(now, tg) > 0:
+			must = false
+		case cold == nil && tg.Region == t.Place.Region && !tg.owned && tg.Mark.Phase == PhaseCold:
+			cold = tg
 		}
 	}
-	if len(cold) == 0 {
-		return "", false
+	if cold == nil {
+		return "", must, false
+	}
+	t.donations++
+	if !must && t.donations%donateEvery != 0 {
+		return "", false, false
 	}
-	t.rotation++
-	owner := Owner(cold[t.rotation%len(cold)].Name, t.entries)
-	return owner, owner != ""
+	owner = Owner(cold.Name, t.entries)
+	return owner, must, owner != ""
 }
 
 // Serves reports whether the service has a usable target in one of the regions.
