--- /dev/null
+++ b/pimentocaller/example_test.go
@@ -0,0 +1,37 @@
+package pimentocaller_test
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentocaller"
+)
+
+// The entry here is a stand-in that hands out a key and answers a booking.
+func Example() {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		_ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
+			ctx.Response.Header.Set("Pimento-Keys", "key-1,key-2")
+			ctx.SetBodyString("booked under " + string(ctx.Request.Header.Peek("Idempotency-Key")))
+		})
+	}()
+	c, cleanup := pimentocaller.New("oviedo", ln.Addr().String)
+	defer cleanup()
+	answer, err := c.Do(&pimentocaller.Request{
+		Service: "bookings", Method: "POST", Path: "/bookings", Body: []byte("desk 4"), Once: true,
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Printf("%s, run %s\n", answer.Body, answer.Run)
+	// Output: booked under key-2, run yes
+}
--- /dev/null
+++ b/pimentopeer/example_test.go
@@ -0,0 +1,21 @@
+package pimentopeer_test
+
+import (
+	"fmt"
+
+	"pimentoarch/pimentopeer"
+)
+
+// A journal tells a peer what has changed since its cursor.
+func ExampleJournal() {
+	var j pimentopeer.Journal
+	a := pimentopeer.Audience{Region: "west", Local: true, Max: 10}
+	j.Add(pimentopeer.Change{Service: "charts", Target: "charts-1"}, pimentopeer.OriginSelf)
+	changes, cursor := j.Since(0, a)
+	fmt.Println(len(changes), changes[0].Target)
+	changes, _ = j.Since(cursor, a)
+	fmt.Println(len(changes))
+	// Output:
+	// 1 charts-1
+	// 0
+}
