pimentopeer: an entry that isn't listed owns nothing

An entry that had not read the platform's list yet counted itself as the only entry of its region, so that after its wait it owned every cold target. Ruled out: probes (not counted by the target), relayed bookings (they go through the owner's table). Change: an entry counts itself only if the list has it. The check in TestReachableAndForgotten fails without that.

--- a/examples/overhead.sh
+++ b/examples/overhead.sh
@@ -9,7 +9,7 @@
 trap 'kill -KILL "${pids[@]}" 2>/dev/null; wait 2>/dev/null; rm -rf "$run"' EXIT
 # One entry, so that it holds all shares; slots enough for 256 callers.
 sed 's/"class": "read", "slots": 3/"class": "read", "slots": 40/' "$dir/config.json" >"$run/config.json"
-echo '[]' >"$run/vms.json"
+echo '[{"name":"entry-1","role":"entry","address":"127.1.1.200:9200","region":"bizkaia","domain":"bizkaia-a","state":"live"}]' >"$run/vms.json"
 bin/pimentofake platform --listen 127.1.0.1:9000 --config "$run/config.json" --vms "$run/vms.json" &
 pids+=($!)
 for n in 01 02 07 08 13 14 19 20; do
@@ -18,7 +18,7 @@
 done
 bin/pimentoarch entry --settings "$dir/entry-1.json" --log error &
 pids+=($!)
-sleep 4
+sleep 10
 # Warms the targets up.
 bin/pimentofake measure --direct 127.1.1.1:9000 --entry 127.1.1.200:9100 --admin 127.1.1.200:9300 --seconds 3 >/dev/null
 bin/pimentofake measure --direct 127.1.1.1:9000 --entry 127.1.1.200:9100 --admin 127.1.1.200:9300 --seconds "${1:-3}"
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -105,7 +105,6 @@
 	e.peers.members.Region = s.Region
 	e.peers.asked = make(map[pimentokey.Incarnation]int)
 	e.peers.wantAll = stateSources
-	e.setEntries([]pimentotarget.EntryName{s.Name})
 	var closePlatform func()
 	e.platform, closePlatform = pimentoplatform.NewClient(s.Platform)
 	e.connect(streams)
--- a/pimentopeer/members.go
+++ b/pimentopeer/members.go
@@ -82,6 +82,8 @@
 
 	peers map[pimentotarget.EntryName]*Peer
 	byInc map[pimentokey.Incarnation]*Peer
+
+	listed bool // The last list has this entry.
 }
 
 // Update takes a published list.
@@ -93,8 +95,10 @@
 	for _, p := range m.peers {
 		p.listed = false
 	}
+	m.listed = false
 	for _, pub := range list {
 		if pub.Name == m.Self {
+			m.listed = true
 			continue
 		}
 		p := m.peers[pub.Name]
@@ -203,7 +207,7 @@
 // use its shares.
 func (m *Members) Entries(region pimentoregister.RegionName) []pimentotarget.EntryName {
 	var list []pimentotarget.EntryName
-	if region == m.Region {
+	if region == m.Region && m.listed {
 		list = append(list, m.Self)
 	}
 	for _, p := range m.peers {
--- a/pimentopeer/peer_test.go
+++ b/pimentopeer/peer_test.go
@@ -97,6 +97,9 @@
 		t.Errorf("entries %v", m.Entries("region-0"))
 	}
 	m.Update(time.Second, nil)
+	if len(m.Entries("region-0")) != 0 {
+		t.Errorf("entries %v of an empty list: an entry that isn't listed owns nothing", m.Entries("region-0"))
+	}
 	if m.Peer("entry-004") == nil || m.Peer("entry-001") != nil {
 		t.Error("an unlisted peer stays while it is heard, and only then")
 	}
