pimentoentry: bulk answers from other regions are slowed down to a share of the links

Cause: links between regions are shared and paid by volume, and nothing held a bundle download from filling them; links.capacity was checked and not used. Change: each entry has an equal part of its region's capacity; bulk answers wait for it, others only count.

--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -36,6 +36,7 @@
 	quarantine quarantine
 	client     pimentohttp.Client
 	watch      pimentohttp.Watch
+	link       linkShare
 	node       pimentolink.Node
 	platform   *pimentoplatform.Client
 	workers    *ants.Pool
@@ -101,6 +102,8 @@
 	e.keys = newKeyring(e.incarnation, newSecret(), s.Region, s.Answers)
 	e.keys.lessons = e.teach
 	e.quarantine.now = e.now
+	e.link.now = e.now
+	e.link.rate = e.linkRate
 	e.peers.members.Self = s.Name
 	e.peers.members.Region = s.Region
 	e.peers.asked = make(map[pimentokey.Incarnation]int)
--- a/pimentoentry/fault_test.go
+++ b/pimentoentry/fault_test.go
@@ -313,3 +313,45 @@
 	}
 	f.warm("/charts/x")
 }
+
+// An organisation's home regions change while its request waits: it runs in
+// the new ones or nowhere.
+func TestHomeChangesWhileWaiting(t *testing.T) {
+	f := newFleet(t, 2) // One target of each service in each region.
+	m := f.start("west-a")
+	f.awaitReady()
+	f.warm("/charts/x")
+	for _, tg := range f.targets {
+		tg.SetSlow(1e6)
+	}
+	var wg sync.WaitGroup
+	for range 3 { // All slots of the only target in the west.
+		wg.Go(func() {
+			f.raw(m, "GET", "/charts/x", "westerly", "", headerTimeout, "2000")
+		})
+	}
+	f.await("slots in use", func() bool {
+		s := m.service("charts")
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.table.Running() == 3
+	})
+	wg.Go(func() {
+		resp := f.raw(m, "GET", "/charts/late", "westerly", "", headerTimeout, "4000", pimentofake.ReferenceHeader, "late")
+		if resp.StatusCode() == 200 {
+			t.Error("the request was answered from the west")
+		}
+	})
+	f.await("request waits", func() bool { return m.service("charts").waiting.Load() > 0 })
+	f.doc.Organisations[1].Home = []pimentoregister.RegionName{"east"}
+	f.publish()
+	f.await("revision 2", f.revisionEverywhere(2))
+	wg.Wait()
+	for _, log := range f.logs {
+		for _, line := range log.lines(t) {
+			if line.Reference == "late" && line.Region == "west" {
+				t.Error("the request ran in a region that is no longer its home")
+			}
+		}
+	}
+}
--- a/pimentoentry/forward.go
+++ b/pimentoentry/forward.go
@@ -28,7 +28,7 @@
 			break
 		}
 		tried = p
-		err := e.forward(c, p.Address, pimentolink.PurposeHome)
+		err := e.forward(c, p, pimentolink.PurposeHome)
 		if err == nil {
 			return nil
 		}
@@ -42,7 +42,7 @@
 
 // forward sends the request to a peer and takes its answer. The body is sent
 // as it arrives unless it was read before.
-func (e *Entry) forward(c *call, address string, purpose pimentolink.Purpose) error {
+func (e *Entry) forward(c *call, p *pimentopeer.Peer, purpose pimentolink.Purpose) error {
 	e.counters.forwarded.Inc()
 	out := &pimentolink.Outgoing{
 		Purpose: purpose,
@@ -59,13 +59,14 @@
 	}
 	stop := context.AfterFunc(c.ctx, out.Cancel)
 	defer stop()
-	err := e.node.Do(address, out)
+	err := e.node.Do(p.Address, out)
 	fasthttp.ReleaseRequest(out.Req)
 	if err != nil {
 		fasthttp.ReleaseResponse(out.Resp)
 		return err
 	}
 	move(c.resp, out.Resp)
+	e.pace(c, p.Region)
 	return nil
 }
 
--- a/pimentoentry/keyring.go
+++ b/pimentoentry/keyring.go
@@ -7,6 +7,7 @@
 
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoregister"
 )
 
@@ -30,8 +31,7 @@
 
 // successor is the process that was offered the ranges.
 type successor struct {
-	address     string
-	incarnation pimentokey.Incarnation
+	peer *pimentopeer.Peer
 }
 
 // hint returns the key hint of a region.
--- a/pimentoentry/once.go
+++ b/pimentoentry/once.go
@@ -11,6 +11,7 @@
 
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentotarget"
 )
 
@@ -92,9 +93,9 @@
 	}
 	sent := false
 	for n := 1; ; n++ {
-		address, purpose, ok := e.wayTo(key)
-		if ok {
-			err := e.forward(c, address, purpose)
+		p, purpose := e.wayTo(key)
+		if p != nil {
+			err := e.forward(c, p, purpose)
 			if err == nil {
 				return nil
 			}
@@ -121,19 +122,17 @@
 }
 
 // wayTo returns the peer to which a request with the key is forwarded: the
-// holder, or an entry of the region where the key was issued.
-func (e *Entry) wayTo(key pimentokey.Key) (address string, purpose pimentolink.Purpose, ok bool) {
+// holder, or an entry of the region where the key was issued. It returns nil if
+// neither is known.
+func (e *Entry) wayTo(key pimentokey.Key) (*pimentopeer.Peer, pimentolink.Purpose) {
 	holder, _ := e.keys.holder(key.Issuer)
 	if p := e.peers.byIncarnation(holder); p != nil {
-		return p.Address, pimentolink.PurposeKey, true
+		return p, pimentolink.PurposeKey
 	}
 	if key.Hint == hint(e.settings.Region) {
-		return "", 0, false
+		return nil, 0
 	}
-	if p := e.peers.byHint(e.now(), key.Hint); p != nil {
-		return p.Address, pimentolink.PurposeHome, true
-	}
-	return "", 0, false
+	return e.peers.byHint(e.now(), key.Hint), pimentolink.PurposeHome
 }
 
 // onceHere serves a request whose key this entry holds.
@@ -193,7 +192,7 @@
 	if next == nil {
 		return refuse(503, ReasonStopping, RunNo, "the holder of the key stops, and no other entry can take the key over").prove()
 	}
-	if err := e.forward(c, next.address, pimentolink.PurposeKey); err != nil {
+	if err := e.forward(c, next.peer, pimentolink.PurposeKey); err != nil {
 		return refuse(502, ReasonIssuer, RunUnknown, "the successor of the key's holder wasn't reached")
 	}
 	return nil
@@ -221,6 +220,7 @@
 		if a.ok() {
 			e.keys.settle(key, pimentokey.OutcomeDone, keep(a.Resp))
 			move(c.resp, a.Resp)
+			e.pace(c, a.target.Region)
 			return nil
 		}
 		f = a.refusal()
--- a/pimentoentry/read.go
+++ b/pimentoentry/read.go
@@ -39,6 +39,7 @@
 			return f
 		case a.ok():
 			move(c.resp, a.Resp)
+			e.pace(c, a.target.Region)
 			return nil
 		}
 		a.discard()
@@ -82,7 +83,7 @@
 	if p == nil {
 		return false
 	}
-	return e.forward(c, p.Address, pimentolink.PurposeCold) == nil
+	return e.forward(c, p, pimentolink.PurposeCold) == nil
 }
 
 // readOnce waits for a target and sends the request to it, and to a second one
--- a/pimentoentry/relay.go
+++ b/pimentoentry/relay.go
@@ -19,7 +19,7 @@
 	if p == nil {
 		return 0, false
 	}
-	err := e.forward(c, p.Address, pimentolink.PurposeRelay)
+	err := e.forward(c, p, pimentolink.PurposeRelay)
 	switch {
 	case unreachable(err):
 		return 0, false
--- a/pimentoentry/stop.go
+++ b/pimentoentry/stop.go
@@ -91,7 +91,7 @@
 // handOverTo offers the ranges to a peer. It reports false only if the peer
 // provably hasn't taken them, so that another one may be asked.
 func (e *Entry) handOverTo(p *pimentopeer.Peer, ranges []pimentokey.Range) bool {
-	next := successor{address: p.Address, incarnation: p.Incarnation}
+	next := successor{peer: p}
 	for n := range handoverAttempts {
 		// From here on the outcomes of running dispatches go there as well.
 		e.keys.setSuccessor(&next)
@@ -151,7 +151,7 @@
 // teach tells the successor the outcome of a dispatch.
 func (e *Entry) teach(s successor, l pimentolink.Lesson) {
 	for range handoverAttempts {
-		err := e.node.Learn(s.address, l)
+		err := e.node.Learn(s.peer.Address, l)
 		if err == nil {
 			return
 		}
--- a/pimentokey/rejected_test.go
+++ b/pimentokey/rejected_test.go
@@ -8,7 +8,6 @@
 	runs    int
 	refused int
 	clock   int
-	lease   int // The clock at which the lease ends.
 	leased  [2]bool
 	dead    bool // The other failure domain is gone.
 }
