pimentoentry, pimentolink: files by concept, one status per reason

Cause: read as a newcomer: peers.go held three concepts, once.go two, entry.go two; the status stood beside each of 50 refusals; the organisation was looked up in two places; 12 places decoded fields by the same three lines. Behaviour is as before but for 405, which now has the reason "method", and panics, which now have 502.

--- a/pimentoentry/call.go
+++ b/pimentoentry/call.go
@@ -73,26 +73,31 @@
 func (e *Entry) parse(c *call) *refusal {
 	c.view = e.store.View()
 	if c.view.Revision == 0 {
-		return refuse(503, ReasonConfig, RunNo, "no configuration is known yet")
+		return refuse(ReasonConfig, RunNo, "no configuration is known yet")
 	}
 	name, rest, ok := splitPath(c.req.Header.RequestURI())
 	if !ok {
-		return refuse(404, ReasonPath, RunNo, "the path has the form /{service}/{path}")
+		return refuse(ReasonPath, RunNo, "the path has the form /{service}/{path}")
 	}
 	c.info = c.view.Service(pimentoregister.ServiceName(name))
 	if c.info == nil {
-		return refuse(404, ReasonService, RunNo, "the register has no such service")
+		return refuse(ReasonService, RunNo, "the register has no such service")
 	}
 	c.service = e.service(c.info.Name)
 	if c.service == nil {
-		return refuse(404, ReasonService, RunNo, "the service was just removed")
+		return refuse(ReasonService, RunNo, "the service was just removed")
 	}
 	c.rest = rest
 	c.method = string(c.req.Header.Method())
+	return c.setLimits()
+}
+
+// setLimits finds the caller's organisation, its home regions, and the deadline.
+func (c *call) setLimits() *refusal {
 	c.org = pimentoregister.OrganisationName(c.req.Header.Peek(headerOrg))
 	home, ok := c.view.Home(c.org)
 	if !ok {
-		return refuse(403, ReasonOrganisation, RunNo, "header "+headerOrg+": the register has no such organisation")
+		return refuse(ReasonOrganisation, RunNo, "header "+headerOrg+": the register has no such organisation")
 	}
 	c.home = home
 	return c.setDeadline()
@@ -105,7 +110,7 @@
 	if len(value) > 0 {
 		ms, err := strconv.ParseUint(string(value), 10, 31)
 		if err != nil || ms == 0 {
-			return refuse(400, ReasonTimeout, RunNo, "header "+headerTimeout+": a positive number of milliseconds is required")
+			return refuse(ReasonTimeout, RunNo, "header "+headerTimeout+": a positive number of milliseconds is required")
 		}
 		c.limited = true
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
@@ -155,7 +160,7 @@
 	c.body = b
 	want := c.req.Header.ContentLength()
 	if want > maxBody {
-		return refuse(413, ReasonLarge, RunNo, "the body has more than "+strconv.Itoa(maxBody)+" bytes")
+		return refuse(ReasonLarge, RunNo, "the body has more than "+strconv.Itoa(maxBody)+" bytes")
 	}
 	if c.source == nil {
 		_, _ = b.buf.Write(c.req.Body())
@@ -164,11 +169,11 @@
 	n, err := b.buf.ReadFrom(io.LimitReader(c.source, maxBody+1))
 	switch {
 	case n > maxBody:
-		return refuse(413, ReasonLarge, RunNo, "the body has more than "+strconv.Itoa(maxBody)+" bytes")
+		return refuse(ReasonLarge, RunNo, "the body has more than "+strconv.Itoa(maxBody)+" bytes")
 	case err != nil:
-		return refuse(400, ReasonBody, RunNo, "the body was cut short")
+		return refuse(ReasonBody, RunNo, "the body was cut short")
 	case want >= 0 && n != int64(want):
-		return refuse(400, ReasonBody, RunNo, "the body was cut short")
+		return refuse(ReasonBody, RunNo, "the body was cut short")
 	}
 	return nil
 }
--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -143,16 +143,16 @@
 // refusal says to the caller how the last attempt failed.
 func (a *attempt) refusal() *refusal {
 	if a.refused {
-		return refuse(503, ReasonRefused, RunNo, "the targets refused the request")
+		return refuse(ReasonRefused, RunNo, "the targets refused the request")
 	}
 	run := RunUnknown
 	if !a.Sent() {
 		run = RunNo
 	}
 	if a.kind() == pimentohttp.KindTimeout {
-		return refuse(504, ReasonSlow, run, "the deadline passed while a target had the request")
+		return refuse(ReasonSlow, run, "the deadline passed while a target had the request")
 	}
-	return refuse(502, ReasonFailed, run, "the targets failed")
+	return refuse(ReasonFailed, run, "the targets failed")
 }
 
 // allowed reports whether the organisation's requests may still be sent to the
--- a/pimentoentry/forward.go
+++ b/pimentoentry/forward.go
@@ -15,7 +15,7 @@
 // region of its organisation, or of any region while this entry stops.
 func (e *Entry) passOn(c *call) *refusal {
 	if c.purpose != 0 {
-		return refuse(421, ReasonHome, RunNo, "this entry isn't in a home region of the organisation")
+		return refuse(ReasonHome, RunNo, "this entry isn't in a home region of the organisation")
 	}
 	regions := c.home
 	if len(regions) == 0 {
@@ -34,10 +34,10 @@
 		}
 		e.counters.retries[RetryPeer].Inc()
 		if !unreachable(err) {
-			return refuse(502, ReasonFailed, RunUnknown, "the link to an entry of a home region broke")
+			return refuse(ReasonFailed, RunUnknown, "the link to an entry of a home region broke")
 		}
 	}
-	return refuse(421, ReasonHome, RunNo, "no entry of a home region of the organisation was reached")
+	return refuse(ReasonHome, RunNo, "no entry of a home region of the organisation was reached")
 }
 
 // forward sends the request to a peer and takes its answer. The body is sent
--- /dev/null
+++ b/pimentoentry/issue.go
@@ -0,0 +1,63 @@
+package pimentoentry
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentokey"
+	"pimentoarch/pimentoregister"
+)
+
+// issues reports whether this entry may issue keys for the call.
+func (e *Entry) issues(c *call) bool {
+	return c.view.Allows(c.org, e.settings.Region) && !e.stopping.Load()
+}
+
+// addKeys adds unused keys to an answer on a non-idempotent route.
+func (e *Entry) addKeys(c *call) {
+	if len(c.resp.Header.Peek(headerKeys)) > 0 || !e.issues(c) {
+		return
+	}
+	c.resp.Header.SetBytesV(headerKeys, joinKeys(e.keys.issue(c.scope(), freshKeys)))
+}
+
+func joinKeys(keys []pimentokey.Key) []byte {
+	var list []byte
+	for i, k := range keys {
+		if i > 0 {
+			list = append(list, ',')
+		}
+		list = k.Append(list)
+	}
+	return list
+}
+
+// issueKeys serves POST /.pimento/keys.
+func (e *Entry) issueKeys(c *call) *refusal {
+	c.view = e.store.View()
+	if c.view.Revision == 0 {
+		return refuse(ReasonConfig, RunNo, "no configuration is known yet")
+	}
+	var args fasthttp.Args
+	_, query, _ := bytes.Cut(c.req.Header.RequestURI(), []byte{'?'})
+	args.ParseBytes(query)
+	c.info = c.view.Service(pimentoregister.ServiceName(args.Peek("service")))
+	if c.info == nil {
+		return refuse(ReasonService, RunNo, "query service: the register has no such service")
+	}
+	n, err := strconv.Atoi(string(args.Peek("n")))
+	if err != nil || n < 1 || n > maxIssue {
+		return refuse(ReasonHead, RunNo, "query n: a number from 1 to "+strconv.Itoa(maxIssue)+" is required")
+	}
+	if f := c.setLimits(); f != nil {
+		return f
+	}
+	if !e.issues(c) {
+		return e.passOn(c)
+	}
+	c.resp.Header.SetBytesV(headerKeys, joinKeys(e.keys.issue(c.scope(), n)))
+	c.resp.SetStatusCode(fasthttp.StatusOK)
+	return nil
+}
--- a/pimentoentry/once.go
+++ b/pimentoentry/once.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -40,11 +39,11 @@
 		if !e.issues(c) {
 			return e.passOn(c)
 		}
-		return refuse(428, ReasonNokey, RunNo, "the route needs a key in header "+headerKey)
+		return refuse(ReasonNokey, RunNo, "the route needs a key in header "+headerKey)
 	}
 	key, err := pimentokey.Parse(text)
 	if err != nil {
-		return refuse(400, ReasonForged, RunNo, "the key was never issued").prove()
+		return refuse(ReasonForged, RunNo, "the key was never issued").prove()
 	}
 	if _, here := e.keys.holder(key.Issuer); !here {
 		return e.onceElsewhere(c, key)
@@ -55,35 +54,11 @@
 	return e.onceHere(c, key)
 }
 
-// issues reports whether this entry may issue keys for the call.
-func (e *Entry) issues(c *call) bool {
-	return c.view.Allows(c.org, e.settings.Region) && !e.stopping.Load()
-}
-
-// freshKeys adds unused keys to an answer on a non-idempotent route.
-func (e *Entry) addKeys(c *call) {
-	if len(c.resp.Header.Peek(headerKeys)) > 0 || !e.issues(c) {
-		return
-	}
-	c.resp.Header.SetBytesV(headerKeys, joinKeys(e.keys.issue(c.scope(), freshKeys)))
-}
-
-func joinKeys(keys []pimentokey.Key) []byte {
-	var list []byte
-	for i, k := range keys {
-		if i > 0 {
-			list = append(list, ',')
-		}
-		list = k.Append(list)
-	}
-	return list
-}
-
 // onceElsewhere forwards the request to the holder of its key. It is safe to do
 // so again, because the holder runs it once.
 func (e *Entry) onceElsewhere(c *call, key pimentokey.Key) *refusal {
 	if c.purpose == pimentolink.PurposeKey {
-		return refuse(502, ReasonIssuer, RunUnknown, "the holder of the key has changed")
+		return refuse(ReasonIssuer, RunUnknown, "the holder of the key has changed")
 	}
 	again := c.view.Allows(c.org, e.settings.Region)
 	if again {
@@ -111,9 +86,9 @@
 		time.Sleep(peerPause)
 	}
 	if !sent {
-		return refuse(502, ReasonUnsent, RunUnknown, "the holder of the key wasn't reached, and this copy of the request not sent to it; an earlier copy may have run")
+		return refuse(ReasonUnsent, RunUnknown, "the holder of the key wasn't reached, and this copy of the request not sent to it; an earlier copy may have run")
 	}
-	return refuse(502, ReasonIssuer, RunUnknown, "the link to the holder of the key broke; the request may have run")
+	return refuse(ReasonIssuer, RunUnknown, "the link to the holder of the key broke; the request may have run")
 }
 
 func unreachable(err error) bool {
@@ -150,17 +125,17 @@
 		case pimentokey.VerdictReplay:
 			return replay(c.resp, answer)
 		case pimentokey.VerdictForgotten:
-			return refuse(410, ReasonForgotten, RunYes, "the request has run; its answer is no longer kept")
+			return refuse(ReasonForgotten, RunYes, "the request has run; its answer is no longer kept")
 		case pimentokey.VerdictMismatch:
-			return refuse(422, ReasonReused, RunNo, "another request was sent under the key").prove()
+			return refuse(ReasonReused, RunNo, "another request was sent under the key").prove()
 		case pimentokey.VerdictVoid:
-			return refuse(409, ReasonVoid, RunNo, "the key was refused before and is void; a new one is needed").prove()
+			return refuse(ReasonVoid, RunNo, "the key was refused before and is void; a new one is needed").prove()
 		case pimentokey.VerdictForged:
-			return refuse(400, ReasonForged, RunNo, "the key was never issued for this service and organisation").prove()
+			return refuse(ReasonForged, RunNo, "the key was never issued for this service and organisation").prove()
 		case pimentokey.VerdictStopped:
 			return e.onceStopped(c)
 		default:
-			return refuse(502, ReasonLost, RunUnknown, "the answer to the request was lost; it may have run")
+			return refuse(ReasonLost, RunUnknown, "the answer to the request was lost; it may have run")
 		}
 	}
 }
@@ -173,9 +148,9 @@
 	case <-settled:
 		return nil
 	case <-c.ctx.Done():
-		return refuse(499, ReasonGone, RunUnknown, "the caller has gone")
+		return refuse(ReasonGone, RunUnknown, "the caller has gone")
 	case <-timer.C:
-		return refuse(504, ReasonSlow, RunUnknown, "the request is still running")
+		return refuse(ReasonSlow, RunUnknown, "the request is still running")
 	}
 }
 
@@ -190,10 +165,10 @@
 	}
 	next := e.keys.next()
 	if next == nil {
-		return refuse(503, ReasonStopping, RunNo, "the holder of the key stops, and no other entry can take the key over").prove()
+		return refuse(ReasonStopping, RunNo, "the holder of the key stops, and no other entry can take the key over").prove()
 	}
 	if err := e.forward(c, next.peer, pimentolink.PurposeKey); err != nil {
-		return refuse(502, ReasonIssuer, RunUnknown, "the successor of the key's holder wasn't reached")
+		return refuse(ReasonIssuer, RunUnknown, "the successor of the key's holder wasn't reached")
 	}
 	return nil
 }
@@ -228,7 +203,7 @@
 		switch {
 		case f.run == RunUnknown:
 			e.keys.settle(key, pimentokey.OutcomeUnknown, nil)
-			return refuse(502, ReasonLost, RunUnknown, "the target's answer was lost; the request may have run")
+			return refuse(ReasonLost, RunUnknown, "the target's answer was lost; the request may have run")
 		case n == maxAttempts || time.Now().After(c.deadline):
 			e.keys.settle(key, pimentokey.OutcomeNotRun, nil)
 			return f.prove()
@@ -245,7 +220,7 @@
 	defer requests.Put(r)
 	c.fill(r, e.now(), avoid)
 	if !e.store.View().Allows(c.org, e.settings.Region) {
-		return nil, refuse(421, ReasonHome, RunNo, "the organisation's home regions don't include this one")
+		return nil, refuse(ReasonHome, RunNo, "the organisation's home regions don't include this one")
 	}
 	if f := e.bind(c, r); f != nil {
 		return nil, f
@@ -254,7 +229,7 @@
 	if !e.allowed(c, r.Target) || !e.quarantine.allow(a.print, c.deadline) {
 		e.done(c.service, r.Target, r.Sent, pimentotarget.ResultCancelled, 0)
 		a.discard()
-		return nil, refuse(421, ReasonHome, RunNo, "the organisation's home regions have changed")
+		return nil, refuse(ReasonHome, RunNo, "the organisation's home regions have changed")
 	}
 	a.Fresh = true
 	e.send(c, c.body.retain(), a)
@@ -279,7 +254,7 @@
 // replay writes a kept answer.
 func replay(resp *fasthttp.Response, a *pimentokey.Answer) *refusal {
 	if err := resp.Header.Read(bufio.NewReaderSize(bytes.NewReader(a.Header), len(a.Header)+1)); err != nil {
-		return refuse(410, ReasonForgotten, RunYes, "the request has run; its answer is no longer kept")
+		return refuse(ReasonForgotten, RunYes, "the request has run; its answer is no longer kept")
 	}
 	for _, name := range hopHeaders {
 		resp.Header.Del(name)
@@ -287,37 +262,3 @@
 	resp.SetBody(a.Body)
 	return nil
 }
-
-// issueKeys serves POST /.pimento/keys.
-func (e *Entry) issueKeys(c *call) *refusal {
-	c.view = e.store.View()
-	if c.view.Revision == 0 {
-		return refuse(503, ReasonConfig, RunNo, "no configuration is known yet")
-	}
-	var args fasthttp.Args
-	_, query, _ := bytes.Cut(c.req.Header.RequestURI(), []byte{'?'})
-	args.ParseBytes(query)
-	c.info = c.view.Service(registerService(args.Peek("service")))
-	if c.info == nil {
-		return refuse(404, ReasonService, RunNo, "query service: the register has no such service")
-	}
-	n, err := strconv.Atoi(string(args.Peek("n")))
-	if err != nil || n < 1 || n > maxIssue {
-		return refuse(400, ReasonHead, RunNo, "query n: a number from 1 to "+strconv.Itoa(maxIssue)+" is required")
-	}
-	c.org = registerOrg(c.req.Header.Peek(headerOrg))
-	home, ok := c.view.Home(c.org)
-	if !ok {
-		return refuse(403, ReasonOrganisation, RunNo, "header "+headerOrg+": the register has no such organisation")
-	}
-	c.home = home
-	if f := c.setDeadline(); f != nil {
-		return f
-	}
-	if !e.issues(c) {
-		return e.passOn(c)
-	}
-	c.resp.Header.SetBytesV(headerKeys, joinKeys(e.keys.issue(c.scope(), n)))
-	c.resp.SetStatusCode(fasthttp.StatusOK)
-	return nil
-}
--- a/pimentoentry/read.go
+++ b/pimentoentry/read.go
@@ -97,13 +97,13 @@
 	}
 	if !e.allowed(c, r.Target) {
 		e.done(c.service, r.Target, r.Sent, pimentotarget.ResultCancelled, 0)
-		return nil, refuse(421, ReasonHome, RunNo, "the organisation's home regions have changed")
+		return nil, refuse(ReasonHome, RunNo, "the organisation's home regions have changed")
 	}
 	a := c.newAttempt(r.Target, r.Sent)
 	if !e.quarantine.allow(a.print, c.deadline) {
 		e.done(c.service, r.Target, r.Sent, pimentotarget.ResultCancelled, 0)
 		a.discard()
-		return nil, refuse(503, ReasonQuarantine, RunUnknown, "the request has made targets drop their connections")
+		return nil, refuse(ReasonQuarantine, RunUnknown, "the request has made targets drop their connections")
 	}
 	return e.race(c, a), nil
 }
--- a/pimentoentry/refusal.go
+++ b/pimentoentry/refusal.go
@@ -29,6 +29,7 @@
 	ReasonService      Reason = "service"      // The register has no such service.
 	ReasonOrganisation Reason = "organisation" // The register has no such organisation.
 	ReasonTimeout      Reason = "timeout"      // The timeout header isn't a number of milliseconds.
+	ReasonMethod       Reason = "method"       // Keys are handed out by POST.
 	ReasonHead         Reason = "head"         // The head of the request isn't valid.
 	ReasonLong         Reason = "long"         // The head of the request is too long.
 	ReasonBody         Reason = "body"         // The body of the request was cut short.
@@ -54,16 +55,43 @@
 	ReasonGone         Reason = "gone"         // The caller has gone.
 )
 
-var reasons = []Reason{
-	ReasonPath, ReasonService, ReasonOrganisation, ReasonTimeout, ReasonHead, ReasonLong, ReasonBody,
-	ReasonLarge, ReasonConfig, ReasonHome, ReasonNokey, ReasonForged, ReasonReused, ReasonVoid, ReasonForgotten,
-	ReasonIssuer, ReasonUnsent, ReasonStopping, ReasonLost, ReasonQueue, ReasonDeadline, ReasonSlow, ReasonTargets,
-	ReasonRefused, ReasonFailed, ReasonQuarantine, ReasonGone,
+// statusClientGone is the status for callers that have gone, who never see it.
+const statusClientGone = 499
+
+// statuses has the HTTP status of each reason.
+var statuses = map[Reason]int{
+	ReasonPath:         fasthttp.StatusNotFound,
+	ReasonService:      fasthttp.StatusNotFound,
+	ReasonOrganisation: fasthttp.StatusForbidden,
+	ReasonTimeout:      fasthttp.StatusBadRequest,
+	ReasonMethod:       fasthttp.StatusMethodNotAllowed,
+	ReasonHead:         fasthttp.StatusBadRequest,
+	ReasonLong:         fasthttp.StatusRequestHeaderFieldsTooLarge,
+	ReasonBody:         fasthttp.StatusBadRequest,
+	ReasonLarge:        fasthttp.StatusRequestEntityTooLarge,
+	ReasonConfig:       fasthttp.StatusServiceUnavailable,
+	ReasonHome:         fasthttp.StatusMisdirectedRequest,
+	ReasonNokey:        fasthttp.StatusPreconditionRequired,
+	ReasonForged:       fasthttp.StatusBadRequest,
+	ReasonReused:       fasthttp.StatusUnprocessableEntity,
+	ReasonVoid:         fasthttp.StatusConflict,
+	ReasonForgotten:    fasthttp.StatusGone,
+	ReasonIssuer:       fasthttp.StatusBadGateway,
+	ReasonUnsent:       fasthttp.StatusBadGateway,
+	ReasonStopping:     fasthttp.StatusServiceUnavailable,
+	ReasonLost:         fasthttp.StatusBadGateway,
+	ReasonQueue:        fasthttp.StatusServiceUnavailable,
+	ReasonDeadline:     fasthttp.StatusServiceUnavailable,
+	ReasonSlow:         fasthttp.StatusGatewayTimeout,
+	ReasonTargets:      fasthttp.StatusServiceUnavailable,
+	ReasonRefused:      fasthttp.StatusServiceUnavailable,
+	ReasonFailed:       fasthttp.StatusBadGateway,
+	ReasonQuarantine:   fasthttp.StatusServiceUnavailable,
+	ReasonGone:         statusClientGone,
 }
 
 // refusal is an answer that this system gives in place of a target's.
 type refusal struct {
-	status int
 	reason Reason
 	run    Run
 	detail string
@@ -92,14 +120,14 @@
 	Detail string `json:"detail"`
 }
 
-func refuse(status int, reason Reason, run Run, detail string) *refusal {
-	return &refusal{status: status, reason: reason, run: run, detail: detail}
+func refuse(reason Reason, run Run, detail string) *refusal {
+	return &refusal{reason: reason, run: run, detail: detail}
 }
 
 // write sets the answer.
 func (f *refusal) write(resp *fasthttp.Response) {
 	resp.Reset()
-	resp.SetStatusCode(f.status)
+	resp.SetStatusCode(statuses[f.reason])
 	resp.Header.SetContentType("application/json")
 	resp.Header.Set(headerRun, string(f.run))
 	resp.Header.Set(headerReason, string(f.reason))
@@ -166,7 +194,7 @@
 		panics:    set.NewCounter("pimento_panics_total"),
 		latency:   set.NewHistogram("pimento_request_seconds"),
 	}
-	for _, reason := range reasons {
+	for reason := range statuses {
 		byRun := make(map[Run]*metrics.Counter)
 		for _, run := range []Run{RunNo, RunYes, RunUnknown} {
 			byRun[run] = set.NewCounter(`pimento_refusals_total{reason="` + string(reason) + `",run="` + string(run) + `"}`)
--- a/pimentoentry/relay.go
+++ b/pimentoentry/relay.go
@@ -24,7 +24,7 @@
 	case unreachable(err):
 		return 0, false
 	case err != nil:
-		refuse(502, ReasonLost, RunUnknown, "the link to a target's owner broke; the request may have run").write(c.resp)
+		refuse(ReasonLost, RunUnknown, "the link to a target's owner broke; the request may have run").write(c.resp)
 		return pimentokey.OutcomeUnknown, true
 	}
 	return e.relayOutcome(c)
--- a/pimentoentry/serve.go
+++ b/pimentoentry/serve.go
@@ -13,15 +13,8 @@
 	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentolink"
-	"pimentoarch/pimentoregister"
 )
 
-func registerService(b []byte) pimentoregister.ServiceName { return pimentoregister.ServiceName(b) }
-
-func registerOrg(b []byte) pimentoregister.OrganisationName {
-	return pimentoregister.OrganisationName(b)
-}
-
 // keysPath is the path at which callers get keys.
 const keysPath = "/.pimento/keys"
 
@@ -49,7 +42,7 @@
 func (e *Entry) route(c *call) (once bool, f *refusal) {
 	if path, _, _ := bytes.Cut(c.req.Header.RequestURI(), []byte{'?'}); string(path) == keysPath {
 		if string(c.req.Header.Method()) != fasthttp.MethodPost {
-			return false, refuse(405, ReasonHead, RunNo, "the method is POST")
+			return false, refuse(ReasonMethod, RunNo, "the method is POST")
 		}
 		return false, e.issueKeys(c)
 	}
@@ -85,7 +78,7 @@
 	}
 	e.counters.panics.Inc()
 	_ = level.Error(e.log).Log("msg", "panic while serving", "panic", r, "stack", string(debug.Stack()))
-	refuse(500, ReasonFailed, RunUnknown, "an internal error").write(c.resp)
+	refuse(ReasonFailed, RunUnknown, "an internal error").write(c.resp)
 }
 
 // serveCaller is the handler of the callers' port.
@@ -109,12 +102,12 @@
 // callerErrors answers requests whose head isn't valid.
 func (e *Entry) callerErrors(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
-	f := refuse(400, ReasonHead, RunNo, "the head of the request isn't valid HTTP")
+	f := refuse(ReasonHead, RunNo, "the head of the request isn't valid HTTP")
 	switch {
 	case errors.As(err, &small):
-		f = refuse(431, ReasonLong, RunNo, "the head of the request is too long")
+		f = refuse(ReasonLong, RunNo, "the head of the request is too long")
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		f = refuse(400, ReasonBody, RunNo, "the request was cut short")
+		f = refuse(ReasonBody, RunNo, "the request was cut short")
 	}
 	e.counters.refusals[f.reason][f.run].Inc()
 	f.write(&ctx.Response)
--- a/pimentoentry/service.go
+++ b/pimentoentry/service.go
@@ -74,11 +74,11 @@
 	s.mu.Lock()
 	if !s.table.Serves(r.Regions) {
 		s.mu.Unlock()
-		return refuse(503, ReasonTargets, RunNo, "service "+string(s.name)+" has no usable target")
+		return refuse(ReasonTargets, RunNo, "service "+string(s.name)+" has no usable target")
 	}
 	if !s.table.Offer(r) {
 		s.mu.Unlock()
-		return refuse(503, ReasonQueue, RunNo, "too many requests wait for service "+string(s.name))
+		return refuse(ReasonQueue, RunNo, "too many requests wait for service "+string(s.name))
 	}
 	s.pump(e.now())
 	s.mu.Unlock()
@@ -90,7 +90,7 @@
 		}
 	}
 	if r.Target == nil {
-		return refuse(503, ReasonDeadline, RunNo, "the deadline passed while the request waited for a target")
+		return refuse(ReasonDeadline, RunNo, "the deadline passed while the request waited for a target")
 	}
 	return nil
 }
@@ -104,9 +104,9 @@
 	case <-r.Ready:
 		return nil
 	case <-c.ctx.Done():
-		return e.withdraw(c, r, refuse(499, ReasonGone, RunNo, "the caller has gone"))
+		return e.withdraw(c, r, refuse(ReasonGone, RunNo, "the caller has gone"))
 	case <-timer.C:
-		return e.withdraw(c, r, refuse(503, ReasonDeadline, RunNo, "the deadline passed while the request waited for a target"))
+		return e.withdraw(c, r, refuse(ReasonDeadline, RunNo, "the deadline passed while the request waited for a target"))
 	}
 }
 
--- a/pimentolink/fetch.go
+++ b/pimentolink/fetch.go
@@ -52,9 +52,7 @@
 	err := eachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			v, ok := fc.Uint64()
-			rev = pimentoregister.Revision(v)
-			return ok
+			return setNumber(&rev, fc.Uint64)
 		case 2:
 			v, ok := fc.Bytes()
 			data = v
--- a/pimentolink/handover.go
+++ b/pimentolink/handover.go
@@ -173,9 +173,7 @@
 	err = eachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			v, ok := fc.Fixed64()
-			to = pimentokey.Incarnation(v)
-			return ok
+			return setNumber(&to, fc.Fixed64)
 		case 2:
 			data, ok := fc.MessageData()
 			if !ok {
@@ -185,9 +183,7 @@
 			ranges = append(ranges, r)
 			return err == nil
 		case 3:
-			v, ok := fc.Fixed64()
-			from = pimentokey.Incarnation(v)
-			return ok
+			return setNumber(&from, fc.Fixed64)
 		}
 		return true
 	})
@@ -197,42 +193,35 @@
 func unmarshalRange(src []byte) (pimentokey.Range, error) {
 	var r pimentokey.Range
 	err := eachField(src, func(fc *easyproto.FieldContext) bool {
-		var ok bool
 		switch fc.FieldNum {
 		case 1:
-			var v uint64
-			v, ok = fc.Fixed64()
-			r.Issuer = pimentokey.Incarnation(v)
+			return setNumber(&r.Issuer, fc.Fixed64)
 		case 2:
-			r.Secret[0], ok = fc.Fixed64()
+			return setNumber(&r.Secret[0], fc.Fixed64)
 		case 3:
-			r.Secret[1], ok = fc.Fixed64()
+			return setNumber(&r.Secret[1], fc.Fixed64)
 		case 4:
-			var v uint64
-			v, ok = fc.Uint64()
-			r.Next = pimentokey.Seq(v)
+			return setNumber(&r.Next, fc.Uint64)
 		case 5:
-			var v uint64
-			v, ok = fc.Uint64()
-			r.Floor = pimentokey.Seq(v)
+			return setNumber(&r.Floor, fc.Uint64)
 		case 6:
-			var data []byte
-			if data, ok = fc.MessageData(); ok {
-				var p pimentokey.NumberedPage
-				p, ok = unmarshalPage(data)
-				r.Pages = append(r.Pages, p)
+			data, ok := fc.MessageData()
+			if !ok {
+				return false
 			}
+			p, ok := unmarshalPage(data)
+			r.Pages = append(r.Pages, p)
+			return ok
 		case 7:
-			var data []byte
-			if data, ok = fc.MessageData(); ok {
-				var rec pimentokey.Record
-				rec, ok = unmarshalRecord(data)
-				r.Records = append(r.Records, rec)
+			data, ok := fc.MessageData()
+			if !ok {
+				return false
 			}
-		default:
-			ok = true
+			rec, ok := unmarshalRecord(data)
+			r.Records = append(r.Records, rec)
+			return ok
 		}
-		return ok
+		return true
 	})
 	return r, err
 }
@@ -262,13 +251,9 @@
 	err := eachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			v, ok := fc.Uint64()
-			r.Seq = pimentokey.Seq(v)
-			return ok
+			return setNumber(&r.Seq, fc.Uint64)
 		case 2:
-			v, ok := fc.Fixed64()
-			r.Fingerprint = pimentokey.Fingerprint(v)
-			return ok
+			return setNumber(&r.Fingerprint, fc.Fixed64)
 		case 3:
 			v, ok := fc.Uint32()
 			r.Outcome = pimentokey.Outcome(v)
@@ -334,13 +319,9 @@
 			l.Answer = rec.Answer
 			return ok
 		case 2:
-			v, ok := fc.Fixed64()
-			l.Key.Issuer = pimentokey.Incarnation(v)
-			return ok
+			return setNumber(&l.Key.Issuer, fc.Fixed64)
 		case 3:
-			v, ok := fc.Fixed64()
-			l.Key.Sum = pimentokey.Sum(v)
-			return ok
+			return setNumber(&l.Key.Sum, fc.Fixed64)
 		}
 		return true
 	})
--- a/pimentolink/heartbeat.go
+++ b/pimentolink/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/easyproto"
@@ -11,15 +10,9 @@
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoregister"
-	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentotarget"
 )
 
-var marshalers easyproto.MarshalerPool
-
-// errCorrupt is returned for messages with fields of the wrong type.
-var errCorrupt = errors.New("message field has the wrong type")
-
 // Heart is an open heartbeat stream to a peer. It isn't safe for concurrent use.
 type Heart struct {
 	node    *Node
@@ -124,17 +117,11 @@
 	err := eachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			v, ok := fc.String()
-			hb.Name = pimentotarget.EntryName([]byte(v))
-			return ok
+			return setText(&hb.Name, fc)
 		case 2:
-			v, ok := fc.Fixed64()
-			hb.Incarnation = pimentokey.Incarnation(v)
-			return ok
+			return setNumber(&hb.Incarnation, fc.Fixed64)
 		case 3:
-			v, ok := fc.Uint64()
-			hb.Revision = pimentoregister.Revision(v)
-			return ok
+			return setNumber(&hb.Revision, fc.Uint64)
 		case 4:
 			v, ok := fc.Bool()
 			hb.Leaving = v
@@ -161,22 +148,6 @@
 	return hb, err
 }
 
-// eachField calls visit for each field of a message until it reports false.
-func eachField(src []byte, visit func(*easyproto.FieldContext) bool) error {
-	var fc easyproto.FieldContext
-	for len(src) > 0 {
-		rest, err := fc.NextField(src)
-		if err != nil {
-			return err
-		}
-		src = rest
-		if !visit(&fc) {
-			return errCorrupt
-		}
-	}
-	return nil
-}
-
 // message Change {
 //   string service = 1; string target = 2; uint64 epoch = 3; uint32 phase = 4;
 //   fixed64 print = 5; uint32 crashes = 6; repeated string regions = 7;
@@ -204,25 +175,17 @@
 	err := eachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			v, ok := fc.String()
-			c.Service = pimentoregister.ServiceName([]byte(v))
-			return ok
+			return setText(&c.Service, fc)
 		case 2:
-			v, ok := fc.String()
-			c.Target = pimentoregister.VMName([]byte(v))
-			return ok
+			return setText(&c.Target, fc)
 		case 3:
-			v, ok := fc.Uint64()
-			c.Mark.Epoch = pimentotarget.Epoch(v)
-			return ok
+			return setNumber(&c.Mark.Epoch, fc.Uint64)
 		case 4:
 			v, ok := fc.Uint32()
 			c.Mark.Phase = pimentotarget.Phase(v)
 			return ok && v <= uint32(pimentotarget.PhaseWarm)
 		case 5:
-			v, ok := fc.Fixed64()
-			c.Print = pimentoretry.Print(v)
-			return ok
+			return setNumber(&c.Print, fc.Fixed64)
 		case 6:
 			v, ok := fc.Uint32()
 			c.Crash.Count = int(v)
@@ -232,9 +195,7 @@
 			c.Regions = append(c.Regions, pimentoregister.RegionName([]byte(v)))
 			return ok
 		case 8:
-			v, ok := fc.String()
-			c.Crash.Target = string([]byte(v))
-			return ok
+			return setText(&c.Crash.Target, fc)
 		}
 		return true
 	})
--- a/pimentoplatform/watch_test.go
+++ b/pimentoplatform/watch_test.go
@@ -68,18 +68,24 @@
 	}
 }
 
-// The client reads values, waits for newer ones, and reports a service that is
-// down.
-func TestClient(t *testing.T) {
+// serve starts a platform, and returns a client of it.
+func serve(t *testing.T) (*pimentofake.Platform, *Client) {
 	p := &pimentofake.Platform{}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
+	t.Cleanup(func() { _ = ln.Close() })
 	go func() { _ = fasthttp.Serve(ln, p.Handler) }()
 	c, cleanup := NewClient([]string{ln.Addr().String()})
-	defer cleanup()
+	t.Cleanup(cleanup)
+	return p, c
+}
+
+// The client reads values, waits for newer ones, and reports a service that is
+// down.
+func TestClient(t *testing.T) {
+	p, c := serve(t)
 	p.Set("config", []byte("one"))
 	rev, data, err := c.Value("config", 0)
 	if err != nil || rev != 1 || string(data) != "one" {
@@ -110,15 +116,7 @@
 
 // A change to one part of a document reads the manifest and that part only.
 func TestPartsAreReadOnce(t *testing.T) {
-	p := &pimentofake.Platform{}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	go func() { _ = fasthttp.Serve(ln, p.Handler) }()
-	c, cleanup := NewClient([]string{ln.Addr().String()})
-	defer cleanup()
+	p, c := serve(t)
 	w := &Watch{Client: c, Name: "config"}
 	w.OnValue = func(_ pimentoregister.Revision, data []byte) error {
 		_, err := pimentoregister.Assemble(data)
--- a/pimentoregister/register_test.go
+++ b/pimentoregister/register_test.go
@@ -206,20 +206,20 @@
 		b.Run(fmt.Sprintf("kb=%d", len(docs[0])>>10), func(b *testing.B) {
 			var s Store
 			rev := Revision(0)
-			before := heapInUse()
+			before := heap()
 			for b.Loop() {
 				rev++
 				if _, err := s.Offer(rev, docs[rev%2]); err != nil {
 					b.Fatal(err)
 				}
 			}
-			b.ReportMetric(float64(heapInUse()-before), "heap-bytes")
+			b.ReportMetric(float64(heap()-before), "heap-bytes")
 			runtime.KeepAlive(&s)
 		})
 	}
 }
 
-func heapInUse() uint64 {
+func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
