--- a/cmd/pimentoarch/main.go
+++ b/cmd/pimentoarch/main.go
@@ -20,7 +20,7 @@
 )
 
 type entryCmd struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of this VM, as JSON"`
+	Settings string `arg:"--settings" placeholder:"FILE" help:"settings of this VM, as JSON (required)"`
 	Name     string `arg:"--name" help:"goes before the name in the file"`
 	Callers  string `arg:"--callers" placeholder:"IP:PORT" help:"goes before the callers' address in the file"`
 	Peers    string `arg:"--peers" placeholder:"IP:PORT" help:"goes before the peers' address in the file"`
@@ -93,6 +93,10 @@
 }
 
 func runEntry(cmd *entryCmd, stderr io.Writer) int {
+	if cmd.Settings == "" {
+		fmt.Fprintln(stderr, "pimentoarch: --settings is required")
+		return exitSettings
+	}
 	s, err := cmd.load()
 	if err != nil {
 		fmt.Fprintf(stderr, "pimentoarch: %s: %v\n", cmd.Settings, err)
--- a/pimentoentry/keyring.go
+++ b/pimentoentry/keyring.go
@@ -1,7 +1,9 @@
 package pimentoentry
 
 import (
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,11 +26,16 @@
 	lessons   func(s successor, l pimentolink.Lesson) // Tells a successor an outcome.
 }
 
-// adoption is where a range came from.
+// adoption is where a range came from, and when.
 type adoption struct {
 	from pimentokey.Incarnation
+	at   time.Duration
 }
 
+// rangeTerm is the time for which an adopted range is held. Callers throw keys
+// away much earlier.
+const rangeTerm = time.Hour
+
 // successor is the process that was offered the ranges.
 type successor struct {
 	peer *pimentopeer.Peer
@@ -125,7 +132,7 @@
 }
 
 // adopt takes over ranges from a process that stops.
-func (k *keyring) adopt(from pimentokey.Incarnation, ranges []pimentokey.Range) error {
+func (k *keyring) adopt(now time.Duration, from pimentokey.Incarnation, ranges []pimentokey.Range) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range ranges {
@@ -135,12 +142,33 @@
 		if err := k.ledger.Adopt(r); err != nil {
 			return err
 		}
-		k.adopted[r.Issuer] = adoption{from: from}
+		k.adopted[r.Issuer] = adoption{from: from, at: now}
 		k.held = append(k.held, r.Issuer)
 	}
 	return nil
 }
 
+// expire drops the ranges that were adopted long ago, so that they don't pile
+// up from one planned stop to the next. After Stop none is dropped, because the
+// successor has them.
+func (k *keyring) expire(now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ledger.Stopped() {
+		return
+	}
+	for issuer, a := range k.adopted {
+		if now-a.at < rangeTerm {
+			continue
+		}
+		k.ledger.Drop(issuer)
+		delete(k.adopted, issuer)
+		k.wakeRange(issuer)
+		held := slices.Clone(k.held) // Heartbeats may be reading it.
+		k.held = slices.DeleteFunc(held, func(h pimentokey.Incarnation) bool { return h == issuer })
+	}
+}
+
 // abandon gives up the dispatches that still ran at a process that is gone.
 func (k *keyring) abandon(gone pimentokey.Incarnation) {
 	k.mu.Lock()
--- a/pimentoentry/stop.go
+++ b/pimentoentry/stop.go
@@ -140,7 +140,7 @@
 	if to != e.incarnation {
 		return errors.New("the hand-over is for another incarnation")
 	}
-	if err := e.keys.adopt(from, ranges); err != nil {
+	if err := e.keys.adopt(e.now(), from, ranges); err != nil {
 		return err
 	}
 	_ = level.Info(e.log).Log("msg", "keys adopted", "ranges", len(ranges))
--- a/pimentoentry/ticks.go
+++ b/pimentoentry/ticks.go
@@ -36,6 +36,7 @@
 			sweep = now
 			e.suspect(now, e.client.CloseIdle(time.Now()))
 			e.probe(now)
+			e.keys.expire(now)
 		}
 	}
 }
--- /dev/null
+++ b/pimentolink/node_test.go
@@ -0,0 +1,117 @@
+package pimentolink
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentokey"
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoregister"
+)
+
+// startNode starts a node that answers forwarded requests with a body.
+func startNode(t *testing.T, body []byte) (*Node, string) {
+	is := is.New(t)
+	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
+	is.NoErr(err)
+	n := &Node{
+		Log: log.NewNopLogger(), Workers: pool,
+		OnHeartbeat: func(hb pimentopeer.Heartbeat) pimentopeer.Heartbeat { return hb },
+		OnForward: func(in *Incoming) {
+			_, _ = io.Copy(io.Discard, in.Body)
+			resp := &fasthttp.Response{}
+			resp.SetBody(body)
+			_ = in.Answer(resp)
+		},
+		OnFetch:    func() (pimentoregister.Revision, []byte) { return 7, []byte("document") },
+		OnHandover: func(_, to pimentokey.Incarnation, _ []pimentokey.Range) error { return nil },
+		OnLearn:    func(Lesson) {},
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		n.Serve(ctx, ln)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		pool.Release()
+	})
+	return n, ln.Addr().String()
+}
+
+func outgoing() *Outgoing {
+	req := &fasthttp.Request{}
+	req.SetRequestURI("/charts/x")
+	req.Header.SetHost("h")
+	return &Outgoing{Purpose: PurposeHome, Timeout: 5 * time.Second, Req: req, Resp: &fasthttp.Response{}}
+}
+
+// A reader that stalls holds up neither heartbeats nor other requests.
+func TestStalledReader(t *testing.T) {
+	is := is.New(t)
+	body := bytes.Repeat([]byte("x"), 4<<20)
+	n, address := startNode(t, body)
+	stalled := outgoing()
+	is.NoErr(n.Do(address, stalled)) // Its body isn't read.
+	heart, cleanup := n.Heart(address)
+	defer cleanup()
+	for range 5 {
+		start := time.Now()
+		_, _, err := heart.Beat(sampleHeartbeat)
+		is.NoErr(err)
+		is.True(time.Since(start) < time.Second)
+	}
+	other := outgoing()
+	is.NoErr(n.Do(address, other))
+	got, err := io.ReadAll(other.Resp.BodyStream())
+	is.NoErr(err)
+	is.True(bytes.Equal(got, body))
+}
+
+// A session that breaks during an answer is an error, never a short answer; the
+// next request opens a new one.
+func TestSessionBreaks(t *testing.T) {
+	is := is.New(t)
+	n, address := startNode(t, bytes.Repeat([]byte("x"), 4<<20))
+	o := outgoing()
+	is.NoErr(n.Do(address, o))
+	n.DropData(address)
+	_, err := io.ReadAll(o.Resp.BodyStream())
+	is.True(err != nil)
+	is.NoErr(n.Do(address, outgoing()))
+}
+
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	n, _ := startNode(t, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := ln.Addr().String()
+	is.NoErr(ln.Close())
+	err = n.Do(address, outgoing())
+	linkErr, ok := err.(*Error)
+	is.True(ok)
+	is.Equal(linkErr.Kind, KindUnreachable)
+}
+
+func TestFetch(t *testing.T) {
+	is := is.New(t)
+	n, address := startNode(t, nil)
+	rev, data, err := n.Fetch(address)
+	is.NoErr(err)
+	is.Equal(rev, pimentoregister.Revision(7))
+	is.Equal(string(data), "document")
+}
