--- a/pimentoentry/read.go
+++ b/pimentoentry/read.go
@@ -21,7 +21,7 @@
 	if f := c.readBody(); f != nil {
 		return f
 	}
-	if c.purpose == 0 && e.readElsewhere(c) {
+	if c.purpose != pimentolink.PurposeCold && e.readElsewhere(c) {
 		return nil
 	}
 	s := c.service
@@ -71,11 +71,15 @@
 	return ok
 }
 
+// donationTime bounds the time for which a request that this entry could send
+// itself is left to the owner of a cold target.
+const donationTime = 250 * time.Millisecond
+
 // readElsewhere hands the request to the owner of a cold target if this entry
 // may send to no target, or the owner needs traffic to warm it up. It reports
-// whether that has answered.
+// whether that has answered. A refusal by the owner counts as no answer.
 func (e *Entry) readElsewhere(c *call) bool {
-	owner, _, ok := e.helper(c.service)
+	owner, must, ok := e.helper(c.service)
 	if !ok {
 		return false
 	}
@@ -83,7 +87,19 @@
 	if p == nil {
 		return false
 	}
-	return e.forward(c, p, pimentolink.PurposeCold) == nil
+	handed := *c
+	if limit := time.Now().Add(donationTime); !must && limit.Before(c.deadline) {
+		handed.deadline = limit
+	}
+	if e.forward(&handed, p, pimentolink.PurposeCold) != nil {
+		return false
+	}
+	if len(c.resp.Header.Peek(headerReason)) == 0 {
+		return true
+	}
+	_ = c.resp.CloseBodyStream()
+	c.resp.Reset()
+	return false
 }
 
 // readOnce waits for a target and sends the request to it, and to a second one
