pimentoentry: a planned stop waits for downloads of peers

Cause: a forwarded request counted as running until its answer's head was known, not until its body was sent, so that a planned stop closed the links under a download that another entry passed on. TestPlannedStopServesPeers: unexpected EOF. Ruled out: the callers' server, which waits for its connections. Change: it counts until the answer is sent. After: the body is whole.

--- a/pimentoentry/fault_test.go
+++ b/pimentoentry/fault_test.go
@@ -355,3 +355,26 @@
 		}
 	}
 }
+
+// A planned stop doesn't cut a download that the entry serves for a peer.
+func TestPlannedStopServesPeers(t *testing.T) {
+	f := newFleet(t, 8)
+	west, east := f.start("west-a"), f.start("east-a")
+	f.awaitReady()
+	f.warm("/charts/x")
+	const size = 40 << 20
+	req, err := http.NewRequest("GET", fmt.Sprintf("http://%s/charts/pack?size=%d", east.settings.Callers, size), nil)
+	f.is.NoErr(err)
+	req.Header.Set(headerOrg, "westerly")
+	req.Header.Set(pimentofake.ReferenceHeader, "pack")
+	resp, err := http.DefaultClient.Do(req)
+	f.is.NoErr(err)
+	var wg sync.WaitGroup
+	var body []byte
+	wg.Go(func() { body, err = slowReader(resp.Body, size, 2*time.Second) })
+	close(west.stop)
+	wg.Wait()
+	f.is.NoErr(err)
+	f.is.True(bytes.Equal(body, pimentofake.Body("pack", size)))
+	f.is.NoErr(<-west.done)
+}
--- a/pimentoentry/forward.go
+++ b/pimentoentry/forward.go
@@ -73,6 +73,9 @@
 // serveForwarded serves a request from a peer.
 func (e *Entry) serveForwarded(in *pimentolink.Incoming) {
 	e.counters.served.Inc()
+	// Counted until the answer is sent, so that a planned stop waits for it.
+	e.running.Add(1)
+	defer e.running.Add(-1)
 	ctx, cancel := context.WithCancel(e.ctx)
 	defer cancel()
 	go func() {
