pimentotarget: cold targets rest after cancelled exchanges; owners wait for reads

Ruled out: probes, which targets don't count; relayed bookings and hedges, which go through the same limit. Change: a cold target rests for 250 ms after an exchange without an answer; an owner waits for lag and pause together. TestBadAnswers sent its requests over half-closed connections, which count as gone once a request waits; it now keeps them open. The check is the same.

--- a/pimentoentry/fault_test.go
+++ b/pimentoentry/fault_test.go
@@ -234,6 +234,26 @@
 	return all.Bytes(), err
 }
 
+// download begins a large download that takes two seconds. The function that it
+// returns waits for its end, and checks that it is whole.
+func (f *fleet) download(m *member, org string) (wait func()) {
+	const size = 40 << 20
+	req, err := http.NewRequest("GET", fmt.Sprintf("http://%s/charts/pack?size=%d", m.settings.Callers, size), nil)
+	f.is.NoErr(err)
+	req.Header.Set(headerOrg, org)
+	req.Header.Set(pimentofake.ReferenceHeader, "pack")
+	resp, err := http.DefaultClient.Do(req)
+	f.is.NoErr(err)
+	var wg sync.WaitGroup
+	var body []byte
+	wg.Go(func() { body, err = slowReader(resp.Body, size, 2*time.Second) })
+	return func() {
+		wg.Wait()
+		f.is.NoErr(err)
+		f.is.True(bytes.Equal(body, pimentofake.Body("pack", size)))
+	}
+}
+
 // A planned stop cuts no download, refuses no request, and hands over keys:
 // unused ones run at the successor, used ones are answered from there.
 func TestPlannedStop(t *testing.T) {
@@ -244,25 +264,13 @@
 	used, unused := f.freshKey(stopped, "any"), f.freshKey(stopped, "any")
 	f.is.Equal(f.book(stopped, used, "used").StatusCode(), 200)
 
-	const size = 40 << 20
-	req, err := http.NewRequest("GET", fmt.Sprintf("http://%s/charts/pack?size=%d", stopped.settings.Callers, size), nil)
-	f.is.NoErr(err)
-	req.Header.Set(headerOrg, "any")
-	req.Header.Set(pimentofake.ReferenceHeader, "pack")
-	resp, err := http.DefaultClient.Do(req)
-	f.is.NoErr(err)
-	var wg sync.WaitGroup
-	var body []byte
-	wg.Go(func() { body, err = slowReader(resp.Body, size, 2*time.Second) })
-
+	wait := f.download(stopped, "any")
 	close(stopped.stop)
 	f.await("health bad", func() bool { return fasthttpStatus(stopped.settings.Admin, "/health") == 503 })
 	f.await("keys adopted", func() bool { return len(other.keys.adoptedRanges()) == 1 })
 	// The entry that stops still takes requests for its grace time.
 	f.is.Equal(f.book(stopped, unused, "unused").StatusCode(), 200)
-	wg.Wait()
-	f.is.NoErr(err)
-	f.is.True(bytes.Equal(body, pimentofake.Body("pack", size)))
+	wait()
 	f.is.NoErr(<-stopped.done)
 
 	for key, text := range map[string]string{used: "used", unused: "unused"} {
@@ -362,19 +370,8 @@
 	west, east := f.start("west-a"), f.start("east-a")
 	f.awaitReady()
 	f.warm("/charts/x")
-	const size = 40 << 20
-	req, err := http.NewRequest("GET", fmt.Sprintf("http://%s/charts/pack?size=%d", east.settings.Callers, size), nil)
-	f.is.NoErr(err)
-	req.Header.Set(headerOrg, "westerly")
-	req.Header.Set(pimentofake.ReferenceHeader, "pack")
-	resp, err := http.DefaultClient.Do(req)
-	f.is.NoErr(err)
-	var wg sync.WaitGroup
-	var body []byte
-	wg.Go(func() { body, err = slowReader(resp.Body, size, 2*time.Second) })
+	wait := f.download(east, "westerly")
 	close(west.stop)
-	wg.Wait()
-	f.is.NoErr(err)
-	f.is.True(bytes.Equal(body, pimentofake.Body("pack", size)))
+	wait()
 	f.is.NoErr(<-west.done)
 }
--- a/pimentoentry/path_test.go
+++ b/pimentoentry/path_test.go
@@ -95,16 +95,19 @@
 	f.is.Equal(len(f.runs()), 1)
 }
 
-// rawBytes writes bytes to an entry and returns what comes back.
-func rawBytes(t *testing.T, m *member, data string) string {
+// rawBytes writes bytes to an entry and returns what comes back until the
+// connection ends. cut closes the sending side behind the bytes.
+func rawBytes(t *testing.T, m *member, data string, cut bool) string {
 	is := is.New(t)
 	conn, err := net.Dial("tcp", m.settings.Callers)
 	is.NoErr(err)
 	defer func() { _ = conn.Close() }()
 	_, err = conn.Write([]byte(data))
 	is.NoErr(err)
-	is.NoErr(conn.(*net.TCPConn).CloseWrite())
-	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if cut {
+		is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	}
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	answer, _ := io.ReadAll(conn)
 	return string(answer)
 }
@@ -116,14 +119,14 @@
 	m := f.start("west-a")
 	f.awaitReady()
 	long := "GET /charts/x HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("y", maxHead) + "\r\n\r\n"
-	f.is.True(strings.Contains(rawBytes(t, m, long), "Pimento-Reason: long"))
-	f.is.True(strings.Contains(rawBytes(t, m, "nonsense\r\n\r\n"), "Pimento-Reason: head"))
+	f.is.True(strings.Contains(rawBytes(t, m, long, true), "Pimento-Reason: long"))
+	f.is.True(strings.Contains(rawBytes(t, m, "nonsense\r\n\r\n", true), "Pimento-Reason: head"))
 	large := fmt.Sprintf("POST /charts/x HTTP/1.1\r\nHost: x\r\nPimento-Org: any\r\nContent-Length: %d\r\n\r\nx", maxBody+1)
-	f.is.True(strings.Contains(rawBytes(t, m, large), "Pimento-Reason: large"))
+	f.is.True(strings.Contains(rawBytes(t, m, large, true), "Pimento-Reason: large"))
 	key := f.freshKey(m, "any")
 	cut := "POST /bookings/book HTTP/1.1\r\nHost: x\r\nPimento-Org: any\r\nIdempotency-Key: " + key +
 		"\r\nContent-Length: 100\r\n\r\nhalf"
-	f.is.True(strings.Contains(rawBytes(t, m, cut), "Pimento-Reason: body"))
+	f.is.True(strings.Contains(rawBytes(t, m, cut, true), "Pimento-Reason: body"))
 	f.is.Equal(len(f.runs()), 0)
 	f.is.Equal(f.book(m, key, "whole").StatusCode(), 200)
 }
@@ -146,7 +149,7 @@
 	m := f.start("west-a")
 	f.awaitReady()
 	for name := range answers {
-		body := rawBytes(t, m, "GET /"+name+"/x HTTP/1.1\r\nHost: x\r\nPimento-Org: any\r\n\r\n")
+		body := rawBytes(t, m, "GET /"+name+"/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\nPimento-Org: any\r\n\r\n", false)
 		resp := &fasthttp.Response{}
 		err := resp.Read(bufio.NewReader(strings.NewReader(body)))
 		if err == nil && resp.StatusCode() < 500 {
--- a/pimentoentry/service.go
+++ b/pimentoentry/service.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentotarget"
@@ -34,7 +35,7 @@
 			Self:      e.settings.Name,
 			Place:     pimentotarget.Place{Region: e.settings.Region, Domain: e.settings.Domain},
 			MaxQueue:  e.settings.Queue,
-			OwnerWait: millis(e.settings.Lag),
+			OwnerWait: millis(e.settings.Lag) + pimentoplatform.MaxPause,
 		},
 	}
 }
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -117,23 +117,34 @@
 // closeStale closes idle connections that the target has closed, and reports
 // whether there were any.
 func (p *pool) closeStale() bool {
+	return p.keepIdle(func(c *conn) bool { return quiet(c.Conn) }) > 0
+}
+
+// closeIdle closes connections last used before the time, or all if it is zero.
+func (p *pool) closeIdle(before time.Time) {
+	p.keepIdle(func(c *conn) bool { return !before.IsZero() && !c.usedAt.Before(before) })
+}
+
+// keepIdle closes the idle connections that keep reports false for, and returns
+// their number.
+func (p *pool) keepIdle(keep func(*conn) bool) int {
 	p.mu.Lock()
-	var stale []*conn
+	var closed []*conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if quiet(c.Conn) {
+		if keep(c) {
 			kept = append(kept, c)
 		} else {
-			stale = append(stale, c)
+			closed = append(closed, c)
 		}
 	}
 	clear(p.idle[len(kept):])
 	p.idle = kept
 	p.mu.Unlock()
-	for _, c := range stale {
+	for _, c := range closed {
 		c.destroy()
 	}
-	return len(stale) > 0
+	return len(closed)
 }
 
 // ForgetAll closes all idle connections, because one of them was silent and
@@ -160,26 +171,6 @@
 	return n
 }
 
-// closeIdle closes connections last used before the time, or all if it is zero.
-func (p *pool) closeIdle(before time.Time) {
-	p.mu.Lock()
-	var old []*conn
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if before.IsZero() || c.usedAt.Before(before) {
-			old = append(old, c)
-			continue
-		}
-		kept = append(kept, c)
-	}
-	clear(p.idle[len(kept):])
-	p.idle = kept
-	p.mu.Unlock()
-	for _, c := range old {
-		c.destroy()
-	}
-}
-
 func (c *Client) maxIdle() time.Duration {
 	if c.MaxIdle > 0 {
 		return c.MaxIdle
--- a/pimentokey/directory.go
+++ b/pimentokey/directory.go
@@ -33,9 +33,3 @@
 	}
 	return at
 }
-
-// Forget removes a range that is no longer held.
-func (d *Directory) Forget(issuer Incarnation) { delete(d.holders, issuer) }
-
-// Len returns the number of ranges known to have been handed over.
-func (d *Directory) Len() int { return len(d.holders) }
--- a/pimentoplatform/watch.go
+++ b/pimentoplatform/watch.go
@@ -25,6 +25,10 @@
 	maxDelay  = 8 * time.Second
 )
 
+// MaxPause is the longest time between two reads of one resource while the
+// service works. What an entry knows is older by as much than what it publishes.
+const MaxPause = minDelay + spread
+
 // pacer computes the pauses between reads of one resource, so that 300 entries
 // with two resources each stay below 200 reads/s. The zero value is ready to
 // use.
--- a/pimentoregister/view.go
+++ b/pimentoregister/view.go
@@ -138,9 +138,6 @@
 	return len(home) == 0 || slices.Contains(home, region)
 }
 
-// RegionOf returns the region of a failure domain, or an empty name.
-func (v *View) RegionOf(d DomainName) RegionName { return v.domains[d] }
-
 // IsOut reports whether a failure domain is out of service.
 func (v *View) IsOut(d DomainName) bool { return v.out[d] }
 
--- a/pimentotarget/done.go
+++ b/pimentotarget/done.go
@@ -26,6 +26,9 @@
 	// coldRefusals is the number of consecutive refusals within the own share
 	// that turn a target cold.
 	coldRefusals = 3
+	// coldRest is the time after an exchange that ended without an answer in
+	// which a cold target may still be working on it.
+	coldRest = 250 * time.Millisecond
 	// maxPrice bounds the price of exceeding the own shares, and priceDecay is
 	// what each answer takes off it. Each refusal adds one.
 	maxPrice   = 16
@@ -40,6 +43,10 @@
 	within := tg.Outstanding <= max(tg.Share, 1)
 	tg.end(sent)
 	t.running--
+	if tg.Mark.Phase == PhaseCold && res != ResultOK && res != ResultRefused {
+		// The target may not have noticed yet that the exchange has ended.
+		tg.notBefore = max(tg.notBefore, now+coldRest)
+	}
 	if boot != 0 {
 		t.noteBoot(now, tg, boot)
 	}
--- a/pimentotarget/share_test.go
+++ b/pimentotarget/share_test.go
@@ -139,6 +139,28 @@
 	}
 }
 
+// A cold target may still work on an exchange that was cancelled, so that it
+// gets no other one at once.
+func TestColdTargetRestsAfterCancel(t *testing.T) {
+	tb := coldTable("a", 1)
+	now := 2 * time.Second
+	r := &Request{Deadline: time.Hour}
+	tb.Offer(r)
+	if tb.Next(now) == nil {
+		t.Fatal("the owner sends nothing")
+	}
+	tb.Done(now, r.Target, r.Sent, ResultCancelled, 0)
+	for _, c := range []struct {
+		after time.Duration
+		sent  bool
+	}{{coldRest - 1, false}, {coldRest, true}} {
+		tb.Offer(&Request{Deadline: time.Hour})
+		if got := tb.Next(now+c.after) != nil; got != c.sent {
+			t.Errorf("%s after the cancel: sent %t, want %t", c.after, got, c.sent)
+		}
+	}
+}
+
 // Targets that are out, leaving or gone get nothing.
 func TestNoNewWork(t *testing.T) {
 	cases := map[string]func(*Table, *pimentoregister.ServiceView){
