pimentoentry: not ready before the list of VMs was read

Ruled out: the owners' wait, which the others had behind them. Change: readiness needs the list (TestNotReadyWithoutList fails without).

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -57,7 +57,7 @@
 	done
 done
 say "platform, $(echo "$names" | wc -l) targets and 6 entries run"
-sleep 5 # The owners of the cold targets wait for the list's lag, then warm them.
+sleep 9 # Owners of cold targets wait for the list of VMs to reach all entries.
 
 "$bin/pimentofake" caller --entries "${callers[@]}" --health "${admins[@]}" \
 	--routes "$dir/routes.json" --seconds 26 --log "$run/calls.log" \
--- a/pimentoentry/config.go
+++ b/pimentoentry/config.go
@@ -106,6 +106,7 @@
 	e.listAt = e.now()
 	e.listMu.Unlock()
 	e.updateMembers(list.Entries)
+	e.listSeen.Store(true)
 	now := e.now()
 	for _, s := range e.allServices() {
 		s.mu.Lock()
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -54,6 +54,7 @@
 	fetching    atomic.Bool
 	forgotAt    atomic.Int64 // When all idle connections were closed, see silent.
 	ready       atomic.Bool
+	listSeen    atomic.Bool  // A list of VMs was read.
 	stopping    atomic.Bool  // A planned stop has begun.
 	closing     atomic.Bool  // No new requests are taken.
 	running     atomic.Int64 // Requests that are being served.
@@ -201,10 +202,10 @@
 // serves.
 const bootWait = 2 * time.Second
 
-// awaitReady lets health turn good once a configuration is in force, and the
-// peers have told their states or had the time to.
+// awaitReady lets health turn good once a configuration is in force, the list
+// of VMs was read, and the peers have told their states or had the time to.
 func (e *Entry) awaitReady(ctx context.Context) {
-	for e.store.View().Revision == 0 {
+	for e.store.View().Revision == 0 || !e.listSeen.Load() {
 		select {
 		case <-ctx.Done():
 			return
--- a/pimentoentry/stop_test.go
+++ b/pimentoentry/stop_test.go
@@ -19,3 +19,16 @@
 		t.Fatal("the stop waits for something that doesn't end")
 	}
 }
+
+// An entry that hasn't read the list of VMs knows neither peers nor owners of
+// cold targets, so that its health stays bad.
+func TestNotReadyWithoutList(t *testing.T) {
+	f := newFleet(t, 4)
+	f.platform.Lag = time.Second
+	m := f.start("west-a")
+	f.await("revision 1", f.revisionEverywhere(1))
+	time.Sleep(100 * time.Millisecond)
+	f.is.Equal(fasthttpStatus(m.settings.Admin, "/health"), 503)
+	f.awaitReady()
+	f.is.True(m.listSeen.Load())
+}
