--- a/pimentoentry/read.go
+++ b/pimentoentry/read.go
@@ -79,7 +79,7 @@
 // may send to no target, or the owner needs traffic to warm it up. It reports
 // whether that has answered. A refusal by the owner counts as no answer.
 func (e *Entry) readElsewhere(c *call) bool {
-	owner, must, ok := e.helper(c.service)
+	owner, must, ok := e.helper(c)
 	if !ok {
 		return false
 	}
--- a/pimentoentry/relay.go
+++ b/pimentoentry/relay.go
@@ -11,7 +11,7 @@
 // target, if this entry may send to no target itself. It reports false if that
 // provably did not send the request, so that this entry may still do so.
 func (e *Entry) relayed(c *call) (pimentokey.Outcome, bool) {
-	owner, must, ok := e.helper(c.service)
+	owner, must, ok := e.helper(c)
 	if !ok || !must {
 		return 0, false
 	}
--- a/pimentoentry/service.go
+++ b/pimentoentry/service.go
@@ -154,10 +154,11 @@
 // helper returns the entry to which a request should be handed because that
 // entry warms up a target, and whether it must be because this entry may send
 // to no target.
-func (e *Entry) helper(s *service) (owner pimentotarget.EntryName, must, ok bool) {
+func (e *Entry) helper(c *call) (owner pimentotarget.EntryName, must, ok bool) {
+	s := c.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	owner, must, ok = s.table.Helper(e.now())
+	owner, must, ok = s.table.Helper(e.now(), c.home)
 	return owner, must, ok && owner != e.settings.Name
 }
 
--- a/pimentotarget/share_test.go
+++ b/pimentotarget/share_test.go
@@ -139,6 +139,26 @@
 	}
 }
 
+// A request that is allowed in the own region only is handed to the owner of a
+// cold target there, also while targets of other regions are warm.
+func TestHelperKeepsToRegions(t *testing.T) {
+	tb := coldTable("a", 4)
+	if Owner("t", tb.entries) == "a" {
+		tb = coldTable("b", 4)
+	}
+	view := &pimentoregister.ServiceView{Service: tb.service, Targets: []pimentoregister.TargetView{
+		tb.targets[0].TargetView, {VM: pimentoregister.VM{Name: "u", Address: "2"}, Region: "other"},
+	}}
+	tb.Update(0, view)
+	tb.Merge(0, tb.Target("u"), Mark{Epoch: 1, Phase: PhaseWarm})
+	if _, must, ok := tb.Helper(0, []pimentoregister.RegionName{"r"}); !must || !ok {
+		t.Errorf("must %t, ok %t", must, ok)
+	}
+	if _, must, _ := tb.Helper(0, nil); must {
+		t.Error("a request that is allowed anywhere needs no helper")
+	}
+}
+
 // A cold target may still work on an exchange that was cancelled, so that it
 // gets no other one at once.
 func TestColdTargetRestsAfterCancel(t *testing.T) {
--- a/pimentotarget/table.go
+++ b/pimentotarget/table.go
@@ -138,16 +138,16 @@
 const donateEvery = 16
 
 // Helper returns the owner of a cold target of the own region to which a
-// request should be handed: every request if this entry may send to no target
+// request that is allowed in some regions (none mean any) should be handed: every request if this entry may send to no target
 // at all, and otherwise one in donateEvery. It reports whether there is one.
-func (t *Table) Helper(now time.Duration) (owner EntryName, must, ok bool) {
+func (t *Table) Helper(now time.Duration, regions []pimentoregister.RegionName) (owner EntryName, must, ok bool) {
 	must = true
 	var cold *Target
 	n := len(t.targets)
 	for i := range n {
 		tg := t.targets[(t.donations+i)%n]
 		switch {
-		case !tg.usable():
+		case !tg.usable() || len(regions) > 0 && !slices.Contains(regions, tg.Region):
 		case t.limit(now, tg) > 0:
 			must = false
 		case cold == nil && tg.Region == t.Place.Region && !tg.owned && tg.Mark.Phase == PhaseCold:
