pimentohttp, pimentoentry: idle connections go without the limit; no copy per read

Cause: found in reading the whole change. A silent connection and a won hedge called Client.Forget, which is for targets that are gone and drops this entry's share of the target's connections with them. Before: an exchange above the limit was sent (TestConnectionLimit, extended, fails with Forget). ForgetIdle closes the idle connections only. Also: each chunk of a body from another region copied the map of leaving targets to read the number of entries, as did each service at a new revision; the map is replaced and never changed, so it isn't copied.

--- a/pimentoentry/config.go
+++ b/pimentoentry/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 
 	"github.com/go-kit/log/level"
 
@@ -124,10 +123,12 @@
 	e.listMu.Unlock()
 }
 
+// listed returns the published entries of the own region, and the targets that
+// are leaving. Both are replaced, never changed, by a new list.
 func (e *Entry) listed() ([]pimentotarget.EntryName, map[pimentoregister.VMName]bool) {
 	e.listMu.Lock()
 	defer e.listMu.Unlock()
-	return e.entries, maps.Clone(e.leaving)
+	return e.entries, e.leaving
 }
 
 // fetch gets the configuration of a peer that has a newer one.
--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -97,7 +97,7 @@
 // silent takes a connection that stayed silent. Whatever lost track of it has
 // probably lost others, so that idle ones aren't used again.
 func (e *Entry) silent(address string) {
-	e.client.Forget(address)
+	e.client.ForgetIdle(address)
 	now := int64(e.now())
 	last := e.forgotAt.Load()
 	if now-last >= int64(forgetPause) && e.forgotAt.CompareAndSwap(last, now) {
--- a/pimentoentry/read.go
+++ b/pimentoentry/read.go
@@ -195,7 +195,7 @@
 	r.e.send(r.c, r.c.body.retain(), h)
 	if h.ok() && r.win(h) {
 		r.first.Cancel()
-		r.e.client.Forget(r.first.Address)
+		r.e.client.ForgetIdle(r.first.Address)
 	}
 }
 
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -147,6 +147,10 @@
 	return len(closed)
 }
 
+// ForgetIdle closes the idle connections to a target that stays. Its limit
+// stays as well.
+func (c *Client) ForgetIdle(address string) { c.pool(address).closeIdle(time.Time{}) }
+
 // ForgetAll closes all idle connections, because one of them was silent and
 // others may be.
 func (c *Client) ForgetAll() {
--- a/pimentohttp/client_test.go
+++ b/pimentohttp/client_test.go
@@ -156,4 +156,6 @@
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(kindOf(c.Do(exchange(address))), KindBusy)
+	c.ForgetIdle(address) // A silent connection doesn't lift the limit.
+	is.Equal(kindOf(c.Do(exchange(address))), KindBusy)
 }
