--- /dev/null
+++ b/cmd/pimentoarch/gate.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/go-kit/log/level"
+	"github.com/samber/oops"
+
+	"pimentoarch/pimentogate"
+	"pimentoarch/pimentoplatform"
+	"pimentoarch/platform"
+)
+
+type gateCmd struct {
+	Settings string `arg:"--settings,env:PIMENTOARCH_CONFIG" placeholder:"FILE" help:"settings of this VM, as JSON (required)"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+}
+
+// memoryShare is the part of the VM's memory, in parts of a hundred, from which
+// garbage is collected more eagerly.
+const memoryShare = 50
+
+func runGate(cmd *gateCmd, stdout, stderr io.Writer) int {
+	if cmd.Settings == "" {
+		fmt.Fprintln(stderr, "pimentoarch: --settings is required")
+		return exitSettings
+	}
+	s, err := cmd.load()
+	if err != nil {
+		fmt.Fprintf(stderr, "pimentoarch: %s: %v\n", cmd.Settings, err)
+		return exitSettings
+	}
+	if cmd.Check {
+		return exitOK
+	}
+	debug.SetMemoryLimit(int64(s.Memory) << 20 * memoryShare / 100)
+	logger := newLogger(stdout, s.Log)
+	client, closeClient := pimentoplatform.NewClient(s.Platform)
+	defer closeClient()
+	g, cleanup, err := pimentogate.New(s, pimentogate.Ports{
+		Dialect: platform.Dialect(),
+		Source:  platform.Source(client),
+		Decode:  platform.Decode,
+		Reload:  cmd.load,
+	}, logger)
+	if err != nil {
+		_ = level.Error(logger).Log("msg", "start", "err", oops.In("gate").Wrap(err))
+		return exitFailed
+	}
+	defer cleanup()
+	if err := g.Run(stopSignal(logger), reloadSignal()); err != nil {
+		_ = level.Error(logger).Log("msg", "gate ended", "err", oops.In("gate").With("name", s.Name).Wrap(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+func (cmd *gateCmd) load() (pimentogate.Settings, error) {
+	data, err := os.ReadFile(cmd.Settings)
+	if err != nil {
+		return pimentogate.Settings{}, err
+	}
+	if len(data) == 0 {
+		return pimentogate.Settings{}, errors.New("the settings file is empty")
+	}
+	return pimentogate.ParseSettings(data)
+}
+
+// reloadSignal returns a channel that gets a token at each SIGHUP.
+func reloadSignal() <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	reload := make(chan struct{}, 1)
+	go func() {
+		for range signals {
+			select {
+			case reload <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return reload
+}
--- a/cmd/pimentoarch/main.go
+++ b/cmd/pimentoarch/main.go
@@ -39,6 +39,7 @@
 
 type args struct {
 	Entry  *entryCmd  `arg:"subcommand:entry" help:"run an entry"`
+	Gate   *gateCmd   `arg:"subcommand:gate" help:"run an entry on a platform that can only be read"`
 	Check  *checkCmd  `arg:"subcommand:check" help:"list the errors of a register and rules file"`
 	Status *statusCmd `arg:"subcommand:status" help:"show what an entry knows"`
 }
@@ -83,12 +84,14 @@
 	switch {
 	case a.Entry != nil:
 		return runEntry(a.Entry, stderr)
+	case a.Gate != nil:
+		return runGate(a.Gate, stdout, stderr)
 	case a.Check != nil:
 		return runCheck(a.Check, stdout, stderr)
 	case a.Status != nil:
 		return runStatus(a.Status, stdout, stderr)
 	}
-	fmt.Fprintln(stderr, "pimentoarch: a command is required: entry, check or status")
+	fmt.Fprintln(stderr, "pimentoarch: a command is required: entry, gate, check or status")
 	return exitSettings
 }
 
--- /dev/null
+++ b/pimentogate/admin.go
@@ -0,0 +1,144 @@
+package pimentogate
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
+)
+
+// readyWait is the time after the start for which an entry waits for the
+// others before it is ready.
+const readyWait = 700 * time.Millisecond
+
+// ready reports whether the balancer may send callers here.
+func (g *Gate) ready() bool {
+	t := g.table.Load()
+	return !g.stopping.Load() && t != nil && t.Config != nil && len(t.Targets) > 0 &&
+		(g.now() > readyWait || g.fleetSize.Load() > 0)
+}
+
+// readyServer answers the balancer's question.
+func (g *Gate) readyServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		NoDefaultServerHeader: true,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			switch {
+			case string(ctx.Path()) != g.dialect.ReadyPath:
+				ctx.SetStatusCode(fasthttp.StatusNotFound)
+			case !g.ready():
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		},
+	}
+}
+
+// adminServer answers operators.
+func (g *Gate) adminServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		NoDefaultServerHeader: true,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			switch string(ctx.Path()) {
+			case "/metrics":
+				g.metrics.write(ctx)
+			case "/status":
+				ctx.SetContentType("application/json")
+				if err := json.NewEncoder(ctx).Encode(g.status()); err != nil {
+					ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+				}
+			default:
+				ctx.SetStatusCode(fasthttp.StatusNotFound)
+			}
+		},
+	}
+}
+
+// statusView is what an entry knows, for operators.
+type statusView struct {
+	Name    pimentotarget.EntryName                      `json:"name"`
+	Ready   bool                                         `json:"ready"`
+	Version pimentoroute.Version                         `json:"version"`
+	AsOf    uint64                                       `json:"asof"`
+	Age     int64                                        `json:"age"` // Milliseconds, negative if unknown.
+	Reads   bool                                         `json:"reads"`
+	Entries int                                          `json:"entries"`
+	Domain  int                                          `json:"domain"`
+	Targets map[pimentoregister.ServiceName][]targetView `json:"targets"`
+	Out     []pimentoregister.DomainName                 `json:"out"`
+}
+
+type targetView struct {
+	ID      pimentoroute.TargetID      `json:"id"`
+	Address string                     `json:"address"`
+	Domain  pimentoregister.DomainName `json:"domain"`
+	Cold    bool                       `json:"cold"`
+	Resting bool                       `json:"resting"`
+	Failing float64                    `json:"failing"`
+	Sending int                        `json:"sending"`
+}
+
+func (g *Gate) status() statusView {
+	now := g.now()
+	f := g.fleet
+	f.mu.Lock()
+	v := statusView{
+		Name: g.settings.Name, Ready: g.ready(), AsOf: uint64(f.state.AsOf()), Age: -1, Reads: f.reading,
+		Entries: f.roster.Size(), Domain: len(f.roster.Domain(g.settings.Domain)),
+		Targets: make(map[pimentoregister.ServiceName][]targetView),
+	}
+	if age, known := f.age(now); known {
+		v.Age = age.Milliseconds()
+	}
+	f.mu.Unlock()
+	t := g.table.Load()
+	if t == nil {
+		return v
+	}
+	if t.Config != nil {
+		v.Version = t.Config.Version
+	}
+	for domain := range t.Out {
+		v.Out = append(v.Out, domain)
+	}
+	g.flow.mu.Lock()
+	defer g.flow.mu.Unlock()
+	for name, list := range t.Targets {
+		for _, tg := range list {
+			s := g.flow.target(tg.ID)
+			v.Targets[name] = append(v.Targets[name], targetView{
+				ID: tg.ID, Address: tg.Address, Domain: tg.Domain, Cold: s.coldUntil > now,
+				Resting: s.restUntil > now, Failing: s.failing, Sending: s.sending,
+			})
+		}
+	}
+	return v
+}
+
+// addGauges registers the figures of what this entry knows.
+func (g *Gate) addGauges() {
+	gauge := func(name string, value func() float64) { g.metrics.set.NewGauge(name, value) }
+	gauge("pimento_state_revision", func() float64 { return float64(g.asOf()) })
+	gauge("pimento_state_age_seconds", func() float64 {
+		f := g.fleet
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		age, known := f.age(g.now())
+		if !known {
+			return -1
+		}
+		return age.Seconds()
+	})
+	gauge("pimento_entries", func() float64 { return float64(g.fleetSize.Load()) })
+	gauge("pimento_callers_open", func() float64 { return float64(g.conns.size()) })
+	gauge("pimento_targets_open", func() float64 { return float64(g.client.Open()) })
+	gauge("pimento_ready", func() float64 {
+		if g.ready() {
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/pimentogate/ask.go
@@ -0,0 +1,346 @@
+package pimentogate
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentohttp"
+	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
+)
+
+const (
+	// askAtOnce is the number of targets that are asked together.
+	askAtOnce = 4
+	// maxRounds bounds the rounds of questions for one send.
+	maxRounds = 3
+	// nearWait bounds the answer of a target in the same region, and farWait
+	// of one in another region.
+	nearWait = 60 * time.Millisecond
+	farWait  = 140 * time.Millisecond
+	// goodShare is the part of the objective within which a target is expected
+	// to answer for no more targets to be asked.
+	goodShare = 0.75
+)
+
+// Distances of targets, as what a request and its answer take on the way.
+const (
+	sameDomain  = 500 * time.Microsecond
+	sameRegion  = 2 * time.Millisecond
+	otherRegion = 61 * time.Millisecond
+	// bulkFar is added for large answers from other regions, whose bytes are
+	// paid for.
+	bulkFar = 40 * time.Millisecond
+	// illPenalty is added for targets that call themselves unwell.
+	illPenalty = 2 * time.Second
+	// failPenalty is added for a target that fails all sends.
+	failPenalty = 1500 * time.Millisecond
+)
+
+// pick is a target that has just said how busy it is, and the connection on
+// which it did.
+type pick struct {
+	target *pimentoroute.Target
+	conn   *pimentohttp.Conn
+	report Report
+	cold   bool
+	// expected is the time that an answer takes.
+	expected time.Duration
+	err      error
+}
+
+// release gives the connection of a pick that isn't used back.
+func (p *pick) release() {
+	if p.conn == nil {
+		return
+	}
+	if p.conn.Open() {
+		p.conn.Release()
+	} else {
+		p.conn.Discard()
+	}
+	p.conn = nil
+}
+
+// round is one question to several targets.
+type round struct {
+	mu   sync.Mutex // Guards over.
+	over bool
+	got  chan *pick
+}
+
+// deliver hands in an answer. One that comes too late gives its connection back.
+func (r *round) deliver(p *pick) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.over {
+		p.release()
+		return
+	}
+	r.got <- p
+}
+
+func (r *round) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
+	for {
+		select {
+		case p := <-r.got:
+			p.release()
+		default:
+			return
+		}
+	}
+}
+
+// choose asks targets and returns the best one, or nil and the reason.
+func (g *Gate) choose(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
+	candidates := g.candidates(c, tried)
+	if len(candidates) == 0 {
+		return nil, reasonTargets
+	}
+	var best *pick
+	for range maxRounds {
+		n := min(askAtOnce, len(candidates))
+		if n == 0 {
+			break
+		}
+		answers := g.ask(c, candidates[:n])
+		candidates = candidates[n:]
+		best = g.better(c, best, answers)
+		if best != nil && best.expected < time.Duration(goodShare*float64(c.route.Objective)) {
+			break
+		}
+		if time.Until(c.until) < 0 || c.hasLeft() {
+			break
+		}
+	}
+	if best == nil {
+		return nil, reasonBusy
+	}
+	return best, reasonNone
+}
+
+// better returns the best of a pick and new ones, and releases the others.
+func (g *Gate) better(c *call, best *pick, answers []*pick) *pick {
+	slices.SortFunc(answers, func(a, b *pick) int { return cmp.Compare(a.expected, b.expected) })
+	for _, p := range answers {
+		switch {
+		case best != nil && p.expected >= best.expected:
+			p.release()
+		case p.cold && !g.takeCold(c, p):
+			p.release()
+		default:
+			if best != nil {
+				best.release()
+			}
+			best = p
+		}
+	}
+	return best
+}
+
+// takeCold takes one request of this entry's share of a cold target.
+func (g *Gate) takeCold(c *call, p *pick) bool {
+	share := g.coldShare(c.service)
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.target(p.target.ID).cold.Take(g.now(), share)
+}
+
+// coldMargin is the part of a cold target's limit that is used, since two
+// lists of members may differ and requests bunch up on the way.
+const coldMargin = 0.8
+
+func (g *Gate) coldShare(s *pimentoroute.Service) int {
+	entries, rank := int(g.domainSize.Load()), int(g.domainRank.Load())
+	if entries == 0 {
+		return 0
+	}
+	limit := (s.ColdRate*g.settings.Overshoot + g.settings.Slack) * coldMargin
+	return pimentotarget.ColdShare(limit, entries, rank)
+}
+
+// candidates returns the targets that a request may go to, the near ones first
+// and at random among equals.
+func (g *Gate) candidates(c *call, tried []pimentoroute.TargetID) []*pimentoroute.Target {
+	now := g.now()
+	var list []*pimentoroute.Target
+	rank := make(map[pimentoroute.TargetID]int)
+	f := &g.flow
+	f.mu.Lock()
+	for _, tg := range g.targetsOf(c) {
+		if slices.Contains(tried, tg.ID) || !c.route.Allows(tg.Region) {
+			continue
+		}
+		s := f.target(tg.ID)
+		if s.coldUntil > now && tg.Domain != g.settings.Domain {
+			continue
+		}
+		n := 0
+		switch {
+		case tg.Domain == g.settings.Domain:
+		case tg.Region == g.region:
+			n = 1
+		default:
+			n = 2
+		}
+		if s.restUntil > now {
+			n += 3
+		}
+		rank[tg.ID] = n
+		list = append(list, tg)
+	}
+	f.mu.Unlock()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b *pimentoroute.Target) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
+	return list
+}
+
+// targetsOf returns the targets of a request's service that are known now.
+func (g *Gate) targetsOf(c *call) []*pimentoroute.Target {
+	return g.table.Load().Targets[c.part()]
+}
+
+// ask asks targets how busy they are, and returns those that answered in time.
+func (g *Gate) ask(c *call, targets []*pimentoroute.Target) []*pick {
+	r := &round{got: make(chan *pick, len(targets))}
+	defer r.end()
+	wait := nearWait
+	for _, tg := range targets {
+		if tg.Region != g.region {
+			wait = farWait
+		}
+		if err := g.workers.Submit(func() { r.deliver(g.askOne(c, tg)) }); err != nil {
+			r.deliver(&pick{target: tg, err: err})
+		}
+	}
+	timer := time.NewTimer(min(wait, max(0, time.Until(c.until))))
+	defer timer.Stop()
+	var answers []*pick
+	for range targets {
+		select {
+		case p := <-r.got:
+			if p.err == nil {
+				answers = append(answers, p)
+			}
+		case <-timer.C:
+			return answers
+		case <-c.left:
+			return answers
+		}
+	}
+	return answers
+}
+
+// askTime bounds one question. Those that outlast the wait still keep their
+// connection.
+const askTime = 400 * time.Millisecond
+
+// askOne asks one target.
+func (g *Gate) askOne(c *call, tg *pimentoroute.Target) *pick {
+	p := &pick{target: tg}
+	deadline := time.Now().Add(askTime)
+	p.conn, p.err = g.client.Take(tg.Address, false, deadline)
+	if p.err != nil {
+		g.rest(tg, failRest)
+		return p
+	}
+	used := p.conn.Used()
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetHost(tg.Address)
+	req.Header.SetRequestURI(c.service.Health)
+	req.Header.SetNoDefaultContentType(true)
+	x := &pimentohttp.Exchange{Address: tg.Address, Req: req, Resp: resp, On: p.conn, Deadline: deadline, MaxWhole: maxReport, Echo: g.dialect.RequestID}
+	g.metrics.count("pimento_questions_total")
+	p.err = g.client.Do(x)
+	if p.err != nil {
+		if used {
+			// The connection may have gone silent, and others with it.
+			g.client.ForgetIdle(tg.Address)
+		}
+		g.rest(tg, failRest)
+		return p
+	}
+	p.report = g.dialect.Report(resp)
+	if p.report.Target != "" && p.report.Target != tg.ID {
+		p.err = errOtherTarget
+		g.rest(tg, failRest)
+	}
+	if !p.conn.Open() && p.err == nil {
+		// The target answers and closes, so the send needs a new connection.
+		p.conn, p.err = g.client.Take(tg.Address, true, deadline)
+	}
+	if p.err != nil {
+		p.release()
+		return p
+	}
+	g.assess(c, p)
+	return p
+}
+
+// maxReport bounds the body in bytes of a target's report.
+const maxReport = 64 << 10
+
+// assess works out how long the target would take.
+func (g *Gate) assess(c *call, p *pick) {
+	now := g.now()
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.target(p.target.ID)
+	if p.report.ColdLeft > 0 {
+		s.coldUntil = now + p.report.ColdLeft
+	} else {
+		s.coldUntil = 0
+	}
+	p.cold = s.coldUntil > now
+	running := max(p.report.Running, s.sending)
+	slots := max(1, p.report.Slots)
+	if p.report.Slots == 0 {
+		slots = max(1, p.target.Slots)
+	}
+	run := f.expected(c.route.Name) * time.Duration(max(1, p.report.Stretch)) / 100
+	expected := g.distance(c, p.target) + run
+	if running >= slots {
+		expected += run * time.Duration(p.report.Waiting+running-slots+1) / time.Duration(slots)
+	} else {
+		expected += run * time.Duration(running) / time.Duration(4*slots)
+	}
+	expected += time.Duration(s.failing * float64(failPenalty))
+	if !p.report.Healthy {
+		expected += illPenalty
+	}
+	p.expected = expected
+}
+
+// distance is the time on the way to a target and back.
+func (g *Gate) distance(c *call, tg *pimentoroute.Target) time.Duration {
+	switch {
+	case tg.Domain == g.settings.Domain:
+		return sameDomain
+	case tg.Region == g.region:
+		return sameRegion
+	case c.route.Kind == pimentoroute.KindBulk:
+		return otherRegion + bulkFar
+	}
+	return otherRegion
+}
+
+// rest lets a target be asked last for a while.
+func (g *Gate) rest(tg *pimentoroute.Target, d time.Duration) {
+	f := &g.flow
+	f.mu.Lock()
+	f.target(tg.ID).restUntil = g.now() + d
+	f.mu.Unlock()
+}
--- /dev/null
+++ b/pimentogate/crash.go
@@ -0,0 +1,69 @@
+package pimentogate
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentoarch/pimentoretry"
+)
+
+// fingerprint identifies a request that may come again.
+func fingerprint(c *call) pimentoretry.Print {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range c.printable() {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return pimentoretry.Print(d.Sum64())
+}
+
+// crashNews is one request's crash of one target, for other entries.
+type crashNews struct {
+	print pimentoretry.Print
+	crash pimentoretry.Crash
+	at    time.Duration // When this entry heard of it.
+}
+
+// crashMemory is the time for which other entries are told of a crash.
+const crashMemory = 20 * time.Second
+
+// mayTry reports whether a request hasn't crashed too many targets.
+func (g *Gate) mayTry(c *call) bool {
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.suspects.Crashes(g.now(), fingerprint(c)) < pimentoretry.MaxCrashes
+}
+
+// passed notes that a request was answered.
+func (g *Gate) passed(c *call) {
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.suspects.Len() > 0 {
+		f.suspects.Clear(fingerprint(c))
+	}
+}
+
+// crashed notes that a target dropped the connection while it had a request,
+// and tells the other entries.
+func (g *Gate) crashed(c *call, s *send) {
+	f := &g.flow
+	f.mu.Lock()
+	p := fingerprint(c)
+	crash, news := f.suspects.Add(g.now(), p, string(s.pick.target.ID))
+	f.mu.Unlock()
+	if news {
+		g.fleet.tell(crashNews{print: p, crash: crash, at: g.now()})
+	}
+}
+
+// heardCrash takes another entry's news, and reports whether it was news.
+func (g *Gate) heardCrash(n crashNews) bool {
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.suspects.Merge(g.now(), n.print, n.crash)
+}
--- /dev/null
+++ b/pimentogate/flow.go
@@ -0,0 +1,259 @@
+package pimentogate
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentoretry"
+	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
+)
+
+// flow is what this entry has learned from its own traffic.
+type flow struct {
+	mu       sync.Mutex // Guards the fields below.
+	splits   map[pimentoroute.RouteName]*pimentoroute.Split
+	works    map[pimentoroute.RouteName]*work
+	targets  map[pimentoroute.TargetID]*targetState
+	repeats  map[pimentoregister.ServiceName]*pimentoretry.Allowance
+	suspects pimentoretry.Quarantine
+}
+
+// work is the usual time that a target works on a route's requests.
+type work struct{ mean time.Duration }
+
+const (
+	// firstWork is the time assumed before anything was measured.
+	firstWork = 120 * time.Millisecond
+	// workWeight is the weight of a new measurement in the mean.
+	workWeight = 0.1
+)
+
+// targetState is what this entry has learned of one target.
+type targetState struct {
+	cold      pimentotarget.ColdGate
+	coldUntil time.Duration
+	// restUntil is set after a failure; the target is asked last until then.
+	restUntil time.Duration
+	// failing is the share of sends that failed lately, from 0 to 1.
+	failing float64
+	// sending counts this entry's requests that run there.
+	sending int
+}
+
+const (
+	// failRest is the rest of a target that didn't answer, and shedRest of one
+	// that had no room.
+	failRest = 500 * time.Millisecond
+	shedRest = 60 * time.Millisecond
+	// failWeight is the weight of one send in a target's share of failures.
+	failWeight = 0.25
+)
+
+// comeBackSoon is when a caller may come back after a refusal for lack of room.
+const comeBackSoon = 120 * time.Millisecond
+
+func (f *flow) target(id pimentoroute.TargetID) *targetState {
+	if f.targets == nil {
+		f.targets = make(map[pimentoroute.TargetID]*targetState)
+	}
+	s := f.targets[id]
+	if s == nil {
+		s = new(targetState)
+		f.targets[id] = s
+	}
+	return s
+}
+
+// forget drops what concerns targets and routes that are no longer published.
+func (f *flow) forget(t *pimentoroute.Table) {
+	known := make(map[pimentoroute.TargetID]bool)
+	for _, list := range t.Targets {
+		for _, tg := range list {
+			known[tg.ID] = true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, s := range f.targets {
+		if !known[id] && s.sending == 0 {
+			delete(f.targets, id)
+		}
+	}
+	if t.Config == nil {
+		return
+	}
+	routes := make(map[pimentoroute.RouteName]bool)
+	for _, r := range t.Config.Routes {
+		routes[r.Name] = true
+	}
+	for name := range f.splits {
+		if !routes[name] {
+			delete(f.splits, name)
+		}
+	}
+	for name := range f.works {
+		if !routes[name] {
+			delete(f.works, name)
+		}
+	}
+}
+
+// part returns the service that the next request of a route goes to.
+func (f *flow) part(r *pimentoroute.Route) *pimentoroute.Part {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.splits == nil {
+		f.splits = make(map[pimentoroute.RouteName]*pimentoroute.Split)
+	}
+	s := f.splits[r.Name]
+	if s == nil {
+		s = new(pimentoroute.Split)
+		s.Start(r.Parts, rand.IntN(100))
+		f.splits[r.Name] = s
+	}
+	return s.Next(r.Parts)
+}
+
+// expected returns the usual work on a route's requests.
+func (f *flow) expected(r pimentoroute.RouteName) time.Duration {
+	if w := f.works[r]; w != nil {
+		return w.mean
+	}
+	return firstWork
+}
+
+// learn takes the time of one answer, for a target that stretched work by a
+// number of percent.
+func (f *flow) learn(r pimentoroute.RouteName, took time.Duration, stretch int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.works == nil {
+		f.works = make(map[pimentoroute.RouteName]*work)
+	}
+	took = took * 100 / time.Duration(max(100, stretch))
+	w := f.works[r]
+	if w == nil {
+		f.works[r] = &work{mean: took}
+		return
+	}
+	w.mean += time.Duration(workWeight * float64(took-w.mean))
+}
+
+// repeat takes one repeat from this entry's share for a service.
+func (g *Gate) repeat(c *call) bool {
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return g.allowance(c.part()).Spend(g.now())
+}
+
+// first counts a request whose first send is due.
+func (g *Gate) first(c *call) {
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g.allowance(c.part()).First(g.now())
+}
+
+// repeatShare is the part of the limit on repeats that is used, since two
+// lists of members may differ.
+const repeatShare = 0.75
+
+// allowance is called with flow.mu held.
+func (g *Gate) allowance(s pimentoregister.ServiceName) *pimentoretry.Allowance {
+	f := &g.flow
+	if f.repeats == nil {
+		f.repeats = make(map[pimentoregister.ServiceName]*pimentoretry.Allowance)
+	}
+	a := f.repeats[s]
+	if a == nil {
+		a = &pimentoretry.Allowance{Ratio: g.settings.Ratio * repeatShare, Window: time.Duration(g.settings.Window)}
+		f.repeats[s] = a
+	}
+	a.Fixed = 0
+	if n := int(g.fleetSize.Load()); n > 0 {
+		a.Fixed = g.settings.Repeats * repeatShare / float64(n)
+	}
+	return a
+}
+
+// serve answers one request.
+func (g *Gate) serve(c *call) *answer {
+	a := g.answer(c)
+	took := time.Since(c.received)
+	status := a.resp.StatusCode()
+	if c.service != nil && a.why == reasonNone {
+		g.metrics.served(c.part(), took)
+	}
+	g.noteServed(c, a, status, took)
+	return a
+}
+
+func (g *Gate) noteServed(c *call, a *answer, status int, took time.Duration) {
+	route, service := "", pimentoregister.ServiceName("")
+	if c.route != nil {
+		route = string(c.route.Name)
+	}
+	if c.service != nil {
+		service = c.part()
+	}
+	severity := level.DebugValue()
+	if a.why != reasonNone || status >= 500 {
+		severity = level.WarnValue()
+	} else if c.sends > 1 {
+		severity = level.InfoValue()
+	}
+	version := pimentoroute.Version(0)
+	if c.table != nil && c.table.Config != nil {
+		version = c.table.Config.Version
+	}
+	g.note(severity, "msg", "request ended", "id", c.id, "route", route, "service", service, "status", status,
+		"reason", a.why, "last", c.lastWhy, "target", a.target, "sends", c.sends, "ran", ranWord(c.mayRan), "ms", took.Milliseconds(), "config", version)
+}
+
+func ranWord(mayRan bool) string {
+	if mayRan {
+		return "unknown"
+	}
+	return "no"
+}
+
+// answer routes a request and sends it on.
+func (g *Gate) answer(c *call) *answer {
+	t := g.table.Load()
+	if t == nil || t.Config == nil {
+		return g.refusal(c, reasonUnconfigured, comeBackStart)
+	}
+	c.table = t
+	path := string(c.req.Header.RequestURI())
+	if !strings.HasPrefix(path, "/") {
+		a := g.refusal(c, reasonInvalid, 0)
+		a.closes = true
+		return a
+	}
+	route := t.Match(string(c.req.Header.Host()), path)
+	if route == nil {
+		return g.refusal(c, reasonRoute, 0)
+	}
+	c.setRoute(route)
+	part := g.flow.part(route)
+	if part == nil {
+		return g.refusal(c, reasonTargets, comeBackSoon)
+	}
+	c.service = t.Config.Services[part.Service]
+	if !g.mayTry(c) {
+		return g.refusal(c, reasonCrash, 0)
+	}
+	g.first(c)
+	return g.attempts(c)
+}
+
+// comeBackStart is when a caller may come back to an entry that has just
+// started.
+const comeBackStart = 400 * time.Millisecond
--- /dev/null
+++ b/pimentogate/head.go
@@ -0,0 +1,73 @@
+package pimentogate
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentoroute"
+)
+
+// badRequest says with which status a request that can't be read is refused.
+type badRequest struct {
+	status int
+	err    error
+}
+
+// Error implements error.
+func (b *badRequest) Error() string { return fmt.Sprintf("pimentogate: request: %v", b.err) }
+
+// Unwrap returns the cause.
+func (b *badRequest) Unwrap() error { return b.err }
+
+func headStatus(err error) int {
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	return fasthttp.StatusBadRequest
+}
+
+// checkHead refuses heads that could be read in two ways, so that no request
+// hides inside another.
+func checkHead(h *fasthttp.RequestHeader, limits pimentoroute.Limits) error {
+	raw := h.RawHeaders()
+	if len(raw) > limits.HeaderBytes {
+		return &badRequest{status: fasthttp.StatusRequestHeaderFieldsTooLarge, err: fmt.Errorf("head of %d bytes, the limit is %d", len(raw), limits.HeaderBytes)}
+	}
+	lengths, codings, hosts := 0, 0, 0
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			continue
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t\r") || bytes.ContainsAny(value, "\r\x00") {
+			return invalid("header line %q", line)
+		}
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			lengths++
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			codings++
+			if !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
+				return invalid("transfer coding %q", value)
+			}
+		case bytes.EqualFold(name, []byte("Host")):
+			hosts++
+		}
+	}
+	switch {
+	case lengths+codings > 1:
+		return invalid("%d lengths and %d transfer codings", lengths, codings)
+	case hosts != 1:
+		return invalid("%d hosts", hosts)
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) error {
+	return &badRequest{status: fasthttp.StatusBadRequest, err: fmt.Errorf(format, args...)}
+}
--- /dev/null
+++ b/pimentogate/send.go
@@ -0,0 +1,405 @@
+package pimentogate
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentohttp"
+	"pimentoarch/pimentoroute"
+)
+
+var errOtherTarget = errors.New("another target has the address")
+
+// outcome says how a send ended.
+type outcome uint8
+
+const (
+	outAnswer  outcome = iota + 1 // A whole answer, to be passed on.
+	outFailed                     // A whole answer that says that the target failed.
+	outNotRun                     // The target's word that it hasn't run the request.
+	outUnsent                     // Nothing was written.
+	outBroken                     // No answer, or not a whole one; the request may have run.
+	outTimeout                    // No answer in time.
+	outLeft                       // The caller has gone.
+)
+
+// String returns the outcome's name in logs.
+func (o outcome) String() string {
+	return [...]string{"", "answer", "failed", "notrun", "unsent", "broken", "timeout", "left"}[o]
+}
+
+// send is one request on its way to one target.
+type send struct {
+	pick    *pick
+	x       *pimentohttp.Exchange
+	started time.Time
+	outcome outcome
+	err     error
+}
+
+// maxWhole is the length in bytes up to which an answer is held until it is
+// whole, so that a broken one can be replaced.
+const maxWhole = 4 << 20
+
+// attempts sends a request until there is an answer or nothing more to try.
+func (g *Gate) attempts(c *call) *answer {
+	var failed *send
+	for {
+		p, why := g.choose(c, c.tried)
+		if c.hasLeft() {
+			p.drop()
+			return g.giveUp(c, failed, reasonLeft)
+		}
+		if time.Until(c.until) <= 0 {
+			p.drop()
+			return g.giveUp(c, failed, reasonTimeout)
+		}
+		if p == nil {
+			return g.giveUp(c, failed, why)
+		}
+		if c.sends > 0 && !g.repeat(c) {
+			p.drop()
+			return g.giveUp(c, failed, reasonBudget)
+		}
+		s := g.race(c, p)
+		a, again := g.settle(c, s, &failed)
+		if !again {
+			return a
+		}
+		if c.sends >= c.route.Attempts {
+			return g.giveUp(c, failed, reasonAttempts)
+		}
+		g.metrics.repeated(c.lastWhy)
+	}
+}
+
+// drop releases a pick, which may be nil.
+func (p *pick) drop() {
+	if p != nil {
+		p.release()
+	}
+}
+
+// settle decides what follows from the outcome of a send. It returns the final
+// answer, or that another target is to be tried.
+func (g *Gate) settle(c *call, s *send, failed **send) (*answer, bool) {
+	switch s.outcome {
+	case outAnswer:
+		return g.passOn(c, s), false
+	case outFailed:
+		c.lastWhy = "failed"
+		if !c.repeatable() {
+			return g.passOn(c, s), false
+		}
+		*failed = s
+		return nil, true
+	case outNotRun:
+		c.lastWhy = "notrun"
+		return nil, true
+	case outUnsent:
+		c.lastWhy = "unsent"
+		return nil, true
+	case outLeft:
+		return g.refusal(c, reasonLeft, 0), false
+	case outTimeout:
+		return g.giveUp(c, *failed, reasonTimeout), false
+	}
+	c.lastWhy = reasonBroken
+	if !c.repeatable() {
+		return g.refusal(c, reasonBroken, 0), false
+	}
+	return nil, true
+}
+
+// giveUp returns the final answer of a request that isn't tried again: a
+// target's own failure where there is one.
+func (g *Gate) giveUp(c *call, failed *send, why reason) *answer {
+	if failed != nil && why != reasonLeft {
+		return g.passOn(c, failed)
+	}
+	spread := time.Duration(rand.Float64() * float64(comeBackSoon))
+	return g.refusal(c, why, comeBackSoon/2+spread)
+}
+
+// passOn returns a target's answer.
+func (g *Gate) passOn(c *call, s *send) *answer {
+	h := &s.x.Resp.Header
+	for _, name := range g.dialect.Internal {
+		h.Del(name)
+	}
+	removeHopHeaders(h)
+	return &answer{resp: s.x.Resp, target: string(s.pick.target.ID)}
+}
+
+// race sends a request to a target, and to a second one if the first takes
+// longer than is worth waiting for. It returns the send that decides.
+func (g *Gate) race(c *call, first *pick) *send {
+	ended := make(chan *send, 2)
+	picks := make(chan *pick, 1)
+	running := 0
+	launch := func(p *pick) {
+		running++
+		c.sends++
+		c.tried = append(c.tried, p.target.ID)
+		s := g.newSend(c, p)
+		go func() {
+			g.do(c, s)
+			ended <- s
+		}()
+	}
+	launch(first)
+	hedge := time.NewTimer(g.hedgeAfter(c, first))
+	defer hedge.Stop()
+	deadline := time.NewTimer(time.Until(c.until))
+	defer deadline.Stop()
+	asking := false
+	for {
+		select {
+		case s := <-ended:
+			running--
+			g.learn(c, s)
+			if s.outcome == outAnswer || (running == 0 && !asking) {
+				g.cancelOthers(c, s, running, ended)
+				return s
+			}
+			if running == 0 && asking {
+				// The second target is about to be known: let the outer loop choose.
+				go func() { (<-picks).drop() }()
+				return s
+			}
+			discardSend(s)
+		case <-hedge.C:
+			if !g.mayHedge(c) {
+				continue
+			}
+			asking = true
+			tried := append([]pimentoroute.TargetID(nil), c.tried...)
+			go func() {
+				p, _ := g.choose(c, tried)
+				picks <- p
+			}()
+		case p := <-picks:
+			asking = false
+			if p != nil && g.worthHedging(c, p) && g.repeat(c) {
+				g.metrics.repeated("hedge")
+				launch(p)
+			} else {
+				p.drop()
+			}
+		case <-deadline.C:
+			return g.cutShort(c, first, outTimeout, running, asking, ended, picks)
+		case <-c.left:
+			return g.cutShort(c, first, outLeft, running, asking, ended, picks)
+		}
+	}
+}
+
+// cutShort ends all sends of a request.
+func (g *Gate) cutShort(c *call, first *pick, o outcome, running int, asking bool, ended chan *send, picks chan *pick) *send {
+	if asking {
+		go func() { (<-picks).drop() }()
+	}
+	s := &send{pick: first, outcome: o}
+	g.cancelOthers(c, s, running, ended)
+	return s
+}
+
+// cancelOthers ends the sends that lost and waits for them in the background.
+func (g *Gate) cancelOthers(c *call, winner *send, running int, ended chan *send) {
+	if running == 0 {
+		return
+	}
+	c.mu.Lock()
+	for _, x := range c.active {
+		if x != winner.x {
+			x.Cancel()
+		}
+	}
+	c.mu.Unlock()
+	go func() {
+		for range running {
+			s := <-ended
+			g.ended(s.pick.target)
+			discardSend(s)
+		}
+	}()
+}
+
+func discardSend(s *send) {
+	if s.x != nil && s.x.Resp != nil {
+		_ = s.x.Resp.CloseBodyStream()
+	}
+}
+
+const (
+	// hedgeFactor is how many times longer than expected an answer takes before
+	// a second target is asked.
+	hedgeFactor = 1.6
+	// hedgeLeast is the shortest time before that.
+	hedgeLeast = 40 * time.Millisecond
+)
+
+func (g *Gate) hedgeAfter(c *call, p *pick) time.Duration {
+	return max(hedgeLeast, time.Duration(hedgeFactor*float64(p.expected)))
+}
+
+func (g *Gate) mayHedge(c *call) bool {
+	return c.repeatable() && c.sends < c.route.Attempts && !c.hasLeft()
+}
+
+// worthHedging reports whether a second target helps: it answers within the
+// objective, or the objective has passed anyway.
+func (g *Gate) worthHedging(c *call, p *pick) bool {
+	if !g.mayHedge(c) {
+		return false
+	}
+	elapsed := time.Since(c.received)
+	return elapsed+p.expected < c.route.Objective || elapsed > c.route.Objective
+}
+
+// newSend prepares a request for one target.
+func (g *Gate) newSend(c *call, p *pick) *send {
+	req := new(fasthttp.Request)
+	c.req.Header.CopyTo(&req.Header)
+	removeHopRequestHeaders(&req.Header)
+	req.SetBodyRaw(c.req.Body())
+	left := max(time.Millisecond, time.Until(c.until))
+	req.Header.Set(g.dialect.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	req.Header.Set(g.dialect.Expected, string(p.target.ID))
+	return &send{
+		pick:    p,
+		started: time.Now(),
+		x: &pimentohttp.Exchange{
+			Address:      p.target.Address,
+			Req:          req,
+			Resp:         new(fasthttp.Response),
+			On:           p.conn,
+			Deadline:     c.until.Add(answerSlack),
+			BodyDeadline: c.until.Add(answerSlack),
+			MaxWhole:     maxWhole,
+			Echo:         g.dialect.RequestID,
+		},
+	}
+}
+
+// answerSlack is how long after the request's end its target's answer is read.
+const answerSlack = 50 * time.Millisecond
+
+// do sends the request and reads the answer.
+func (g *Gate) do(c *call, s *send) {
+	f := &g.flow
+	f.mu.Lock()
+	f.target(s.pick.target.ID).sending++
+	f.mu.Unlock()
+	if !c.begin(s.x) {
+		s.outcome = outLeft
+		s.pick.release()
+		return
+	}
+	s.err = g.client.Do(s.x)
+	if s.err == nil && s.pick.conn.Open() && !s.x.Resp.IsBodyStream() {
+		s.pick.conn.Release()
+	}
+	s.outcome = g.judge(c, s)
+}
+
+// judge says what the end of an exchange means.
+func (g *Gate) judge(c *call, s *send) outcome {
+	if s.err != nil {
+		return judgeError(c, s)
+	}
+	resp := s.x.Resp
+	switch {
+	case g.dialect.NotRun(resp):
+		return outNotRun
+	case resp.StatusCode() >= 500:
+		return outFailed
+	case resp.StatusCode() < 300 && !g.genuine(c, resp):
+		s.err = errNotGenuine
+		return outBroken
+	}
+	return outAnswer
+}
+
+func judgeError(c *call, s *send) outcome {
+	var e *pimentohttp.Error
+	switch {
+	case !s.x.Sent():
+		return outUnsent
+	case c.hasLeft():
+		return outLeft
+	case errors.As(s.err, &e) && e.Kind == pimentohttp.KindTimeout:
+		return outTimeout
+	}
+	return outBroken
+}
+
+var errNotGenuine = errors.New("the answer isn't signed, or belongs to another request")
+
+// genuine reports whether a success is the target's own answer to this request.
+func (g *Gate) genuine(c *call, resp *fasthttp.Response) bool {
+	return len(resp.Header.Peek(g.dialect.Signature)) > 0 &&
+		len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) == 0 &&
+		string(resp.Header.Peek(g.dialect.RequestID)) == c.id
+}
+
+// ended notes that a send to a target is over.
+func (g *Gate) ended(tg *pimentoroute.Target) {
+	f := &g.flow
+	f.mu.Lock()
+	f.target(tg.ID).sending--
+	f.mu.Unlock()
+}
+
+// learn takes what the end of a send tells of its target.
+func (g *Gate) learn(c *call, s *send) {
+	tg := s.pick.target
+	g.ended(tg)
+	if s.outcome != outAnswer {
+		g.note(level.WarnValue(), "msg", "send failed", "id", c.id, "target", tg.ID, "outcome", s.outcome, "err", s.err,
+			"status", s.status(), "stretch", s.pick.report.Stretch, "running", s.pick.report.Running, "ms", time.Since(s.started).Milliseconds())
+	}
+	bad := 0.0
+	switch s.outcome {
+	case outAnswer:
+		g.flow.learn(c.route.Name, time.Since(s.started), s.pick.report.Stretch)
+		g.passed(c)
+	case outNotRun:
+		g.rest(tg, shedRest)
+		return
+	case outUnsent:
+		c.sends--
+		g.rest(tg, failRest)
+		return
+	case outFailed:
+		bad = 1
+		c.mayRan = true
+	case outBroken:
+		bad = 1
+		c.mayRan = true
+		g.crashed(c, s)
+	case outTimeout:
+		bad = 1
+		c.mayRan = true
+	case outLeft:
+		return
+	}
+	f := &g.flow
+	f.mu.Lock()
+	t := f.target(tg.ID)
+	t.failing += failWeight * (bad - t.failing)
+	f.mu.Unlock()
+}
+
+func (s *send) status() string {
+	if s.err != nil || s.x == nil {
+		return ""
+	}
+	return fmt.Sprint(s.x.Resp.StatusCode())
+}
--- /dev/null
+++ b/pimentogate/settings.go
@@ -0,0 +1,144 @@
+package pimentogate
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentotarget"
+)
+
+// Duration is written as a number and its unit, such as "2.5s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Settings are the settings of one entry VM, as JSON. Fields that aren't known
+// pass.
+type Settings struct {
+	// Name is the VM's name.
+	Name pimentotarget.EntryName `json:"name"`
+	// Domain is the failure domain of the VM.
+	Domain pimentoregister.DomainName `json:"domain"`
+	// Regions has the region of each failure domain.
+	Regions map[pimentoregister.DomainName]pimentoregister.RegionName `json:"regions"`
+	// Callers, Ready, Peers and Admin are the addresses to listen on, IP and
+	// port each: for callers, for the balancer's question, for other entries,
+	// and for operators.
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Peers   string `json:"peers"`
+	Admin   string `json:"admin"`
+	// Seeds are addresses of other entries to begin with.
+	Seeds []string `json:"seeds"`
+	// Platform lists the replicas of the platform's store.
+	Platform []string `json:"platform"`
+	// Grace is the time from a stop signal until the process is killed.
+	Grace Duration `json:"grace"`
+	// Ratio and Repeats bound the repeats to a service in each Window, all
+	// entries together: a part of its requests, and a fixed number.
+	Ratio   float64  `json:"ratio"`
+	Repeats float64  `json:"repeats"`
+	Window  Duration `json:"window"`
+	// Overshoot and Slack bound the requests a second to a cold target, all
+	// entries together: Overshoot times what it bears, and a fixed number.
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
+	// Memory is the VM's memory in MiB.
+	Memory int `json:"memory"`
+	// Log is the least level that is logged: debug, info, warn or error.
+	Log string `json:"log"`
+	// Lines bounds the log lines a second about requests that went well.
+	Lines int `json:"lines"`
+}
+
+// DefaultSettings returns the values of the settings that a file leaves out.
+func DefaultSettings() Settings {
+	return Settings{
+		Grace:     Duration(6 * time.Second),
+		Ratio:     0.2,
+		Window:    Duration(10 * time.Second),
+		Overshoot: 1,
+		Memory:    256,
+		Log:       "info",
+		Lines:     20,
+	}
+}
+
+// Region is the VM's own region.
+func (s *Settings) Region() pimentoregister.RegionName { return s.Regions[s.Domain] }
+
+// ParseSettings reads and checks settings.
+func ParseSettings(data []byte) (Settings, error) {
+	s := DefaultSettings()
+	if err := json.Unmarshal(data, &s); err != nil {
+		return s, &Error{Op: "settings", Kind: KindSettings, Err: err}
+	}
+	if err := s.check(); err != nil {
+		return s, &Error{Op: "settings", Kind: KindSettings, Err: err}
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	if s.Name == "" {
+		return fmt.Errorf("name: a value is required")
+	}
+	if s.Region() == "" {
+		return fmt.Errorf("domain: value %q isn't in regions", s.Domain)
+	}
+	if len(s.Platform) == 0 {
+		return fmt.Errorf("platform: at least one address is required")
+	}
+	addresses := []struct{ field, value string }{
+		{"callers", s.Callers}, {"ready", s.Ready}, {"peers", s.Peers}, {"admin", s.Admin},
+	}
+	for _, a := range s.Seeds {
+		addresses = append(addresses, struct{ field, value string }{"seeds", a})
+	}
+	for _, a := range s.Platform {
+		addresses = append(addresses, struct{ field, value string }{"platform", a})
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return fmt.Errorf("%s: value %q: an address is IP:port", a.field, a.value)
+		}
+	}
+	return s.checkNumbers()
+}
+
+func (s *Settings) checkNumbers() error {
+	switch s.Log {
+	case "debug", "info", "warn", "error":
+	default:
+		return fmt.Errorf("log: value %q: the levels are debug, info, warn and error", s.Log)
+	}
+	for _, f := range []struct {
+		field        string
+		value, limit float64
+	}{
+		{"grace", time.Duration(s.Grace).Seconds(), 0},
+		{"ratio", s.Ratio, 0},
+		{"repeats", s.Repeats, 0},
+		{"window", time.Duration(s.Window).Seconds(), 0.1},
+		{"overshoot", s.Overshoot, 0},
+		{"slack", s.Slack, 0},
+		{"memory", float64(s.Memory), 16},
+		{"lines", float64(s.Lines), 0},
+	} {
+		if f.value < f.limit {
+			return fmt.Errorf("%s: value %g: the lower limit is %g", f.field, f.value, f.limit)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pimentogate/talk.go
@@ -0,0 +1,275 @@
+package pimentogate
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentofeed"
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentotarget"
+)
+
+const (
+	// nearBeat and farBeat are the times between two notes to an entry of the
+	// same domain and of another one, when nothing changes.
+	nearBeat = 500 * time.Millisecond
+	farBeat  = 700 * time.Millisecond
+	// seedBeat is the time between two notes to a seed while no entry is known.
+	seedBeat = 300 * time.Millisecond
+	// talkTime bounds the exchange of one note.
+	talkTime = 1000 * time.Millisecond
+	// talkRest is the pause after an exchange that failed.
+	talkRest = time.Second
+	// talkGap is the least time between two notes to one entry.
+	talkGap = 30 * time.Millisecond
+	// domainLinks is the number of entries of each domain that talk to those of
+	// other domains.
+	domainLinks = 2
+	// talkLook is the time between two looks at whom to talk to.
+	talkLook = 300 * time.Millisecond
+)
+
+// talker sends notes to one address.
+type talker struct {
+	gate    *Gate
+	address string
+	beat    time.Duration
+	cancel  context.CancelFunc
+
+	knownAsOf pimentofeed.Revision // What the peer has said that it knows.
+	knownHash uint64
+}
+
+// keepTalking starts and ends talkers as members come and go, until ctx ends.
+func (g *Gate) keepTalking(ctx context.Context) {
+	talkers := make(map[string]*talker)
+	t := time.NewTicker(talkLook)
+	defer t.Stop()
+	for {
+		wanted := g.partners()
+		for address, tk := range talkers {
+			if _, ok := wanted[address]; !ok {
+				tk.cancel()
+				delete(talkers, address)
+			}
+		}
+		for address, beat := range wanted {
+			if talkers[address] != nil {
+				continue
+			}
+			tk := &talker{gate: g, address: address, beat: beat}
+			var tctx context.Context
+			tctx, tk.cancel = context.WithCancel(ctx)
+			talkers[address] = tk
+			go tk.run(tctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// partners returns the addresses to talk to and the time between two notes.
+// Of two entries the one whose name comes first talks to the other.
+func (g *Gate) partners() map[string]time.Duration {
+	f := g.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wanted := make(map[string]time.Duration)
+	domains := make(map[string][]pimentopeer.Member)
+	addresses := map[string]bool{g.settings.Peers: true}
+	for _, m := range f.roster.All() {
+		addresses[m.Address] = true
+		switch {
+		case m.Domain != g.settings.Domain:
+			if !m.Gone {
+				domains[string(m.Domain)] = append(domains[string(m.Domain)], m)
+			}
+		case m.Gone:
+			wanted[m.Address] = 2 * time.Second
+		case g.settings.Name < m.Name:
+			wanted[m.Address] = nearBeat
+		}
+	}
+	rank := ownRank(f.roster.Domain(g.settings.Domain), g.settings.Name)
+	if rank < domainLinks {
+		for _, list := range domains {
+			m := list[rank%len(list)]
+			if g.settings.Name < m.Name || rank >= len(list) {
+				wanted[m.Address] = farBeat
+			}
+		}
+	}
+	lonely := len(addresses) == 1
+	for _, address := range g.seeds() {
+		if !addresses[address] || lonely {
+			wanted[address] = seedBeat
+		}
+	}
+	delete(wanted, g.settings.Peers)
+	return wanted
+}
+
+// ownRank returns an entry's place among members in the order of their names.
+func ownRank(members []pimentopeer.Member, name pimentotarget.EntryName) int {
+	for i, m := range members {
+		if m.Name == name {
+			return i
+		}
+	}
+	return len(members)
+}
+
+func (t *talker) run(ctx context.Context) {
+	line, closeLine := t.gate.node.Line(t.address)
+	line.Timeout = talkTime
+	defer closeLine()
+	for ctx.Err() == nil {
+		changed := t.gate.fleet.changes()
+		wait := t.beat
+		if !t.exchange(line.Exchange) {
+			wait = max(talkRest, t.beat)
+			changed = nil
+		}
+		if !pause(ctx, talkGap) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(wait - spreadOf(wait/5)):
+		}
+	}
+}
+
+// pause waits, and reports false if ctx ends.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// changes returns a channel that is closed when there is something to tell.
+func (f *fleet) changes() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// exchange sends one note and takes the answer.
+func (t *talker) exchange(send func([]byte) ([]byte, error)) bool {
+	g := t.gate
+	msg := g.newNote(t.knownAsOf, t.knownHash).marshal()
+	reply, err := send(msg)
+	if err != nil {
+		g.metrics.count("pimento_notes_failed_total")
+		g.note(level.DebugValue(), "msg", "peer doesn't answer", "peer", t.address, "err", err)
+		t.knownAsOf, t.knownHash = 0, 0
+		return false
+	}
+	n, err := unmarshalNote(reply)
+	if err != nil {
+		g.note(level.WarnValue(), "msg", "peer's note ignored", "peer", t.address, "err", err)
+		return false
+	}
+	t.knownAsOf, t.knownHash = n.asOf, n.hash
+	g.takeNote(n)
+	return true
+}
+
+// onNote takes a peer's note and returns the answer.
+func (g *Gate) onNote(msg []byte) ([]byte, error) {
+	n, err := unmarshalNote(msg)
+	if err != nil {
+		return nil, err
+	}
+	g.takeNote(n)
+	reply := g.newNote(n.asOf, n.hash)
+	if n.asOf == 0 {
+		reply = g.withUpdate(reply, 0)
+	}
+	return reply.marshal(), nil
+}
+
+// newNote returns a note for a peer that is known to be complete up to a
+// revision, 0 if nothing is known of it.
+func (g *Gate) newNote(peerAsOf pimentofeed.Revision, peerHash uint64) *note {
+	now := g.now()
+	f := g.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := &note{self: f.roster.Self(), hash: f.roster.Hash(), asOf: f.state.AsOf(), age: -1, reads: f.reading, crashes: f.crashes}
+	if age, known := f.age(now); known {
+		n.age = age.Milliseconds()
+	}
+	if peerHash != n.hash {
+		n.members = f.roster.All()
+	}
+	if peerAsOf > 0 && peerAsOf < n.asOf {
+		u := f.state.Since(now, peerAsOf)
+		n.update = &u
+	}
+	return n
+}
+
+// withUpdate adds everything after a revision.
+func (g *Gate) withUpdate(n *note, after pimentofeed.Revision) *note {
+	f := g.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state.AsOf() > after {
+		u := f.state.Since(g.now(), after)
+		n.update = &u
+	}
+	return n
+}
+
+// takeNote takes what a peer tells.
+func (g *Gate) takeNote(n *note) {
+	now := g.now()
+	f := g.fleet
+	f.mu.Lock()
+	before := f.roster.Hash()
+	f.roster.Heard(now, n.self)
+	f.roster.Merge(now, n.members)
+	if n.reads {
+		f.readers[string(n.self.Name)] = now
+	} else {
+		delete(f.readers, string(n.self.Name))
+	}
+	if f.roster.Hash() != before {
+		f.touch()
+	}
+	asOf := f.state.AsOf()
+	f.mu.Unlock()
+	if n.update != nil {
+		n.update.Age = time.Duration(max(0, n.age)) * time.Millisecond
+		if n.age < 0 {
+			n.update.Age = unknownAge
+		}
+		g.take(*n.update, string(n.self.Name))
+	} else if n.age >= 0 && n.asOf >= asOf {
+		f.mu.Lock()
+		if n.asOf >= f.state.AsOf() {
+			f.state.Confirm(now, time.Duration(n.age)*time.Millisecond)
+		}
+		f.mu.Unlock()
+	}
+	for _, c := range n.crashes {
+		c.at = now
+		if g.heardCrash(c) {
+			f.tell(c)
+		}
+	}
+}
+
+// unknownAge stands for the age of a state that no reader has confirmed.
+const unknownAge = time.Hour
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,12 @@
 	MaxIdle time.Duration
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
+	// Redial replaces a pooled connection that the target has closed by a new
+	// one. Otherwise that is an error of KindStale.
+	Redial bool
+	// UserTimeout is the time without an acknowledgement of sent bytes after
+	// which a connection breaks. 0 leaves it to the system.
+	UserTimeout time.Duration
 
 	mu    sync.Mutex // Guards pools.
 	pools map[string]*pool
@@ -32,32 +39,37 @@
 // pool holds the idle connections to one target, the newest last.
 type pool struct {
 	mu    sync.Mutex // Guards the fields below. Taken after Client.mu, never before.
-	idle  []*conn
+	idle  []*Conn
 	open  int
 	limit int // 0 means none.
 }
 
-// conn is one connection to a target.
-type conn struct {
+// Conn is one connection to a target. It is used by one exchange at a time.
+type Conn struct {
 	net.Conn
 	pool    *pool
 	r       *bufio.Reader
 	w       *bufio.Writer
 	written atomic.Int64
 	usedAt  time.Time
-	closed  sync.Once
+	// keep is the time for which the target keeps the connection idle, 0 if it
+	// hasn't said.
+	keep   time.Duration
+	closed sync.Once
+	dead   atomic.Bool
 }
 
 // Write implements net.Conn and counts the bytes.
-func (c *conn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
 	return n, err
 }
 
 // destroy closes the connection for good. It may be called at any time.
-func (c *conn) destroy() {
+func (c *Conn) destroy() {
 	c.closed.Do(func() {
+		c.dead.Store(true)
 		_ = c.Conn.Close()
 		c.pool.mu.Lock()
 		c.pool.open--
@@ -106,7 +118,7 @@
 	c.mu.Unlock()
 	var stale []string
 	for address, p := range pools {
-		p.closeIdle(now.Add(-c.maxIdle()))
+		p.closeOld(now, c.maxIdle())
 		if p.closeStale() {
 			stale = append(stale, address)
 		}
@@ -117,19 +129,24 @@
 // closeStale closes idle connections that the target has closed, and reports
 // whether there were any.
 func (p *pool) closeStale() bool {
-	return p.keepIdle(func(c *conn) bool { return quiet(c.Conn) }) > 0
+	return p.keepIdle(func(c *Conn) bool { return quiet(c.Conn) }) > 0
+}
+
+// closeOld closes connections that have been idle for too long.
+func (p *pool) closeOld(now time.Time, limit time.Duration) {
+	p.keepIdle(func(c *Conn) bool { return now.Sub(c.usedAt) < c.maxIdle(limit) })
 }
 
 // closeIdle closes connections last used before the time, or all if it is zero.
 func (p *pool) closeIdle(before time.Time) {
-	p.keepIdle(func(c *conn) bool { return !before.IsZero() && !c.usedAt.Before(before) })
+	p.keepIdle(func(c *Conn) bool { return !before.IsZero() && !c.usedAt.Before(before) })
 }
 
 // keepIdle closes the idle connections that keep reports false for, and returns
 // their number.
-func (p *pool) keepIdle(keep func(*conn) bool) int {
+func (p *pool) keepIdle(keep func(*Conn) bool) int {
 	p.mu.Lock()
-	var closed []*conn
+	var closed []*Conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		if keep(c) {
@@ -162,6 +179,13 @@
 	}
 }
 
+// Addresses returns the targets with a connection or a limit.
+func (c *Client) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.pools))
+}
+
 // Open returns the number of open connections.
 func (c *Client) Open() int {
 	c.mu.Lock()
@@ -182,33 +206,56 @@
 	return defaultMaxIdle
 }
 
+// Take returns a connection to a target that nothing else uses until its
+// Release or Discard: an idle one, or a new one. fresh asks for a new one.
+func (c *Client) Take(address string, fresh bool, deadline time.Time) (*Conn, error) {
+	return c.get(address, fresh, deadline)
+}
+
+// Release makes a taken connection idle. Its last exchange must have been whole.
+func (c *Conn) Release() { c.put() }
+
+// Discard closes a taken connection. It may be called at any time.
+func (c *Conn) Discard() { c.destroy() }
+
+// Used reports whether the connection has carried an exchange before.
+func (c *Conn) Used() bool { return !c.usedAt.IsZero() }
+
+// maxIdle returns the age from which an idle connection isn't used again.
+func (c *Conn) maxIdle(limit time.Duration) time.Duration {
+	if c.keep > 0 {
+		return min(limit, c.keep)
+	}
+	return limit
+}
+
 // errStale is the cause of errors of KindStale.
 var errStale = errors.New("the target has closed an idle connection")
 
 // get returns an idle connection that was open a moment ago, or a new one.
 // fresh asks for a new one. A young idle connection that the target has closed
 // is an error, because the target may have restarted.
-func (c *Client) get(address string, fresh bool, deadline time.Time) (*conn, error) {
+func (c *Client) get(address string, fresh bool, deadline time.Time) (*Conn, error) {
 	p := c.pool(address)
 	for !fresh {
 		idle := p.take()
 		if idle == nil {
 			break
 		}
-		young := time.Since(idle.usedAt) < c.maxIdle()
+		young := time.Since(idle.usedAt) < idle.maxIdle(c.maxIdle())
 		open := quiet(idle.Conn)
 		if young && open {
 			return idle, nil
 		}
 		idle.destroy()
-		if young {
+		if young && !c.Redial {
 			return nil, &Error{Op: "connect", Kind: KindStale, Address: address, Err: errStale}
 		}
 	}
 	return c.dial(p, address, deadline)
 }
 
-func (p *pool) take() *conn {
+func (p *pool) take() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
@@ -224,7 +271,7 @@
 // errBusy is the cause of errors of KindBusy.
 var errBusy = errors.New("all connections of this entry's share are in use")
 
-func (c *Client) dial(p *pool, address string, deadline time.Time) (*conn, error) {
+func (c *Client) dial(p *pool, address string, deadline time.Time) (*Conn, error) {
 	if !p.reserve() {
 		return nil, &Error{Op: "connect", Kind: KindBusy, Address: address, Err: errBusy}
 	}
@@ -239,7 +286,16 @@
 		p.mu.Unlock()
 		return nil, &Error{Op: "connect", Kind: KindConnect, Address: address, Err: err}
 	}
-	cn := &conn{Conn: nc, pool: p}
+	if c.UserTimeout > 0 {
+		if err := SetUserTimeout(nc, c.UserTimeout); err != nil {
+			_ = nc.Close()
+			p.mu.Lock()
+			p.open--
+			p.mu.Unlock()
+			return nil, &Error{Op: "connect", Kind: KindConnect, Address: address, Err: err}
+		}
+	}
+	cn := &Conn{Conn: nc, pool: p}
 	cn.r = bufio.NewReaderSize(nc, readBuffer)
 	cn.w = bufio.NewWriterSize(cn, writeBuffer)
 	return cn, nil
@@ -265,7 +321,7 @@
 }
 
 // put makes a connection idle after a whole exchange.
-func (c *conn) put() {
+func (c *Conn) put() {
 	if c.r.Buffered() > 0 {
 		// Bytes that no request asked for must not reach the next one.
 		c.destroy()
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -30,14 +33,29 @@
 	// Fresh asks for a new connection, which can't be one that the target has
 	// closed already.
 	Fresh bool
+	// On is the connection to use, which the user has taken and keeps. It is
+	// closed if the answer wasn't whole or the target closes it, and released at
+	// the end of a streamed answer. If it is nil, the exchange takes one and
+	// releases it.
+	On *Conn
+	// MaxWhole is the body length in bytes up to which answers are read whole.
+	// 0 means 64 KiB. If it is set, an answer without a length is read whole as
+	// well, up to the target's orderly end of the connection.
+	MaxWhole int
+	// Echo is a header whose value an answer repeats from the request. Answers
+	// with another value belong to other requests and are skipped. "" means none.
+	Echo string
 	// Ended is called when the whole answer was read or given up. It may be nil.
 	// It isn't called when Do returns an error.
 	Ended func(End)
 
 	mu        sync.Mutex
-	conn      *conn
+	conn      *Conn
 	cancelled bool
 	sent      bool
+
+	writing     chan struct{} // Closed when a long request was written. May be nil.
+	writeFailed atomic.Bool
 }
 
 // End says how the body of an answer ended.
@@ -57,36 +75,97 @@
 	maxBuffered = 64 << 10
 	// bodyIdle is the time without a byte after which a streamed body is broken.
 	bodyIdle = 30 * time.Second
+	// maxStray bounds the answers to other requests that are skipped.
+	maxStray = 4
 	// maxInterim bounds the informational answers before the final one.
 	maxInterim = 8
 )
 
 var (
 	errCancelled = errors.New("the caller no longer wants the answer")
+	errStray     = errors.New("the answers belong to other requests")
 	errUnframed  = errors.New("the answer has neither a length nor chunks")
 )
 
 // Do performs the exchange. After an error, Sent tells whether the target may
 // have run the request.
 func (c *Client) Do(x *Exchange) error {
-	cn, err := c.get(x.Address, x.Fresh, x.Deadline)
-	if err != nil {
-		return err
+	cn := x.On
+	if cn == nil {
+		var err error
+		if cn, err = c.get(x.Address, x.Fresh, x.Deadline); err != nil {
+			return err
+		}
 	}
 	if !x.attach(cn) {
 		cn.destroy()
 		return x.fail("connect", errCancelled)
 	}
 	_ = cn.SetDeadline(x.Deadline)
-	if err := x.write(cn); err != nil {
+	if err := x.send(cn); err != nil {
 		cn.destroy()
 		return x.fail("write", err)
 	}
-	if err := x.readHead(cn.r); err != nil {
-		cn.destroy()
-		return x.fail("read", err)
+	for range maxStray {
+		if err := x.readHead(cn.r); err != nil {
+			cn.destroy()
+			return x.fail("read", err)
+		}
+		if x.mine() {
+			return x.readBody(cn)
+		}
+		if err := x.Resp.ReadBody(cn.r, maxBuffered); err != nil {
+			cn.destroy()
+			return x.fail("read", err)
+		}
+		x.Resp.Reset()
+	}
+	cn.destroy()
+	return x.fail("read", errStray)
+}
+
+// mine reports whether the answer belongs to the request, as far as its header
+// tells.
+func (x *Exchange) mine() bool {
+	if x.Echo == "" {
+		return true
+	}
+	got := x.Resp.Header.Peek(x.Echo)
+	return len(got) == 0 || bytes.Equal(got, x.Req.Header.Peek(x.Echo))
+}
+
+// send writes the request. A long body is written beside the reading of the
+// answer, since a target may answer before it has read the whole body. The
+// connection isn't used again if it does.
+func (x *Exchange) send(cn *Conn) error {
+	if len(x.Req.Body()) <= writeBuffer {
+		return x.write(cn)
+	}
+	x.mu.Lock()
+	x.sent = true
+	x.mu.Unlock()
+	x.writing = make(chan struct{})
+	go func() {
+		defer close(x.writing)
+		if err := x.write(cn); err != nil {
+			// Ends the read as well; its error says what happened.
+			x.writeFailed.Store(true)
+		}
+	}()
+	return nil
+}
+
+// written reports whether the whole request was written.
+func (x *Exchange) written() bool {
+	if x.writing == nil {
+		return true
+	}
+	select {
+	case <-x.writing:
+		return !x.writeFailed.Load()
+	default:
+		return false
 	}
-	return x.readBody(cn)
 }
 
 // Sent reports whether any byte of the request may have reached the target.
@@ -107,7 +186,7 @@
 	}
 }
 
-func (x *Exchange) attach(cn *conn) bool {
+func (x *Exchange) attach(cn *Conn) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conn = cn
@@ -123,7 +202,7 @@
 	return !x.cancelled
 }
 
-func (x *Exchange) write(cn *conn) error {
+func (x *Exchange) write(cn *Conn) error {
 	err := x.Req.Write(cn.w)
 	if err == nil {
 		err = cn.w.Flush()
@@ -147,7 +226,7 @@
 	return errors.New("too many informational answers")
 }
 
-func (x *Exchange) readBody(cn *conn) error {
+func (x *Exchange) readBody(cn *Conn) error {
 	if x.noBody() {
 		x.Resp.SkipBody = true
 		x.finish(cn)
@@ -155,6 +234,8 @@
 	}
 	size := x.Resp.Header.ContentLength()
 	switch {
+	case x.MaxWhole > 0 && size <= x.MaxWhole:
+		return x.readWhole(cn, size)
 	case size < -1:
 		cn.destroy()
 		return &Error{Op: "read", Kind: KindInvalid, Address: x.Address, Err: errUnframed}
@@ -170,24 +251,78 @@
 	return nil
 }
 
+// readWhole reads a body of a known length, in chunks, or up to the end of the
+// connection. A connection that breaks gives an error.
+func (x *Exchange) readWhole(cn *Conn, size int) error {
+	if !x.BodyDeadline.IsZero() {
+		_ = cn.SetReadDeadline(x.BodyDeadline)
+	}
+	if size < -1 {
+		body, err := io.ReadAll(io.LimitReader(cn.r, int64(x.MaxWhole)+1))
+		if err == nil && len(body) > x.MaxWhole {
+			err = fasthttp.ErrBodyTooLarge
+		}
+		if err != nil {
+			cn.destroy()
+			return x.fail("body", err)
+		}
+		x.Resp.SetBodyRaw(body)
+		x.Resp.Header.SetContentLength(len(body))
+		x.Resp.SetConnectionClose()
+		x.finish(cn)
+		return nil
+	}
+	if err := x.Resp.ReadBody(cn.r, x.MaxWhole); err != nil {
+		cn.destroy()
+		return x.fail("body", err)
+	}
+	x.finish(cn)
+	return nil
+}
+
 func (x *Exchange) noBody() bool {
 	code := x.Resp.StatusCode()
 	return x.Req.Header.IsHead() || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
 }
 
 // finish ends an exchange whose answer was read whole.
-func (x *Exchange) finish(cn *conn) {
-	if x.detach() && !x.Resp.ConnectionClose() {
-		cn.put()
-	} else {
+func (x *Exchange) finish(cn *Conn) {
+	whole := x.written()
+	cn.keep = keepFor(x.Resp)
+	switch {
+	case !x.detach() || !whole || x.Resp.ConnectionClose() || cn.r.Buffered() > 0:
 		cn.destroy()
+	case x.On == nil:
+		cn.put()
 	}
 	if x.Ended != nil {
 		x.Ended(EndWhole)
 	}
 }
 
-func (x *Exchange) stream(cn *conn, size int) *bodyStream {
+// keepMargin is how much earlier than the target this end stops using an idle
+// connection.
+const keepMargin = 500 * time.Millisecond
+
+// keepFor returns the time for which the target keeps an idle connection, or 0
+// if its answer doesn't say.
+func keepFor(resp *fasthttp.Response) time.Duration {
+	for part := range bytes.SplitSeq(resp.Header.Peek("Keep-Alive"), []byte(",")) {
+		name, value, ok := bytes.Cut(bytes.TrimSpace(part), []byte("="))
+		if !ok || !bytes.EqualFold(name, []byte("timeout")) {
+			continue
+		}
+		if n, err := strconv.Atoi(string(value)); err == nil && n > 0 {
+			return time.Duration(n)*time.Second - keepMargin
+		}
+	}
+	return 0
+}
+
+// Open reports whether the connection can carry another exchange.
+func (c *Conn) Open() bool { return !c.dead.Load() }
+
+func (x *Exchange) stream(cn *Conn, size int) *bodyStream {
 	b := &bodyStream{x: x, cn: cn, size: size}
 	if size >= 0 {
 		b.r = io.LimitReader(cn.r, int64(size))
@@ -212,7 +347,7 @@
 // if the body was whole.
 type bodyStream struct {
 	x      *Exchange
-	cn     *conn
+	cn     *Conn
 	r      io.Reader
 	inner  *fasthttp.Response // Holds the chunk decoder, if there is one.
 	size   int                // -1 in chunks.
@@ -274,10 +409,11 @@
 		_ = b.inner.CloseBodyStream()
 		fasthttp.ReleaseResponse(b.inner)
 	}
-	if b.x.detach() && b.whole && !b.x.Resp.ConnectionClose() {
-		b.cn.put()
-	} else {
+	switch {
+	case !b.x.detach() || !b.whole || !b.x.written() || b.x.Resp.ConnectionClose():
 		b.cn.destroy()
+	default:
+		b.cn.put()
 	}
 	if b.x.Ended != nil {
 		b.x.Ended(b.end())
--- a/pimentolink/doc.go
+++ b/pimentolink/doc.go
@@ -10,6 +10,7 @@
 	forward    one request and its answer
 	fetch      the configuration in force
 	handover   key ranges for a successor, and its acknowledgement
+	note       messages of the user's, each with an answer
 	learn      the outcome of a dispatch under a handed over key
 
 Messages are protobuf, each behind its length. The head of a forwarded request
--- a/pimentolink/heartbeat.go
+++ b/pimentolink/heartbeat.go
@@ -1,11 +1,7 @@
 package pimentolink
 
 import (
-	"bufio"
-	"time"
-
 	"github.com/VictoriaMetrics/easyproto"
-	"github.com/hashicorp/yamux"
 
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentopeer"
@@ -13,79 +9,42 @@
 	"pimentoarch/pimentotarget"
 )
 
-// Heart is an open heartbeat stream to a peer. It isn't safe for concurrent use.
-type Heart struct {
-	node    *Node
-	address string
-	stream  *yamux.Stream
-	r       *bufio.Reader
-}
+// Heart sends heartbeats to a peer. It isn't safe for concurrent use.
+type Heart struct{ line Line }
 
 // Heart returns the sending end of heartbeats to a peer. The stream is opened
 // by the first Beat. The clean-up function closes it.
 func (n *Node) Heart(address string) (*Heart, func()) {
-	h := &Heart{node: n, address: address}
-	return h, h.close
-}
-
-func (h *Heart) close() {
-	if h.stream != nil {
-		_ = h.stream.Close()
-		h.stream = nil
-	}
+	h := &Heart{line: Line{node: n, address: address, kind: streamHeartbeat}}
+	return h, h.line.close
 }
 
 // Beat sends a heartbeat and returns the peer's, and the bytes sent and
 // received. After an error the next call opens a new connection.
 func (h *Heart) Beat(hb pimentopeer.Heartbeat) (pimentopeer.Heartbeat, int, error) {
-	if h.stream == nil {
-		stream, err := h.node.open(h.address, streamHeartbeat)
-		if err != nil {
-			return pimentopeer.Heartbeat{}, 0, err
-		}
-		h.stream = stream
-		h.r = bufio.NewReader(stream)
-	}
-	reply, size, err := h.exchange(hb)
-	if err != nil {
-		h.close()
-		h.node.Drop(h.address)
-		return pimentopeer.Heartbeat{}, size, &Error{Op: "heartbeat", Kind: KindBroken, Peer: h.address, Err: err}
-	}
-	return reply, size, nil
-}
-
-func (h *Heart) exchange(hb pimentopeer.Heartbeat) (pimentopeer.Heartbeat, int, error) {
-	_ = h.stream.SetDeadline(time.Now().Add(controlTimeout))
 	msg := marshalHeartbeat(&hb)
-	if err := writeMessage(h.stream, msg); err != nil {
-		return pimentopeer.Heartbeat{}, len(msg), err
-	}
-	answer, err := readMessage(h.r)
+	answer, err := h.line.Exchange(msg)
 	if err != nil {
 		return pimentopeer.Heartbeat{}, len(msg), err
 	}
+	size := len(msg) + len(answer)
 	reply, err := unmarshalHeartbeat(answer)
-	return reply, len(msg) + len(answer), err
+	if err != nil {
+		h.line.close()
+		h.line.node.Drop(h.line.address)
+		return pimentopeer.Heartbeat{}, size, &Error{Op: "heartbeat", Kind: KindInvalid, Peer: h.line.address, Err: err}
+	}
+	return reply, size, nil
 }
 
-func (n *Node) serveHeartbeat(stream *yamux.Stream, r *bufio.Reader) error {
-	for {
-		_ = stream.SetDeadline(time.Time{})
-		msg, err := readMessage(r)
-		if err != nil {
-			return err
-		}
-		hb, err := unmarshalHeartbeat(msg)
-		if err != nil {
-			return err
-		}
-		reply := n.OnHeartbeat(hb)
-		_ = stream.SetWriteDeadline(time.Now().Add(controlTimeout))
-		if err := writeMessage(stream, marshalHeartbeat(&reply)); err != nil {
-			return err
-		}
+// answerHeartbeat takes a peer's heartbeat and returns the own one.
+func (n *Node) answerHeartbeat(msg []byte) ([]byte, error) {
+	hb, err := unmarshalHeartbeat(msg)
+	if err != nil {
+		return nil, err
 	}
+	reply := n.OnHeartbeat(hb)
+	return marshalHeartbeat(&reply), nil
 }
 
 // message Heartbeat {
--- a/pimentolink/node.go
+++ b/pimentolink/node.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/panjf2000/ants/v2"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoregister"
@@ -28,6 +29,7 @@
 	streamFetch
 	streamHandover
 	streamLearn
+	streamNote
 )
 
 const (
@@ -48,6 +50,8 @@
 
 	// OnHeartbeat takes a peer's heartbeat and returns the own one.
 	OnHeartbeat func(pimentopeer.Heartbeat) pimentopeer.Heartbeat
+	// OnNote takes a peer's note and returns the answer.
+	OnNote func([]byte) ([]byte, error)
 	// OnForward serves a forwarded request.
 	OnForward func(*Incoming)
 	// OnFetch returns the configuration in force.
@@ -178,7 +182,9 @@
 	}
 	switch streamKind(kind) {
 	case streamHeartbeat:
-		err = n.serveHeartbeat(stream, r)
+		err = serveMessages(stream, r, n.answerHeartbeat)
+	case streamNote:
+		err = serveMessages(stream, r, n.OnNote)
 	case streamForward:
 		err = n.serveForward(stream, r)
 	case streamFetch:
@@ -246,6 +252,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := pimentohttp.SetUserTimeout(conn, controlTimeout); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	session, err := yamux.Client(conn, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
--- /dev/null
+++ b/pimentopeer/roster.go
@@ -0,0 +1,210 @@
+package pimentopeer
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentotarget"
+)
+
+// Member is an entry as the entries tell each other of it, where no published
+// list names them.
+type Member struct {
+	Name    pimentotarget.EntryName
+	Address string // IP and port for peers.
+	Region  pimentoregister.RegionName
+	Domain  pimentoregister.DomainName
+	// Run is drawn at each start of the process.
+	Run uint64
+	// Version orders what is said of a member. The member itself raises it.
+	Version uint64
+	// Stopping is set once the member has begun a planned stop.
+	Stopping bool
+	// Gone is set by the members of the same domain when they hear nothing.
+	Gone bool
+}
+
+// wins reports whether a record goes before another one of the same member.
+func (m *Member) wins(other *Member) bool {
+	if m.Version != other.Version {
+		return m.Version > other.Version
+	}
+	return m.Gone && !other.Gone
+}
+
+const (
+	// goneTerm is the time without a word from a member of the own domain after
+	// which it counts as gone.
+	goneTerm = 2500 * time.Millisecond
+	// rosterMemory is the time for which a gone member is remembered, and for
+	// which the greatest size of the domain counts.
+	rosterMemory = time.Minute
+)
+
+// Roster is the set of entries that this one has heard of, from them or from
+// others. It isn't safe for concurrent use.
+type Roster struct {
+	self    Member
+	members map[pimentotarget.EntryName]*rosterEntry
+	sizes   []sizeAt
+}
+
+type rosterEntry struct {
+	Member
+	heardAt time.Duration // Of a word from the member itself, or of the news of it.
+	goneAt  time.Duration
+}
+
+type sizeAt struct {
+	at   time.Duration
+	size int
+}
+
+// NewRoster returns a roster that knows the entry itself only.
+func NewRoster(self Member) *Roster {
+	return &Roster{self: self, members: make(map[pimentotarget.EntryName]*rosterEntry)}
+}
+
+// Self returns the entry's own record.
+func (r *Roster) Self() Member { return r.self }
+
+// Stop marks the entry itself as stopping.
+func (r *Roster) Stop() {
+	r.self.Stopping = true
+	r.self.Version++
+}
+
+// Merge takes what another entry knows.
+func (r *Roster) Merge(now time.Duration, list []Member) {
+	for i := range list {
+		r.merge(now, &list[i])
+	}
+	r.note(now)
+}
+
+func (r *Roster) merge(now time.Duration, m *Member) {
+	if m.Name == r.self.Name {
+		// An older run of this entry, or an untrue word that it is gone.
+		if (m.Run != r.self.Run || m.Gone) && m.Version >= r.self.Version {
+			r.self.Version = m.Version + 1
+		}
+		return
+	}
+	e := r.members[m.Name]
+	if e == nil {
+		r.members[m.Name] = &rosterEntry{Member: *m, heardAt: now, goneAt: now}
+		return
+	}
+	if !m.wins(&e.Member) {
+		return
+	}
+	if m.Gone {
+		e.goneAt = now
+	} else {
+		e.heardAt = now
+	}
+	e.Member = *m
+}
+
+// Heard takes a word from a member itself.
+func (r *Roster) Heard(now time.Duration, m Member) {
+	r.merge(now, &m)
+	if e := r.members[m.Name]; e != nil && e.Run == m.Run {
+		e.heardAt = now
+	}
+	r.note(now)
+}
+
+// Expire marks the members of the own domain that were not heard lately as
+// gone, and forgets those that have been gone for long.
+func (r *Roster) Expire(now time.Duration) {
+	for name, e := range r.members {
+		switch {
+		case e.Gone && now-e.goneAt > rosterMemory:
+			delete(r.members, name)
+		case !e.Gone && e.Domain == r.self.Domain && now-e.heardAt > goneTerm:
+			e.Gone = true
+			e.goneAt = now
+		}
+	}
+	r.note(now)
+}
+
+// note remembers the size of the own domain.
+func (r *Roster) note(now time.Duration) {
+	size := len(r.Domain(r.self.Domain))
+	kept := r.sizes[:0]
+	for _, s := range r.sizes {
+		if now-s.at < rosterMemory && s.size > size {
+			kept = append(kept, s)
+		}
+	}
+	r.sizes = append(kept, sizeAt{at: now, size: size})
+}
+
+// DomainSize returns the greatest number of entries that the own domain had
+// lately.
+func (r *Roster) DomainSize() int {
+	if len(r.sizes) == 0 {
+		return 1
+	}
+	return r.sizes[0].size
+}
+
+// Domain returns the members of a domain that aren't gone, this one included,
+// in the order of their names.
+func (r *Roster) Domain(domain pimentoregister.DomainName) []Member {
+	return r.list(func(m *Member) bool { return m.Domain == domain && !m.Gone })
+}
+
+// Region returns the members of a region that aren't gone or stopping, this one
+// included, in the order of their names.
+func (r *Roster) Region(region pimentoregister.RegionName) []Member {
+	return r.list(func(m *Member) bool { return m.Region == region && !m.Gone && !m.Stopping })
+}
+
+// All returns all records but this entry's, gone ones too.
+func (r *Roster) All() []Member {
+	return r.list(func(m *Member) bool { return m.Name != r.self.Name })
+}
+
+// Size returns the number of members that aren't gone, this one included.
+func (r *Roster) Size() int {
+	return len(r.list(func(m *Member) bool { return !m.Gone }))
+}
+
+func (r *Roster) list(keep func(*Member) bool) []Member {
+	var list []Member
+	if keep(&r.self) {
+		list = append(list, r.self)
+	}
+	for _, e := range r.members {
+		if keep(&e.Member) {
+			list = append(list, e.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Hash is equal for two rosters that know the same.
+func (r *Roster) Hash() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var buf [9]byte
+	for _, m := range r.list(func(*Member) bool { return true }) {
+		_, _ = d.WriteString(string(m.Name))
+		binary.BigEndian.PutUint64(buf[:], m.Version)
+		buf[8] = 0
+		if m.Gone {
+			buf[8] = 1
+		}
+		_, _ = d.Write(buf[:])
+	}
+	return d.Sum64()
+}
--- a/pimentoplatform/client.go
+++ b/pimentoplatform/client.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentotarget"
@@ -25,6 +27,9 @@
 	KindStatus
 	// KindInvalid means that the answer isn't as documented.
 	KindInvalid
+	// KindCompacted means that the changes after a revision are no longer kept,
+	// so that everything must be read again.
+	KindCompacted
 )
 
 // Error is the error type of this package.
@@ -65,6 +70,9 @@
 
 const (
 	defaultWait = 40 * time.Second
+	// dialTimeout bounds the time to open a connection, and the time for which
+	// sent bytes stay without an acknowledgement.
+	dialTimeout = time.Second
 	// maxValue bounds the size in bytes of an answer.
 	maxValue = 2 * pimentoregister.MaxBytes
 )
@@ -77,6 +85,18 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxResponseBodySize:       maxValue,
+		ReadTimeout:               defaultWait,
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := fasthttp.DialTimeout(address, dialTimeout)
+			if err != nil {
+				return nil, err
+			}
+			if err := pimentohttp.SetUserTimeout(conn, dialTimeout); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
+			return conn, nil
+		},
 	}
 	return c, c.http.CloseIdleConnections
 }
@@ -96,36 +116,65 @@
 	return data, err
 }
 
-// get reads from the replicas in turn, one replica a call.
+// get reads a resource with its revision.
 func (c *Client) get(path string, after Revision) (Revision, []byte, error) {
-	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	address := c.Addresses[int(c.next.Load())%len(c.Addresses)]
-	url := "http://" + address + path
+	url := path
 	if after > 0 {
 		url += "?after=" + strconv.FormatUint(uint64(after), 10)
 	}
-	req.SetRequestURI(url)
-	c.calls.Add(1)
-	if err := c.http.DoTimeout(req, resp, c.Wait); err != nil {
-		c.next.Add(1)
-		return 0, nil, &Error{Op: path, Kind: KindUnreachable, Err: err}
+	reply, err := c.Get(url, c.Wait)
+	if err != nil {
+		return 0, nil, err
 	}
-	switch code := resp.StatusCode(); code {
+	switch reply.Status {
 	case fasthttp.StatusOK:
 	case fasthttp.StatusNotModified:
 		return 0, nil, nil
 	default:
+		return 0, nil, &Error{Op: path, Kind: KindStatus, Err: fmt.Errorf("status %d from %s", reply.Status, reply.Address)}
+	}
+	if reply.Revision == 0 {
+		return 0, nil, &Error{Op: path, Kind: KindInvalid, Err: fmt.Errorf("header %s is missing or no number, from %s", revisionHeader, reply.Address)}
+	}
+	return reply.Revision, reply.Body, nil
+}
+
+// Reply is the service's answer to one read.
+type Reply struct {
+	// Address is the replica that answered.
+	Address string
+	Status  int
+	// Revision is from the header, 0 if there was none.
+	Revision Revision
+	Body     []byte
+}
+
+// Get reads a path from the replicas in turn, one replica a call. A status of
+// any kind is no error.
+func (c *Client) Get(path string, timeout time.Duration) (Reply, error) {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	address := c.Addresses[int(c.next.Load())%len(c.Addresses)]
+	req.SetRequestURI("http://" + address + path)
+	c.calls.Add(1)
+	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		c.next.Add(1)
-		return 0, nil, &Error{Op: path, Kind: KindStatus, Err: fmt.Errorf("status %d from %s", code, address)}
+		return Reply{}, &Error{Op: path, Kind: KindUnreachable, Err: fmt.Errorf("%s: %w", address, err)}
 	}
-	rev, err := strconv.ParseUint(string(resp.Header.Peek(revisionHeader)), 10, 64)
-	if err != nil || rev == 0 {
-		return 0, nil, &Error{Op: path, Kind: KindInvalid, Err: fmt.Errorf("header %s: value %q from %s", revisionHeader, resp.Header.Peek(revisionHeader), address)}
+	reply := Reply{Address: address, Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	if reply.Status >= fasthttp.StatusBadRequest {
+		c.next.Add(1)
+	}
+	if text := resp.Header.Peek(revisionHeader); len(text) > 0 {
+		rev, err := strconv.ParseUint(string(text), 10, 64)
+		if err != nil {
+			return Reply{}, &Error{Op: path, Kind: KindInvalid, Err: fmt.Errorf("header %s: value %q from %s", revisionHeader, text, address)}
+		}
+		reply.Revision = Revision(rev)
 	}
-	return Revision(rev), append([]byte(nil), resp.Body()...), nil
+	return reply, nil
 }
 
 // vm is one VM of the published list.
--- a/pimentoretry/quarantine.go
+++ b/pimentoretry/quarantine.go
@@ -121,6 +121,28 @@
 	return *c, true
 }
 
+// Crashes returns how often a request has crashed targets.
+func (q *Quarantine) Crashes(now time.Duration, p Print) int {
+	s := q.suspects[p]
+	if s == nil || now-s.last > quarantineTerm {
+		return 0
+	}
+	return s.count()
+}
+
+// Add notes that a target dropped the connection without an answer, where Allow
+// wasn't asked. It returns the crash to tell peers of, and whether there is news.
+func (q *Quarantine) Add(now time.Duration, p Print, target string) (Crash, bool) {
+	if q.running == nil {
+		q.running = make(map[Print]int)
+	}
+	q.running[p]++
+	return q.Crashed(now, p, target)
+}
+
+// Clear forgets the crashes of a request that was answered.
+func (q *Quarantine) Clear(p Print) { delete(q.suspects, p) }
+
 // Merge takes a peer's news of a crash. It reports whether it was news.
 func (q *Quarantine) Merge(now time.Duration, p Print, in Crash) bool {
 	c := q.suspect(now, p).find(in.Target)
