--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -240,18 +240,69 @@
 	return answers
 }
 
-// askTime bounds one question. Those that outlast the wait still keep their
-// connection.
-const askTime = 400 * time.Millisecond
+const (
+	// askTime bounds one question. Those that outlast the wait still keep their
+	// connection.
+	askTime = 400 * time.Millisecond
+	// reportFresh is the age up to which a report serves other requests too.
+	reportFresh = 8 * time.Millisecond
+)
+
+// question is one question to one target. Other requests that want to know the
+// same at that moment wait for its answer.
+type question struct {
+	done chan struct{} // Closed when the answer is there.
+	err  error
+}
 
-// askOne asks one target.
+// askOne finds out how busy one target is.
 func (g *Gate) askOne(c *call, tg *pimentoroute.Target) *pick {
 	p := &pick{target: tg}
+	f := &g.flow
+	f.mu.Lock()
+	s := f.target(tg.ID)
+	if s.reported && g.now()-s.reportAt < reportFresh {
+		p.report = s.report
+		f.mu.Unlock()
+		g.assess(c, p)
+		return p
+	}
+	if q := s.asking; q != nil {
+		f.mu.Unlock()
+		<-q.done
+		if p.err = q.err; p.err == nil {
+			f.mu.Lock()
+			p.report = s.report
+			f.mu.Unlock()
+			g.assess(c, p)
+		}
+		return p
+	}
+	q := &question{done: make(chan struct{})}
+	s.asking = q
+	f.mu.Unlock()
+	g.question(c, p)
+	f.mu.Lock()
+	s.asking = nil
+	if q.err = p.err; p.err == nil {
+		s.report, s.reportAt, s.reported, s.sentSince = p.report, g.now(), true, 0
+	}
+	f.mu.Unlock()
+	close(q.done)
+	if p.err == nil {
+		g.assess(c, p)
+	}
+	return p
+}
+
+// question asks a target on a connection that the pick keeps.
+func (g *Gate) question(c *call, p *pick) {
+	tg := p.target
 	deadline := time.Now().Add(askTime)
 	p.conn, p.err = g.client.Take(tg.Address, false, deadline)
 	if p.err != nil {
 		g.rest(tg, failRest)
-		return p
+		return
 	}
 	used := p.conn.Used()
 	req := fasthttp.AcquireRequest()
@@ -265,28 +316,30 @@
 	g.metrics.count("pimento_questions_total")
 	p.err = g.client.Do(x)
 	if p.err != nil {
+		p.conn = nil
 		if used {
 			// The connection may have gone silent, and others with it.
 			g.client.ForgetIdle(tg.Address)
 		}
 		g.rest(tg, failRest)
-		return p
+		return
 	}
 	p.report = g.dialect.Report(resp)
 	if p.report.Target != "" && p.report.Target != tg.ID {
 		p.err = errOtherTarget
+		p.release()
 		g.rest(tg, failRest)
 	}
-	if !p.conn.Open() && p.err == nil {
-		// The target answers and closes, so the send needs a new connection.
-		p.conn, p.err = g.client.Take(tg.Address, true, deadline)
-	}
-	if p.err != nil {
-		p.release()
-		return p
+}
+
+// connect gives a pick a connection if it has none that is open.
+func (g *Gate) connect(c *call, p *pick) error {
+	if p.conn != nil && p.conn.Open() {
+		return nil
 	}
-	g.assess(c, p)
-	return p
+	var err error
+	p.conn, err = g.client.Take(p.target.Address, !c.repeatable(), c.until)
+	return err
 }
 
 // maxReport bounds the body in bytes of a target's report.
@@ -305,7 +358,7 @@
 		s.coldUntil = 0
 	}
 	p.cold = s.coldUntil > now
-	running := max(p.report.Running, s.sending)
+	running := max(p.report.Running+s.sentSince, s.sending)
 	slots := max(1, p.report.Slots)
 	if p.report.Slots == 0 {
 		slots = max(1, p.target.Slots)
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -44,6 +44,13 @@
 	failing float64
 	// sending counts this entry's requests that run there.
 	sending int
+	// report is the last one, where there is one, and sentSince counts this
+	// entry's sends after it.
+	report    Report
+	reportAt  time.Duration
+	reported  bool
+	sentSince int
+	asking    *question
 }
 
 const (
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -205,6 +205,9 @@
 	if asking {
 		go func() { (<-picks).drop() }()
 	}
+	if running > 0 {
+		c.mayRan = true
+	}
 	s := &send{pick: first, outcome: o}
 	g.cancelOthers(c, s, running, ended)
 	return s
@@ -279,7 +282,6 @@
 			Address:      p.target.Address,
 			Req:          req,
 			Resp:         new(fasthttp.Response),
-			On:           p.conn,
 			Deadline:     c.until.Add(answerSlack),
 			BodyDeadline: c.until.Add(answerSlack),
 			MaxWhole:     maxWhole,
@@ -295,8 +297,15 @@
 func (g *Gate) do(c *call, s *send) {
 	f := &g.flow
 	f.mu.Lock()
-	f.target(s.pick.target.ID).sending++
+	t := f.target(s.pick.target.ID)
+	t.sending++
+	t.sentSince++
 	f.mu.Unlock()
+	if s.err = g.connect(c, s.pick); s.err != nil {
+		s.outcome = outUnsent
+		return
+	}
+	s.x.On = s.pick.conn
 	if !c.begin(s.x) {
 		s.outcome = outLeft
 		s.pick.release()
@@ -318,6 +327,10 @@
 	switch {
 	case g.dialect.NotRun(resp):
 		return outNotRun
+	case promisesNotRun(resp.StatusCode()) && !c.repeatable():
+		// The target doesn't vouch for what the status says.
+		s.err = errNotGenuine
+		return outBroken
 	case resp.StatusCode() >= 500:
 		return outFailed
 	case resp.StatusCode() < 300 && !g.genuine(c, resp):
@@ -327,6 +340,16 @@
 	return outAnswer
 }
 
+// promisesNotRun reports whether a caller reads a status as the promise that
+// the request hasn't run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func judgeError(c *call, s *send) outcome {
 	var e *pimentohttp.Error
 	switch {
