pimentogate: choice ends where asking on can't help; running median of the work

Cause: the mean of the work was drawn up by slow answers, so no target was expected to meet three quarters of the objective, and three rounds of questions delayed a sixth of the requests by over 100 ms. Ruled out: dials and the order of callers' requests (logged times to the first send).

--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -18,14 +18,16 @@
 	// askAtOnce is the number of targets that are asked together.
 	askAtOnce = 4
 	// maxRounds bounds the rounds of questions for one send.
-	maxRounds = 3
+	maxRounds = 4
 	// nearWait bounds the answer of a target in the same region, and farWait
 	// of one in another region.
 	nearWait = 60 * time.Millisecond
 	farWait  = 140 * time.Millisecond
-	// goodShare is the part of the objective within which a target is expected
-	// to answer for no more targets to be asked.
-	goodShare = 0.75
+	// usualFactor is how many times the usual work still counts as good.
+	usualFactor = 1.15
+	// graceAfterGood is how much longer the others are waited for when a target
+	// has answered that is as good as can be expected.
+	graceAfterGood = 2 * time.Millisecond
 )
 
 // Distances of targets, as what a request and its answer take on the way.
@@ -99,7 +101,9 @@
 	}
 }
 
-// choose asks targets and returns the best one, or nil and the reason.
+// choose asks targets in rounds, the near ones first, and returns the best one,
+// or nil and the reason. It ends when another round could hardly find a better
+// one in time.
 func (g *Gate) choose(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
 	candidates := g.candidates(c, tried)
 	if len(candidates) == 0 {
@@ -107,19 +111,16 @@
 	}
 	var best *pick
 	for range maxRounds {
-		n := min(askAtOnce, len(candidates))
-		if n == 0 {
+		group := g.nextGroup(candidates)
+		if len(group) == 0 || time.Until(c.until) < 0 || c.hasLeft() {
 			break
 		}
-		answers := g.ask(c, candidates[:n])
-		candidates = candidates[n:]
-		best = g.better(c, best, answers)
-		if best != nil && best.expected < time.Duration(goodShare*float64(c.route.Objective)) {
-			break
-		}
-		if time.Until(c.until) < 0 || c.hasLeft() {
+		if best != nil && best.expected <= g.potential(c, group[0]) {
 			break
 		}
+		answers := g.ask(c, group)
+		candidates = candidates[len(group):]
+		best = g.better(c, best, answers)
 	}
 	if best == nil {
 		return nil, reasonBusy
@@ -127,6 +128,29 @@
 	return best, reasonNone
 }
 
+// nextGroup returns the first candidates, as many as are asked at once, and all
+// of them near or all of them far.
+func (g *Gate) nextGroup(candidates []*pimentoroute.Target) []*pimentoroute.Target {
+	n := 0
+	for n < len(candidates) && n < askAtOnce && (candidates[n].Region == g.region) == (candidates[0].Region == g.region) {
+		n++
+	}
+	return candidates[:n]
+}
+
+// potential is the time that an answer takes where a target is asked now and
+// turns out to be idle.
+func (g *Gate) potential(c *call, tg *pimentoroute.Target) time.Duration {
+	return g.usual(c) + 2*g.distance(c, tg)
+}
+
+// usual is a little more than the usual work on a request.
+func (g *Gate) usual(c *call) time.Duration {
+	g.flow.mu.Lock()
+	defer g.flow.mu.Unlock()
+	return time.Duration(usualFactor * float64(g.flow.expected(c.route.Name)))
+}
+
 // better returns the best of a pick and new ones, and releases the others.
 func (g *Gate) better(c *call, best *pick, answers []*pick) *pick {
 	slices.SortFunc(answers, func(a, b *pick) int { return cmp.Compare(a.expected, b.expected) })
@@ -222,14 +246,19 @@
 			r.deliver(&pick{target: tg, err: err})
 		}
 	}
+	good := g.usual(c) + g.distance(c, targets[0])
 	timer := time.NewTimer(min(wait, max(0, time.Until(c.until))))
 	defer timer.Stop()
 	var answers []*pick
 	for range targets {
 		select {
 		case p := <-r.got:
-			if p.err == nil {
-				answers = append(answers, p)
+			if p.err != nil {
+				continue
+			}
+			answers = append(answers, p)
+			if p.expected <= good {
+				timer.Reset(graceAfterGood)
 			}
 		case <-timer.C:
 			return answers
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -24,14 +24,18 @@
 	suspects pimentoretry.Quarantine
 }
 
-// work is the usual time that a target works on a route's requests.
-type work struct{ mean time.Duration }
+// work is the usual time that a target works on a route's requests: a running
+// median, which a few very slow answers don't move.
+type work struct{ median time.Duration }
 
 const (
 	// firstWork is the time assumed before anything was measured.
 	firstWork = 120 * time.Millisecond
-	// workWeight is the weight of a new measurement in the mean.
-	workWeight = 0.1
+	// workStep is the part by which the median moves with each measurement.
+	workStep = 0.04
+	// calmStretch is the stretch in percent up to which an answer counts as a
+	// measurement of the work itself.
+	calmStretch = 115
 )
 
 // targetState is what this entry has learned of one target.
@@ -130,26 +134,29 @@
 // expected returns the usual work on a route's requests.
 func (f *flow) expected(r pimentoroute.RouteName) time.Duration {
 	if w := f.works[r]; w != nil {
-		return w.mean
+		return w.median
 	}
 	return firstWork
 }
 
-// learn takes the time of one answer, for a target that stretched work by a
-// number of percent.
-func (f *flow) learn(r pimentoroute.RouteName, took time.Duration, stretch int) {
+// learn takes the time of one answer of a target that wasn't disturbed when
+// the request was sent.
+func (f *flow) learn(r pimentoroute.RouteName, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.works == nil {
 		f.works = make(map[pimentoroute.RouteName]*work)
 	}
-	took = took * 100 / time.Duration(max(100, stretch))
 	w := f.works[r]
 	if w == nil {
-		f.works[r] = &work{mean: took}
-		return
+		w = &work{median: firstWork}
+		f.works[r] = w
+	}
+	step := time.Duration(workStep * float64(w.median))
+	if took < w.median {
+		step = -step
 	}
-	w.mean += time.Duration(workWeight * float64(took-w.mean))
+	w.median += step
 }
 
 // repeat takes one repeat from this entry's share for a service.
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -391,7 +391,9 @@
 	bad := 0.0
 	switch s.outcome {
 	case outAnswer:
-		g.flow.learn(c.route.Name, time.Since(s.started), s.pick.report.Stretch)
+		if r := &s.pick.report; r.Stretch <= calmStretch && r.Running < r.Slots {
+			g.flow.learn(c.route.Name, time.Since(s.started)-g.distance(c, tg))
+		}
 		g.passed(c)
 	case outNotRun:
 		g.rest(tg, shedRest)
