--- /dev/null
+++ b/pimentofeed/state_test.go
@@ -0,0 +1,234 @@
+package pimentofeed
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/easyproto"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// source is what the platform publishes, with its history. It is the oracle.
+type source struct {
+	items   map[string]Item
+	history []Item
+	rev     Revision
+	dropped Revision // Changes up to here are no longer told.
+}
+
+func (s *source) change(key, value string) {
+	s.rev++
+	it := Item{Key: key, Value: []byte(value), Revision: s.rev, Removed: value == ""}
+	if it.Removed {
+		it.Value = nil
+		delete(s.items, key)
+	} else {
+		s.items[key] = it
+	}
+	s.history = append(s.history, it)
+}
+
+func (s *source) read() Update {
+	u := Update{Full: true, AsOf: s.rev}
+	for _, it := range s.items {
+		u.Items = append(u.Items, it)
+	}
+	return u
+}
+
+// watch returns the changes after a revision, or false if they were dropped.
+func (s *source) watch(after Revision) (Update, bool) {
+	if after < s.dropped {
+		return Update{}, false
+	}
+	u := Update{From: after, AsOf: s.rev}
+	for _, it := range s.history {
+		if it.Revision > after {
+			u.Items = append(u.Items, it)
+		}
+	}
+	return u, true
+}
+
+// at returns what existed at a revision.
+func (s *source) at(rev Revision) map[string]string {
+	m := make(map[string]string)
+	for _, it := range s.history {
+		if it.Revision > rev {
+			break
+		}
+		if it.Removed {
+			delete(m, it.Key)
+		} else {
+			m[it.Key] = string(it.Value)
+		}
+	}
+	return m
+}
+
+func contents(s *State) map[string]string {
+	m := make(map[string]string)
+	for _, it := range s.Live() {
+		m[it.Key] = string(it.Value)
+	}
+	return m
+}
+
+// transfer sends an update through its wire form.
+func transfer(t interface{ Fatalf(string, ...any) }, u Update) Update {
+	var mp easyproto.MarshalerPool
+	m := mp.Get()
+	u.Marshal(m.MessageMarshaler())
+	var out Update
+	if err := out.Unmarshal(m.Marshal(nil)); err != nil {
+		t.Fatalf("unmarshal: %v", err)
+	}
+	return out
+}
+
+// Copies that read the source, hear each other in any order, get old updates
+// again and restart never go back, and each holds exactly what was published at
+// the revision that it claims.
+func TestCopiesAgreeWithHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		src := &source{items: make(map[string]Item)}
+		copies := make([]*State, 4)
+		for i := range copies {
+			copies[i] = new(State)
+		}
+		var old []Update
+		key := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"})
+		pick := rapid.IntRange(0, len(copies)-1)
+		now := time.Duration(0)
+		merge := func(s *State, u Update) {
+			before := s.AsOf()
+			s.Merge(now, transfer(t, u))
+			if s.AsOf() < before {
+				t.Fatalf("went back from %d to %d", before, s.AsOf())
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"set":     func(t *rapid.T) { src.change(key.Draw(t, "key"), fmt.Sprint(src.rev)) },
+			"remove":  func(t *rapid.T) { src.change(key.Draw(t, "key"), "") },
+			"compact": func(t *rapid.T) { src.dropped = src.rev },
+			"read":    func(t *rapid.T) { merge(copies[pick.Draw(t, "copy")], src.read()) },
+			"watch": func(t *rapid.T) {
+				s := copies[pick.Draw(t, "copy")]
+				if u, ok := src.watch(s.AsOf()); ok && s.AsOf() > 0 {
+					merge(s, u)
+				}
+			},
+			"tell": func(t *rapid.T) {
+				from, to := copies[pick.Draw(t, "from")], copies[pick.Draw(t, "to")]
+				u := from.Since(now, to.AsOf())
+				old = append(old, u)
+				merge(to, u)
+			},
+			"replay": func(t *rapid.T) {
+				if len(old) > 0 {
+					merge(copies[pick.Draw(t, "to")], old[rapid.IntRange(0, len(old)-1).Draw(t, "old")])
+				}
+			},
+			"restart": func(t *rapid.T) { copies[pick.Draw(t, "copy")] = new(State) },
+			"": func(t *rapid.T) {
+				now += time.Millisecond
+				for i, s := range copies {
+					want := src.at(s.AsOf())
+					if got := contents(s); s.AsOf() > 0 && !maps.Equal(got, want) {
+						t.Fatalf("copy %d as of %d has %v, want %v", i, s.AsOf(), got, want)
+					}
+				}
+			},
+		})
+	})
+}
+
+// A removal that a full read shows only by what is missing reaches a copy that
+// is older than the full read.
+func TestRemovalIsToldAfterFullRead(t *testing.T) {
+	is := is.New(t)
+	var a, b State
+	full := Update{Full: true, AsOf: 10, Items: []Item{{Key: "x", Revision: 3}, {Key: "y", Revision: 4}}}
+	a.Merge(0, full)
+	b.Merge(0, full)
+	a.Merge(0, Update{Full: true, AsOf: 20, Items: []Item{{Key: "y", Revision: 4}}})
+	u := a.Since(0, b.AsOf())
+	is.True(u.Full) // a can't tell what happened between 10 and 20
+	changed := b.Merge(0, u)
+	is.Equal(len(changed), 1)
+	is.Equal(len(b.Live()), 1)
+	is.Equal(b.Live()[0].Key, "y")
+}
+
+// An update that begins after what a state knows leaves a gap, so it is ignored.
+func TestGapIsIgnored(t *testing.T) {
+	is := is.New(t)
+	var s State
+	s.Merge(0, Update{Full: true, AsOf: 5})
+	s.Merge(0, Update{From: 7, AsOf: 9, Items: []Item{{Key: "x", Revision: 8}}})
+	is.Equal(s.AsOf(), Revision(5))
+	is.Equal(len(s.Live()), 0)
+}
+
+// Many removals are forgotten, and copies older than that get everything.
+func TestRemovalsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var s State
+	s.Merge(0, Update{Full: true, AsOf: 1})
+	for i := range 3 * maxRemoved {
+		rev := Revision(2 + 2*i)
+		key := fmt.Sprint("k", i)
+		s.Merge(0, Update{From: rev - 1, AsOf: rev, Items: []Item{{Key: key, Revision: rev}}})
+		s.Merge(0, Update{From: rev, AsOf: rev + 1, Items: []Item{{Key: key, Revision: rev + 1, Removed: true}}})
+	}
+	is.True(len(s.items) <= maxRemoved+1)
+	is.True(s.Since(0, 1).Full)
+	is.True(!s.Since(0, s.AsOf()-2).Full)
+}
+
+// The age is the least that any update or reader has confirmed.
+func TestAge(t *testing.T) {
+	is := is.New(t)
+	var s State
+	_, known := s.Age(0)
+	is.True(!known)
+	s.Merge(10*time.Second, Update{Full: true, AsOf: 5, Age: 3 * time.Second})
+	age, known := s.Age(11 * time.Second)
+	is.True(known)
+	is.Equal(age, 4*time.Second)
+	s.Confirm(12*time.Second, 6*time.Second) // Older than what is known.
+	age, _ = s.Age(12 * time.Second)
+	is.Equal(age, 5*time.Second)
+	s.Doubt()
+	_, known = s.Age(12 * time.Second)
+	is.True(!known)
+}
+
+// The wire form is the same for the same update.
+func TestSinceIsOrdered(t *testing.T) {
+	is := is.New(t)
+	var s State
+	s.Merge(0, Update{Full: true, AsOf: 9, Items: []Item{{Key: "b", Revision: 7}, {Key: "a", Revision: 3}, {Key: "c", Revision: 5}}})
+	u := s.Since(0, 0)
+	is.True(slices.IsSortedFunc(u.Items, func(a, b Item) int { return int(a.Revision) - int(b.Revision) }))
+}
+
+// FuzzUpdate feeds any bytes to the reader of updates.
+func FuzzUpdate(f *testing.F) {
+	var mp easyproto.MarshalerPool
+	m := mp.Get()
+	u := Update{From: 3, AsOf: 9, Items: []Item{{Key: "k", Value: []byte("v"), Revision: 5}}}
+	u.Marshal(m.MessageMarshaler())
+	f.Add(m.Marshal(nil))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var u Update
+		if u.Unmarshal(data) == nil {
+			var s State
+			s.Merge(0, u)
+		}
+	})
+}
--- a/pimentopeer/roster.go
+++ b/pimentopeer/roster.go
@@ -90,7 +90,8 @@
 func (r *Roster) merge(now time.Duration, m *Member) {
 	if m.Name == r.self.Name {
 		// An older run of this entry, or an untrue word that it is gone.
-		if (m.Run != r.self.Run || m.Gone) && m.Version >= r.self.Version {
+		untrue := m.Run != r.self.Run || m.Gone
+		if m.Version > r.self.Version || (untrue && m.Version == r.self.Version) {
 			r.self.Version = m.Version + 1
 		}
 		return
--- /dev/null
+++ b/pimentopeer/roster_test.go
@@ -0,0 +1,107 @@
+package pimentopeer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentotarget"
+)
+
+func member(name, domain string, version uint64) Member {
+	return Member{Name: pimentotarget.EntryName(name), Domain: pimentoregister.DomainName(domain), Region: "r", Run: version, Version: version, Address: name}
+}
+
+func TestGoneIsToldAndRefuted(t *testing.T) {
+	is := is.New(t)
+	a, b, c := NewRoster(member("a", "d", 1)), NewRoster(member("b", "d", 1)), NewRoster(member("c", "e", 1))
+	for _, r := range []*Roster{a, b, c} {
+		r.Merge(0, []Member{a.Self(), b.Self(), c.Self()})
+	}
+	is.Equal(a.Size(), 3)
+	later := goneTerm + time.Millisecond
+	a.Expire(later)
+	is.Equal(a.Size(), 2)         // b is gone; c is of another domain.
+	c.Merge(later, a.All())       // c hears it,
+	is.Equal(c.Size(), 2)         //
+	b.Merge(later, c.All())       // and b hears of itself.
+	is.True(b.Self().Version > 1) //
+	a.Heard(later, b.Self())
+	is.Equal(a.Size(), 3)
+	is.Equal(a.DomainSize(), 2)
+}
+
+func TestRestartGoesBeforeTheOldRun(t *testing.T) {
+	is := is.New(t)
+	peer := NewRoster(member("p", "d", 1))
+	peer.Heard(0, member("a", "d", 1000))
+	a := NewRoster(member("a", "d", 5)) // Restarted with an earlier clock.
+	a.Merge(0, peer.All())
+	is.True(a.Self().Version > 1000)
+	peer.Heard(0, a.Self())
+	is.Equal(peer.All()[0].Run, uint64(5))
+}
+
+func TestDomainSizeIsTheGreatestOfLate(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(member("a", "d", 1))
+	r.Merge(0, []Member{member("b", "d", 1), member("c", "d", 1)})
+	r.Expire(goneTerm + 1)
+	is.Equal(len(r.Domain("d")), 1)
+	is.Equal(r.DomainSize(), 3)
+	r.Expire(rosterMemory + goneTerm + 2)
+	is.Equal(r.DomainSize(), 1)
+}
+
+// Rosters that hear each other in any order agree in the end, and none that is
+// up counts as gone then.
+func TestRostersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const size = 4
+		rosters := make([]*Roster, size)
+		for i := range rosters {
+			rosters[i] = NewRoster(member(string(rune('a'+i)), "d", uint64(i+1)))
+		}
+		now := time.Duration(0)
+		talk := func(i, j int) {
+			rosters[j].Heard(now, rosters[i].Self())
+			rosters[j].Merge(now, rosters[i].All())
+		}
+		pick := rapid.IntRange(0, size-1)
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			i := pick.Draw(t, "from")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				rosters[i].Expire(now)
+			case 1:
+				old := rosters[i].Self()
+				rosters[i] = NewRoster(member(string(old.Name), "d", rapid.Uint64Range(1, 5).Draw(t, "version")))
+			default:
+				if j := pick.Draw(t, "to"); j != i {
+					talk(i, j)
+				}
+			}
+		}
+		for range 4 {
+			for i := range rosters {
+				for j := range rosters {
+					if i != j {
+						talk(i, j)
+					}
+				}
+			}
+		}
+		for i, r := range rosters {
+			if r.Size() != size {
+				t.Fatalf("roster %d counts %d entries, want %d: %+v", i, r.Size(), size, r.All())
+			}
+			if r.Hash() != rosters[0].Hash() {
+				t.Fatalf("rosters 0 and %d differ: %+v and %+v", i, append(rosters[0].All(), rosters[0].Self()), append(r.All(), r.Self()))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pimentotarget/cold_test.go
@@ -0,0 +1,42 @@
+package pimentotarget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever the entries of a domain do: in any second a cold target gets no more
+// than the limit, while each entry counts at least as many entries as there are.
+func TestColdSharesKeepTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0, 30).Draw(t, "limit")
+		entries := rapid.IntRange(1, 8).Draw(t, "entries")
+		gates := make([]ColdGate, entries)
+		counted := make([]int, entries)
+		for i := range counted {
+			counted[i] = entries + rapid.IntRange(0, 2).Draw(t, "more")
+		}
+		var sent []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, entries-1).Draw(t, "entry")
+			if gates[i].Take(now, ColdShare(limit, counted[i], i)) {
+				sent = append(sent, now)
+			}
+		}
+		for i, end := range sent {
+			n := 0
+			for _, at := range sent[:i+1] {
+				if end-at <= coldWindow {
+					n++
+				}
+			}
+			if float64(n) > limit {
+				t.Fatalf("%d requests in the second up to %v, the limit is %.1f", n, end, limit)
+			}
+		}
+	})
+}
