--- a/pimentogate/fleet.go
+++ b/pimentogate/fleet.go
@@ -326,7 +326,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.roster.Expire(now)
-	kept := f.crashes[:0]
+	var kept []crashNews // A new list, since notes may still hold the old one.
 	for _, n := range f.crashes {
 		if now-n.at < crashMemory {
 			kept = append(kept, n)
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -189,8 +189,11 @@
 			if p != nil && g.worthHedging(c, p) && g.repeat(c) {
 				g.metrics.repeated("hedge")
 				launch(p)
-			} else {
-				p.drop()
+				continue
+			}
+			p.drop()
+			if late := c.route.Objective - time.Since(c.received); late > 0 {
+				hedge.Reset(late + hedgeLeast)
 			}
 		case <-deadline.C:
 			return g.cutShort(c, first, outTimeout, running, asking, ended, picks)
