--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -11,15 +10,10 @@
 	"pimentoarch/pimentotarget"
 )
 
-// readyWait is the time after the start for which an entry waits for the
-// others before it is ready.
-const readyWait = 700 * time.Millisecond
-
 // ready reports whether the balancer may send callers here.
 func (g *Gate) ready() bool {
 	t := g.table.Load()
-	return !g.stopping.Load() && t != nil && t.Config != nil && len(t.Targets) > 0 &&
-		(g.now() > readyWait || g.fleetSize.Load() > 0)
+	return !g.stopping.Load() && t != nil && t.Config != nil && len(t.Targets) > 0
 }
 
 // readyServer answers the balancer's question.
--- a/pimentogate/fleet.go
+++ b/pimentogate/fleet.go
@@ -26,6 +26,7 @@
 	wanted  bool                     // This entry should read.
 	crashes []crashNews
 	changed chan struct{} // Closed and replaced when there is something to tell.
+	fresher chan struct{} // Closed and replaced when the state was confirmed anew.
 }
 
 // lapse is a target whose entry went while the platform was away. It may be
@@ -51,6 +52,7 @@
 		roster:  pimentopeer.NewRoster(self),
 		readers: make(map[string]time.Duration),
 		changed: make(chan struct{}),
+		fresher: make(chan struct{}),
 	}
 }
 
@@ -60,6 +62,20 @@
 	f.changed = make(chan struct{})
 }
 
+// freshGain is how much younger the state must become for the neighbours to be
+// told at once.
+const freshGain = 300 * time.Millisecond
+
+// confirm notes the age of the state. It is called with mu held.
+func (f *fleet) confirm(now, age time.Duration) {
+	before, known := f.state.Age(now)
+	f.state.Confirm(now, age)
+	if !known || before-age > freshGain {
+		close(f.fresher)
+		f.fresher = make(chan struct{})
+	}
+}
+
 // tell notes a crash for the other entries.
 func (f *fleet) tell(n crashNews) {
 	f.mu.Lock()
@@ -223,6 +239,12 @@
 		// What this entry reads itself says nothing of the others.
 		age, known = 0, true
 	}
+	if f.state.AsOf() == 0 {
+		return now > g.firstRead
+	}
+	if now < joinWait {
+		return false
+	}
 	rank, earlier := 0, false
 	for _, m := range f.roster.Region(g.region) {
 		if m.Name == g.settings.Name {
@@ -233,8 +255,8 @@
 			earlier = true
 		}
 	}
-	if now < joinWait && f.state.AsOf() > 0 {
-		return false
+	if now < settleTime {
+		rank += startRank
 	}
 	wanted := f.reader.Decide(now, rank, earlier, age, known)
 	if wanted != f.wanted {
@@ -247,9 +269,18 @@
 const (
 	// readerTerm is the time for which a member's word that it reads holds.
 	readerTerm = 2 * time.Second
-	// joinWait is the time after the start for which an entry that has read the
-	// platform once waits for the others before it reads on.
-	joinWait = 600 * time.Millisecond
+	// joinWait is the time after the start for which an entry that knows
+	// something waits for the others before it reads the platform.
+	joinWait = 900 * time.Millisecond
+	// settleTime is the time after the start for which an entry may not know all
+	// others of its region. It counts startRank more before itself until then.
+	settleTime = 3 * time.Second
+	startRank  = 5
+	// firstReadWait and firstReadSpread make the time after the start at which
+	// an entry that isn't a seed and that no other entry has told anything reads
+	// the platform.
+	firstReadWait   = 350 * time.Millisecond
+	firstReadSpread = 350 * time.Millisecond
 )
 
 // setReading notes whether reading the platform works.
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 	fleetSize  atomic.Int64 // Entries that share limits; 0 while not known.
 	domainSize atomic.Int64 // Entries of the own domain; 0 while not known.
 	domainRank atomic.Int64
+	firstRead  time.Duration // When the platform is read if nobody has told anything.
 	seedList   atomic.Pointer[[]string]
 	stopping   atomic.Bool // A planned stop has begun.
 }
@@ -99,6 +101,9 @@
 		Run: rand.Uint64() | 1, Version: uint64(time.Now().UnixMilli()),
 	})
 	g.seedList.Store(&s.Seeds)
+	if s.First && len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.Peers) {
+		g.firstRead = firstReadWait + spreadOf(firstReadSpread)
+	}
 	g.client = pimentohttp.Client{MaxIdle: targetIdle, DialTimeout: targetDial, UserTimeout: targetSilence, Redial: true}
 	g.node = pimentolink.Node{Log: logger, Workers: workers, OnNote: g.onNote}
 	g.addGauges()
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -43,6 +43,9 @@
 	Seeds []string `json:"seeds"`
 	// Platform lists the replicas of the platform's store.
 	Platform []string `json:"platform"`
+	// First is set when the whole fleet starts for the first time, so that there
+	// is time to hear from others what is published.
+	First bool `json:"first"`
 	// Grace is the time from a stop signal until the process is killed.
 	Grace Duration `json:"grace"`
 	// Ratio and Repeats bound the repeats to a service in each Window, all
--- a/pimentogate/talk.go
+++ b/pimentogate/talk.go
@@ -16,6 +16,8 @@
 	// same domain and of another one, when nothing changes.
 	nearBeat = 500 * time.Millisecond
 	farBeat  = 700 * time.Millisecond
+	// goneBeat is the time between two notes to an entry that counts as gone.
+	goneBeat = 2 * time.Second
 	// seedBeat is the time between two notes to a seed while no entry is known.
 	seedBeat = 300 * time.Millisecond
 	// talkTime bounds the exchange of one note.
@@ -74,7 +76,8 @@
 }
 
 // partners returns the addresses to talk to and the time between two notes.
-// Of two entries the one whose name comes first talks to the other.
+// Of two entries of different domains the one whose name comes first talks to
+// the other.
 func (g *Gate) partners() map[string]time.Duration {
 	f := g.fleet
 	f.mu.Lock()
@@ -89,10 +92,12 @@
 			if !m.Gone {
 				domains[string(m.Domain)] = append(domains[string(m.Domain)], m)
 			}
-		case m.Gone:
-			wanted[m.Address] = 2 * time.Second
-		case g.settings.Name < m.Name:
-			wanted[m.Address] = nearBeat
+		}
+	}
+	for _, m := range f.roster.Successors() {
+		wanted[m.Address] = nearBeat
+		if m.Gone {
+			wanted[m.Address] = goneBeat
 		}
 	}
 	rank := ownRank(f.roster.Domain(g.settings.Domain), g.settings.Name)
@@ -129,11 +134,14 @@
 	line.Timeout = talkTime
 	defer closeLine()
 	for ctx.Err() == nil {
-		changed := t.gate.fleet.changes()
+		changed, fresher := t.gate.fleet.changes()
+		if t.beat != nearBeat {
+			fresher = nil // The bytes between domains are paid for.
+		}
 		wait := t.beat
 		if !t.exchange(line.Exchange) {
 			wait = max(talkRest, t.beat)
-			changed = nil
+			changed, fresher = nil, nil
 		}
 		if !pause(ctx, talkGap) {
 			return
@@ -142,6 +150,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-fresher:
 		case <-time.After(wait - spreadOf(wait/5)):
 		}
 	}
@@ -157,11 +166,12 @@
 	}
 }
 
-// changes returns a channel that is closed when there is something to tell.
-func (f *fleet) changes() <-chan struct{} {
+// changes returns a channel that is closed when there is something to tell, and
+// one that is closed when the state was confirmed anew.
+func (f *fleet) changes() (changed, fresher <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.changed
+	return f.changed, f.fresher
 }
 
 // exchange sends one note and takes the answer.
@@ -237,7 +247,6 @@
 	now := g.now()
 	f := g.fleet
 	f.mu.Lock()
-	before := f.roster.Hash()
 	f.roster.Heard(now, n.self)
 	f.roster.Merge(now, n.members)
 	if n.reads {
@@ -245,9 +254,6 @@
 	} else {
 		delete(f.readers, string(n.self.Name))
 	}
-	if f.roster.Hash() != before {
-		f.touch()
-	}
 	asOf := f.state.AsOf()
 	f.mu.Unlock()
 	if n.update != nil {
@@ -259,7 +265,7 @@
 	} else if n.age >= 0 && n.asOf >= asOf {
 		f.mu.Lock()
 		if n.asOf >= f.state.AsOf() {
-			f.state.Confirm(now, time.Duration(n.age)*time.Millisecond)
+			f.confirm(now, time.Duration(n.age)*time.Millisecond)
 		}
 		f.mu.Unlock()
 	}
--- a/pimentopeer/roster.go
+++ b/pimentopeer/roster.go
@@ -58,6 +58,9 @@
 	Member
 	heardAt time.Duration // Of a word from the member itself, or of the news of it.
 	goneAt  time.Duration
+	// besideSince is when the member became a neighbour, where it is one.
+	besideSince time.Duration
+	beside      bool
 }
 
 type sizeAt struct {
@@ -121,14 +124,15 @@
 	r.note(now)
 }
 
-// Expire marks the members of the own domain that were not heard lately as
-// gone, and forgets those that have been gone for long.
+// Expire marks the neighbours that were not heard lately as gone, and forgets
+// members that have been gone for long.
 func (r *Roster) Expire(now time.Duration) {
+	r.markNeighbours(now)
 	for name, e := range r.members {
 		switch {
 		case e.Gone && now-e.goneAt > rosterMemory:
 			delete(r.members, name)
-		case !e.Gone && e.Domain == r.self.Domain && now-e.heardAt > goneTerm:
+		case !e.Gone && e.beside && now-max(e.heardAt, e.besideSince) > goneTerm:
 			e.Gone = true
 			e.goneAt = now
 		}
@@ -136,6 +140,71 @@
 	r.note(now)
 }
 
+// markNeighbours notes the members with which this entry exchanges notes.
+func (r *Roster) markNeighbours(now time.Duration) {
+	ring := r.Domain(r.self.Domain)
+	beside := make(map[pimentotarget.EntryName]bool)
+	for i, m := range ring {
+		for _, next := range successors(ring, i) {
+			switch r.self.Name {
+			case m.Name:
+				beside[next.Name] = true
+			case next.Name:
+				beside[m.Name] = true
+			}
+		}
+	}
+	for name, e := range r.members {
+		if beside[name] && !e.beside {
+			e.besideSince = now
+		}
+		e.beside = beside[name]
+	}
+}
+
+// smallRing is the number of entries up to which the second link of each is to
+// the next but one.
+const smallRing = 8
+
+// successors returns the members to which the one at a place in a ring talks:
+// the next one, and one farther away, so that news takes few steps.
+func successors(ring []Member, place int) []Member {
+	n := len(ring)
+	far := 2
+	if n > smallRing {
+		far = n / 3
+	}
+	var list []Member
+	for _, step := range []int{1, far} {
+		if step%n != 0 {
+			list = append(list, ring[(place+step)%n])
+		}
+	}
+	return list
+}
+
+// Successors returns the members of the own domain that this entry talks to.
+// Those that are gone are among them, so that they are found when they are back.
+func (r *Roster) Successors() []Member {
+	list := r.successorsIn(r.Domain(r.self.Domain))
+	all := r.list(func(m *Member) bool { return m.Domain == r.self.Domain })
+	for _, m := range r.successorsIn(all) {
+		if m.Gone {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (r *Roster) successorsIn(ring []Member) []Member {
+	for i, m := range ring {
+		if m.Name == r.self.Name {
+			return successors(ring, i)
+		}
+	}
+	return nil
+}
+
 // note remembers the size of the own domain.
 func (r *Roster) note(now time.Duration) {
 	size := len(r.Domain(r.self.Domain))
--- a/pimentopeer/roster_test.go
+++ b/pimentopeer/roster_test.go
@@ -22,6 +22,7 @@
 		r.Merge(0, []Member{a.Self(), b.Self(), c.Self()})
 	}
 	is.Equal(a.Size(), 3)
+	a.Expire(0)
 	later := goneTerm + time.Millisecond
 	a.Expire(later)
 	is.Equal(a.Size(), 2)         // b is gone; c is of another domain.
@@ -49,6 +50,7 @@
 	is := is.New(t)
 	r := NewRoster(member("a", "d", 1))
 	r.Merge(0, []Member{member("b", "d", 1), member("c", "d", 1)})
+	r.Expire(0)
 	r.Expire(goneTerm + 1)
 	is.Equal(len(r.Domain("d")), 1)
 	is.Equal(r.DomainSize(), 3)
@@ -56,6 +58,45 @@
 	is.Equal(r.DomainSize(), 1)
 }
 
+// Whatever the size of a domain, news reaches all of it in a few steps, also
+// when any one entry is gone.
+func TestRingIsShort(t *testing.T) {
+	for n := 2; n <= 60; n++ {
+		for gone := range n {
+			var ring []Member
+			for i := range n {
+				if i != gone || n == 2 {
+					ring = append(ring, member(string(rune('A'+i)), "d", 1))
+				}
+			}
+			steps := map[int]int{0: 0}
+			for queue := []int{0}; len(queue) > 0; queue = queue[1:] {
+				for i := range ring {
+					for _, m := range successors(ring, i) {
+						j := int(m.Name[0]-'A')
+						for k := range ring {
+							if ring[k].Name == m.Name {
+								j = k
+							}
+						}
+						for _, pair := range [][2]int{{i, j}, {j, i}} {
+							if _, known := steps[pair[1]]; pair[0] == queue[0] && !known {
+								steps[pair[1]] = steps[queue[0]] + 1
+								queue = append(queue, pair[1])
+							}
+						}
+					}
+				}
+			}
+			for i := range ring {
+				if d, known := steps[i]; !known || d > 2+n/6 {
+					t.Fatalf("%d entries without %d: entry %d is %d steps away (reached %v)", n, gone, i, d, known)
+				}
+			}
+		}
+	}
+}
+
 // Rosters that hear each other in any order agree in the end, and none that is
 // up counts as gone then.
 func TestRostersAgree(t *testing.T) {
