--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -148,7 +148,7 @@
 func (g *Gate) usual(c *call) time.Duration {
 	g.flow.mu.Lock()
 	defer g.flow.mu.Unlock()
-	return time.Duration(usualFactor * float64(g.flow.expected(c.route.Name)))
+	return time.Duration(usualFactor * float64(g.flow.work(c.route).alone))
 }
 
 // better returns the best of a pick and new ones, and releases the others.
@@ -392,12 +392,15 @@
 	if p.report.Slots == 0 {
 		slots = max(1, p.target.Slots)
 	}
-	run := f.expected(c.route.Name) * time.Duration(max(1, p.report.Stretch)) / 100
+	w := f.work(c.route)
+	run := w.alone
+	if running > 0 {
+		run = w.beside
+	}
+	run = run * time.Duration(max(1, p.report.Stretch)) / 100
 	expected := g.distance(c, p.target) + run
 	if running >= slots {
 		expected += run * time.Duration(p.report.Waiting+running-slots+1) / time.Duration(slots)
-	} else {
-		expected += run * time.Duration(running) / time.Duration(4*slots)
 	}
 	expected += time.Duration(s.failing * float64(failPenalty))
 	if !p.report.Healthy {
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -24,20 +24,39 @@
 	suspects pimentoretry.Quarantine
 }
 
-// work is the usual time that a target works on a route's requests: a running
-// median, which a few very slow answers don't move.
-type work struct{ median time.Duration }
+// work is the usual time that a target works on a route's requests, with none
+// or some others beside them: running medians, which a few very slow answers
+// don't move.
+type work struct{ alone, beside time.Duration }
 
 const (
-	// firstWork is the time assumed before anything was measured.
-	firstWork = 120 * time.Millisecond
-	// workStep is the part by which the median moves with each measurement.
+	// firstShare is the part of the objective that the work takes until it was
+	// measured, and besideFactor how many times longer it takes beside others.
+	firstShare   = 0.38
+	besideFactor = 1.25
+	// workStep is the part by which a median moves with each measurement.
 	workStep = 0.04
+	// leastWork is the time below which an answer wasn't worked for.
+	leastWork = 10 * time.Millisecond
 	// calmStretch is the stretch in percent up to which an answer counts as a
 	// measurement of the work itself.
 	calmStretch = 115
 )
 
+// work returns what is known of a route's work. It is called with mu held.
+func (f *flow) work(r *pimentoroute.Route) *work {
+	if f.works == nil {
+		f.works = make(map[pimentoroute.RouteName]*work)
+	}
+	w := f.works[r.Name]
+	if w == nil {
+		first := time.Duration(firstShare * float64(r.Objective))
+		w = &work{alone: first, beside: time.Duration(besideFactor * float64(first))}
+		f.works[r.Name] = w
+	}
+	return w
+}
+
 // targetState is what this entry has learned of one target.
 type targetState struct {
 	cold      pimentotarget.ColdGate
@@ -131,32 +150,25 @@
 	return s.Next(r.Parts)
 }
 
-// expected returns the usual work on a route's requests.
-func (f *flow) expected(r pimentoroute.RouteName) time.Duration {
-	if w := f.works[r]; w != nil {
-		return w.median
-	}
-	return firstWork
-}
-
 // learn takes the time of one answer of a target that wasn't disturbed when
-// the request was sent.
-func (f *flow) learn(r pimentoroute.RouteName, took time.Duration) {
+// the request was sent, beside a number of others.
+func (f *flow) learn(r *pimentoroute.Route, took time.Duration, others int) {
+	if took < leastWork {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.works == nil {
-		f.works = make(map[pimentoroute.RouteName]*work)
-	}
-	w := f.works[r]
-	if w == nil {
-		w = &work{median: firstWork}
-		f.works[r] = w
+	w := f.work(r)
+	median := &w.alone
+	if others > 0 {
+		median = &w.beside
 	}
-	step := time.Duration(workStep * float64(w.median))
-	if took < w.median {
+	step := time.Duration(workStep * float64(*median))
+	if took < *median {
 		step = -step
 	}
-	w.median += step
+	*median += step
+	w.beside = max(w.beside, w.alone)
 }
 
 // repeat takes one repeat from this entry's share for a service.
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -395,7 +395,7 @@
 	switch s.outcome {
 	case outAnswer:
 		if r := &s.pick.report; r.Stretch <= calmStretch && r.Running < r.Slots {
-			g.flow.learn(c.route.Name, time.Since(s.started)-g.distance(c, tg))
+			g.flow.learn(c.route, time.Since(s.started)-g.distance(c, tg), r.Running)
 		}
 		g.passed(c)
 	case outNotRun:
--- a/pimentogate/talk.go
+++ b/pimentogate/talk.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// nearBeat and farBeat are the times between two notes to an entry of the
-	// same domain and of another one, when nothing changes.
+	// nearBeat is the time between two notes to an entry of the same domain, and
+	// farBeat to one of another domain, when nothing changes. Changes travel to
+	// other regions with these notes only, since each region reads the platform.
 	nearBeat = 500 * time.Millisecond
-	farBeat  = 700 * time.Millisecond
+	farBeat  = 1000 * time.Millisecond
 	// goneBeat is the time between two notes to an entry that counts as gone.
 	goneBeat = 2 * time.Second
 	// seedBeat is the time between two notes to a seed while no entry is known.
@@ -33,15 +34,22 @@
 	talkLook = 300 * time.Millisecond
 )
 
+// partner says how an entry is talked to.
+type partner struct {
+	beat time.Duration // The time between two notes when nothing changes.
+	// changed and fresher say whether it is told at once when something has
+	// changed, and when the state was confirmed anew.
+	changed, fresher bool
+}
+
 // talker sends notes to one address.
 type talker struct {
 	gate    *Gate
 	address string
-	beat    time.Duration
-	cancel  context.CancelFunc
+	partner
+	cancel context.CancelFunc
 
-	knownAsOf pimentofeed.Revision // What the peer has said that it knows.
-	knownHash uint64
+	knownHash uint64 // Of the peer's roster.
 }
 
 // keepTalking starts and ends talkers as members come and go, until ctx ends.
@@ -57,11 +65,11 @@
 				delete(talkers, address)
 			}
 		}
-		for address, beat := range wanted {
+		for address, p := range wanted {
 			if talkers[address] != nil {
 				continue
 			}
-			tk := &talker{gate: g, address: address, beat: beat}
+			tk := &talker{gate: g, address: address, partner: p}
 			var tctx context.Context
 			tctx, tk.cancel = context.WithCancel(ctx)
 			talkers[address] = tk
@@ -75,14 +83,14 @@
 	}
 }
 
-// partners returns the addresses to talk to and the time between two notes.
+// partners returns the addresses to talk to.
 // Of two entries of different domains the one whose name comes first talks to
 // the other.
-func (g *Gate) partners() map[string]time.Duration {
+func (g *Gate) partners() map[string]partner {
 	f := g.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wanted := make(map[string]time.Duration)
+	wanted := make(map[string]partner)
 	domains := make(map[string][]pimentopeer.Member)
 	addresses := map[string]bool{g.settings.Peers: true}
 	for _, m := range f.roster.All() {
@@ -95,9 +103,9 @@
 		}
 	}
 	for _, m := range f.roster.Successors() {
-		wanted[m.Address] = nearBeat
+		wanted[m.Address] = partner{beat: nearBeat, changed: true, fresher: true}
 		if m.Gone {
-			wanted[m.Address] = goneBeat
+			wanted[m.Address] = partner{beat: goneBeat}
 		}
 	}
 	rank := ownRank(f.roster.Domain(g.settings.Domain), g.settings.Name)
@@ -105,14 +113,14 @@
 		for _, list := range domains {
 			m := list[rank%len(list)]
 			if g.settings.Name < m.Name || rank >= len(list) {
-				wanted[m.Address] = farBeat
+				wanted[m.Address] = partner{beat: farBeat, changed: m.Region == g.region}
 			}
 		}
 	}
 	lonely := len(addresses) == 1
 	for _, address := range g.seeds() {
 		if !addresses[address] || lonely {
-			wanted[address] = seedBeat
+			wanted[address] = partner{beat: seedBeat}
 		}
 	}
 	delete(wanted, g.settings.Peers)
@@ -135,8 +143,11 @@
 	defer closeLine()
 	for ctx.Err() == nil {
 		changed, fresher := t.gate.fleet.changes()
-		if t.beat != nearBeat {
-			fresher = nil // The bytes between domains are paid for.
+		if !t.changed {
+			changed = nil
+		}
+		if !t.fresher {
+			fresher = nil
 		}
 		wait := t.beat
 		if !t.exchange(line.Exchange) {
@@ -174,25 +185,35 @@
 	return f.changed, f.fresher
 }
 
-// exchange sends one note and takes the answer.
+// exchange tells what the peer lacks and takes what this entry lacks. What the
+// peer lacks is known from its answer, so that nothing is told twice.
 func (t *talker) exchange(send func([]byte) ([]byte, error)) bool {
 	g := t.gate
-	msg := g.newNote(t.knownAsOf, t.knownHash).marshal()
-	reply, err := send(msg)
+	n, ok := t.send(send, g.newNote(t.knownHash))
+	if ok && n.asOf < g.asOf() {
+		_, ok = t.send(send, g.withUpdate(g.newNote(n.hash), n.asOf))
+	}
+	return ok
+}
+
+// send sends one note and takes the answer.
+func (t *talker) send(send func([]byte) ([]byte, error), out *note) (*note, bool) {
+	g := t.gate
+	reply, err := send(out.marshal())
 	if err != nil {
 		g.metrics.count("pimento_notes_failed_total")
 		g.note(level.DebugValue(), "msg", "peer doesn't answer", "peer", t.address, "err", err)
-		t.knownAsOf, t.knownHash = 0, 0
-		return false
+		t.knownHash = 0
+		return nil, false
 	}
 	n, err := unmarshalNote(reply)
 	if err != nil {
 		g.note(level.WarnValue(), "msg", "peer's note ignored", "peer", t.address, "err", err)
-		return false
+		return nil, false
 	}
-	t.knownAsOf, t.knownHash = n.asOf, n.hash
+	t.knownHash = n.hash
 	g.takeNote(n)
-	return true
+	return n, true
 }
 
 // onNote takes a peer's note and returns the answer.
@@ -202,16 +223,11 @@
 		return nil, err
 	}
 	g.takeNote(n)
-	reply := g.newNote(n.asOf, n.hash)
-	if n.asOf == 0 {
-		reply = g.withUpdate(reply, 0)
-	}
-	return reply.marshal(), nil
+	return g.withUpdate(g.newNote(n.hash), n.asOf).marshal(), nil
 }
 
-// newNote returns a note for a peer that is known to be complete up to a
-// revision, 0 if nothing is known of it.
-func (g *Gate) newNote(peerAsOf pimentofeed.Revision, peerHash uint64) *note {
+// newNote returns a note without an update for a peer whose roster has a hash.
+func (g *Gate) newNote(peerHash uint64) *note {
 	now := g.now()
 	f := g.fleet
 	f.mu.Lock()
@@ -223,10 +239,6 @@
 	if peerHash != n.hash {
 		n.members = f.roster.All()
 	}
-	if peerAsOf > 0 && peerAsOf < n.asOf {
-		u := f.state.Since(now, peerAsOf)
-		n.update = &u
-	}
 	return n
 }
 
