--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -101,10 +101,58 @@
 	}
 }
 
-// choose asks targets in rounds, the near ones first, and returns the best one,
-// or nil and the reason. It ends when another round could hardly find a better
-// one in time.
+// choose asks targets until one is good enough for the time that the request
+// has, and returns it, or nil and the reason. While all are busy or slow it waits,
+// because how busy they are changes within parts of a second, and a slow target
+// would lose the time of many others.
 func (g *Gate) choose(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
+	for wait := firstWait; ; wait = min(2*wait, maxWait) {
+		best, why := g.nearest(c, tried)
+		if best == nil || g.goodEnough(c, best) {
+			return best, why
+		}
+		best.release()
+		select {
+		case <-c.left:
+			return nil, reasonLeft
+		case <-time.After(wait):
+		}
+	}
+}
+
+const (
+	// firstWait is the time until targets are asked again when none is good
+	// enough. It doubles up to maxWait.
+	firstWait = 25 * time.Millisecond
+	maxWait   = 100 * time.Millisecond
+	// hopeShare is the part of the objective for which a request waits for a
+	// target that answers in time.
+	hopeShare = 0.6
+	// patienceShare is the part of the time that a request has for which it
+	// waits for a target that isn't slow, once the objective is lost.
+	patienceShare = 0.4
+	// slowFactor is how many times the usual work makes a target slow.
+	slowFactor = 3
+)
+
+// goodEnough reports whether waiting longer isn't worth it.
+func (g *Gate) goodEnough(c *call, p *pick) bool {
+	elapsed := time.Since(c.received)
+	switch {
+	case elapsed+p.expected <= c.route.Objective:
+		return true
+	case elapsed < time.Duration(hopeShare*float64(c.route.Objective)):
+		return false
+	case p.expected <= slowFactor*g.usual(c):
+		return true
+	}
+	return elapsed > time.Duration(patienceShare*float64(c.until.Sub(c.received)))
+}
+
+// nearest asks targets in rounds, the near ones first, and returns the best
+// one, or nil and the reason. It ends when another round could hardly find a
+// better one in time.
+func (g *Gate) nearest(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
 	candidates := g.candidates(c, tried)
 	if len(candidates) == 0 {
 		return nil, reasonTargets
--- /dev/null
+++ b/pimentogate/hedge.go
@@ -0,0 +1,59 @@
+package pimentogate
+
+import (
+	"time"
+
+	"pimentoarch/pimentoroute"
+)
+
+const (
+	// firstLook is the part of the expected time after which the target of a
+	// running request is asked again, and lookAgain the time between two looks.
+	firstLook = 1.0
+	lookAgain = 50 * time.Millisecond
+	// lateFactor is how many times longer than expected an answer takes before
+	// its target no longer counts as working on it.
+	lateFactor = 1.6
+	// leastLeft is the part of the expected time that a request that is about
+	// to end may still take.
+	leastLeft = 0.25
+	// hedgeGain is the part of what the first target still takes within which a
+	// second one must answer to be worth its work.
+	hedgeGain = 0.7
+)
+
+// second looks after a request that has run for a while, and returns another
+// target if that one will answer sooner and in time, or nil.
+func (g *Gate) second(c *call, first *pick, ran time.Duration, tried []pimentoroute.TargetID) *pick {
+	left := g.leftAt(c, first, ran)
+	if left <= g.potential(c, first.target) {
+		return nil
+	}
+	p, _ := g.nearest(c, tried)
+	if p == nil {
+		return nil
+	}
+	elapsed := time.Since(c.received)
+	inTime := elapsed+p.expected < c.route.Objective || elapsed > c.route.Objective
+	if !inTime || p.expected > time.Duration(hedgeGain*float64(left)) {
+		p.release()
+		return nil
+	}
+	return p
+}
+
+// leftAt estimates how much longer a target takes for a request that has run
+// for a while. It asks the target how it is now.
+func (g *Gate) leftAt(c *call, first *pick, ran time.Duration) time.Duration {
+	never := max(c.route.Objective, time.Until(c.until))
+	if ran > time.Duration(lateFactor*float64(first.expected)) {
+		return never
+	}
+	p := g.askOne(c, first.target)
+	defer p.release()
+	if p.err != nil {
+		return never
+	}
+	left := max(first.expected-ran, time.Duration(leastLeft*float64(first.expected)))
+	return left * time.Duration(max(100, p.report.Stretch)) / time.Duration(max(100, first.report.Stretch))
+}
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -153,9 +153,10 @@
 			ended <- s
 		}()
 	}
+	started := time.Now()
 	launch(first)
-	hedge := time.NewTimer(g.hedgeAfter(c, first))
-	defer hedge.Stop()
+	look := time.NewTimer(time.Duration(firstLook * float64(first.expected)))
+	defer look.Stop()
 	deadline := time.NewTimer(time.Until(c.until))
 	defer deadline.Stop()
 	asking := false
@@ -174,27 +175,22 @@
 				return s
 			}
 			discardSend(s)
-		case <-hedge.C:
+		case <-look.C:
 			if !g.mayHedge(c) {
 				continue
 			}
 			asking = true
 			tried := append([]pimentoroute.TargetID(nil), c.tried...)
-			go func() {
-				p, _ := g.choose(c, tried)
-				picks <- p
-			}()
+			go func() { picks <- g.second(c, first, time.Since(started), tried) }()
 		case p := <-picks:
 			asking = false
-			if p != nil && g.worthHedging(c, p) && g.repeat(c) {
+			if p != nil && g.mayHedge(c) && g.repeat(c) {
 				g.metrics.repeated("hedge")
 				launch(p)
 				continue
 			}
 			p.drop()
-			if late := c.route.Objective - time.Since(c.received); late > 0 {
-				hedge.Reset(late + hedgeLeast)
-			}
+			look.Reset(lookAgain)
 		case <-deadline.C:
 			return g.cutShort(c, first, outTimeout, running, asking, ended, picks)
 		case <-c.left:
@@ -243,32 +239,10 @@
 	}
 }
 
-const (
-	// hedgeFactor is how many times longer than expected an answer takes before
-	// a second target is asked.
-	hedgeFactor = 1.6
-	// hedgeLeast is the shortest time before that.
-	hedgeLeast = 40 * time.Millisecond
-)
-
-func (g *Gate) hedgeAfter(c *call, p *pick) time.Duration {
-	return max(hedgeLeast, time.Duration(hedgeFactor*float64(p.expected)))
-}
-
 func (g *Gate) mayHedge(c *call) bool {
 	return c.repeatable() && c.sends < c.route.Attempts && !c.hasLeft()
 }
 
-// worthHedging reports whether a second target helps: it answers within the
-// objective, or the objective has passed anyway.
-func (g *Gate) worthHedging(c *call, p *pick) bool {
-	if !g.mayHedge(c) {
-		return false
-	}
-	elapsed := time.Since(c.received)
-	return elapsed+p.expected < c.route.Objective || elapsed > c.route.Objective
-}
-
 // newSend prepares a request for one target.
 func (g *Gate) newSend(c *call, p *pick) *send {
 	req := new(fasthttp.Request)
