pimentogate: the price of an answer's bytes counts in the choice

The mean size of a route's answers is learned, and each byte counts as 12 us to another domain and 30 us to another region.

--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -35,9 +35,10 @@
 	sameDomain  = 500 * time.Microsecond
 	sameRegion  = 2 * time.Millisecond
 	otherRegion = 61 * time.Millisecond
-	// bulkFar is added for large answers from other regions, whose bytes are
-	// paid for.
-	bulkFar = 40 * time.Millisecond
+	// domainCost and regionCost are added for each byte of an answer from
+	// another domain or region, whose bytes are paid for.
+	domainCost = 12 * time.Microsecond
+	regionCost = 30 * time.Microsecond
 	// illPenalty is added for targets that call themselves unwell.
 	illPenalty = 2 * time.Second
 	// failPenalty is added for a target that fails all sends.
@@ -51,11 +52,15 @@
 	conn   *pimentohttp.Conn
 	report Report
 	cold   bool
-	// expected is the time that an answer takes.
-	expected time.Duration
+	// expected is the time that an answer takes, and cost stands for the price
+	// of its bytes.
+	expected, cost time.Duration
 	err      error
 }
 
+// price is what picks are compared by.
+func (p *pick) price() time.Duration { return p.expected + p.cost }
+
 // release gives the connection of a pick that isn't used back.
 func (p *pick) release() {
 	if p.conn == nil {
@@ -163,7 +168,7 @@
 		if len(group) == 0 || time.Until(c.until) < 0 || c.hasLeft() {
 			break
 		}
-		if best != nil && best.expected <= g.potential(c, group[0]) {
+		if best != nil && best.price() <= g.potential(c, group[0]) {
 			break
 		}
 		answers := g.ask(c, group)
@@ -189,7 +194,7 @@
 // potential is the time that an answer takes where a target is asked now and
 // turns out to be idle.
 func (g *Gate) potential(c *call, tg *pimentoroute.Target) time.Duration {
-	return g.usual(c) + 2*g.distance(c, tg)
+	return g.usual(c) + 2*g.distance(c, tg) + g.cost(c, tg)
 }
 
 // usual is a little more than the usual work on a request.
@@ -201,10 +206,10 @@
 
 // better returns the best of a pick and new ones, and releases the others.
 func (g *Gate) better(c *call, best *pick, answers []*pick) *pick {
-	slices.SortFunc(answers, func(a, b *pick) int { return cmp.Compare(a.expected, b.expected) })
+	slices.SortFunc(answers, func(a, b *pick) int { return cmp.Compare(a.price(), b.price()) })
 	for _, p := range answers {
 		switch {
-		case best != nil && p.expected >= best.expected:
+		case best != nil && p.price() >= best.price():
 			p.release()
 		case p.cold && !g.takeCold(c, p):
 			p.release()
@@ -441,12 +446,14 @@
 		slots = max(1, p.target.Slots)
 	}
 	w := f.work(c.route)
+	expected := g.distance(c, p.target)
+	p.cost = g.costOf(w, p.target)
 	run := w.alone
 	if running > 0 {
 		run = w.beside
 	}
 	run = run * time.Duration(max(1, p.report.Stretch)) / 100
-	expected := g.distance(c, p.target) + run
+	expected += run
 	if running >= slots {
 		expected += run * time.Duration(p.report.Waiting+running-slots+1) / time.Duration(slots)
 	}
@@ -464,12 +471,27 @@
 		return sameDomain
 	case tg.Region == g.region:
 		return sameRegion
-	case c.route.Kind == pimentoroute.KindBulk:
-		return otherRegion + bulkFar
 	}
 	return otherRegion
 }
 
+// cost stands for the price of the bytes of an answer from a target.
+func (g *Gate) cost(c *call, tg *pimentoroute.Target) time.Duration {
+	g.flow.mu.Lock()
+	defer g.flow.mu.Unlock()
+	return g.costOf(g.flow.work(c.route), tg)
+}
+
+func (g *Gate) costOf(w *work, tg *pimentoroute.Target) time.Duration {
+	switch {
+	case tg.Domain == g.settings.Domain:
+		return 0
+	case tg.Region == g.region:
+		return time.Duration(w.bytes * float64(domainCost))
+	}
+	return time.Duration(w.bytes * float64(regionCost))
+}
+
 // rest lets a target be asked last for a while.
 func (g *Gate) rest(tg *pimentoroute.Target, d time.Duration) {
 	f := &g.flow
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -27,7 +27,10 @@
 // work is the usual time that a target works on a route's requests, with none
 // or some others beside them: running medians, which a few very slow answers
 // don't move.
-type work struct{ alone, beside time.Duration }
+type work struct {
+	alone, beside time.Duration
+	bytes         float64 // The mean size of the answers.
+}
 
 const (
 	// firstShare is the part of the objective that the work takes until it was
@@ -36,6 +39,8 @@
 	besideFactor = 1.25
 	// workStep is the part by which a median moves with each measurement.
 	workStep = 0.04
+	// bytesWeight is the weight of one answer's size in the mean.
+	bytesWeight = 0.1
 	// leastWork is the time below which an answer wasn't worked for.
 	leastWork = 10 * time.Millisecond
 	// calmStretch is the stretch in percent up to which an answer counts as a
@@ -152,13 +157,14 @@
 
 // learn takes the time of one answer of a target that wasn't disturbed when
 // the request was sent, beside a number of others.
-func (f *flow) learn(r *pimentoroute.Route, took time.Duration, others int) {
+func (f *flow) learn(r *pimentoroute.Route, took time.Duration, others, bytes int) {
 	if took < leastWork {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.work(r)
+	w.bytes += bytesWeight * (float64(bytes) - w.bytes)
 	median := &w.alone
 	if others > 0 {
 		median = &w.beside
