pimentogate: targets whose queues are full are passed over

Cause: retries of requests that a full queue refused use up the retry budget; the length at which queues refuse is learned from the refusals.

--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -41,6 +41,9 @@
 	regionCost = 30 * time.Microsecond
 	// illPenalty is added for targets that call themselves unwell.
 	illPenalty = 2 * time.Second
+	// fullPenalty is added for a target whose queue is as long as those that
+	// refused.
+	fullPenalty = time.Second
 	// failPenalty is added for a target that fails all sends.
 	failPenalty = 1500 * time.Millisecond
 )
@@ -454,6 +457,9 @@
 	}
 	run = run * time.Duration(max(1, p.report.Stretch)) / 100
 	expected += run
+	if limit := f.queues[c.part()]; limit > 0 && p.report.Waiting+s.sentSince >= limit {
+		expected += fullPenalty
+	}
 	if running >= slots {
 		expected += run * time.Duration(p.report.Waiting+running-slots+1) / time.Duration(slots)
 	}
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -22,6 +22,8 @@
 	targets  map[pimentoroute.TargetID]*targetState
 	repeats  map[pimentoregister.ServiceName]*pimentoretry.Allowance
 	suspects pimentoretry.Quarantine
+	// queues are the lengths of the queues at which targets refused lately.
+	queues map[pimentoregister.ServiceName]int
 }
 
 // work is the usual time that a target works on a route's requests, with none
@@ -155,6 +157,19 @@
 	return s.Next(r.Parts)
 }
 
+// learnQueue takes a refusal for lack of room.
+func (f *flow) learnQueue(s pimentoregister.ServiceName, r Report) {
+	if r.Slots == 0 || r.Running < r.Slots || r.Waiting == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.queues == nil {
+		f.queues = make(map[pimentoregister.ServiceName]int)
+	}
+	f.queues[s] = r.Waiting
+}
+
 // learn takes the time of one answer of a target that wasn't disturbed when
 // the request was sent, beside a number of others.
 func (f *flow) learn(r *pimentoroute.Route, took time.Duration, others, bytes int) {
@@ -288,4 +303,4 @@
 
 // comeBackStart is when a caller may come back to an entry that has just
 // started.
-const comeBackStart = 400 * time.Millisecond
+const comeBackStart = 150 * time.Millisecond
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -373,6 +373,7 @@
 		}
 		g.passed(c)
 	case outNotRun:
+		g.flow.learnQueue(c.part(), g.dialect.Report(s.x.Resp))
 		g.rest(tg, shedRest)
 		return
 	case outUnsent:
