--- a/pimentogate/answer.go
+++ b/pimentogate/answer.go
@@ -34,8 +34,6 @@
 	why reason
 	// closes the caller's connection after it.
 	closes bool
-	// target, for the log.
-	target string
 }
 
 // status returns the status of an answer of this entry's own. Only a request
--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -54,11 +54,12 @@
 	target *pimentoroute.Target
 	conn   *pimentohttp.Conn
 	report Report
+	at     time.Time // When the report came.
 	cold   bool
 	// expected is the time that an answer takes, and cost stands for the price
 	// of its bytes.
 	expected, cost time.Duration
-	err      error
+	err            error
 }
 
 // price is what picks are compared by.
@@ -347,7 +348,7 @@
 	f.mu.Lock()
 	s := f.target(tg.ID)
 	if s.reported && g.now()-s.reportAt < reportFresh {
-		p.report = s.report
+		p.report, p.at = s.report, g.origin.Add(s.reportAt)
 		f.mu.Unlock()
 		g.assess(c, p)
 		return p
@@ -357,7 +358,7 @@
 		<-q.done
 		if p.err = q.err; p.err == nil {
 			f.mu.Lock()
-			p.report = s.report
+			p.report, p.at = s.report, g.origin.Add(s.reportAt)
 			f.mu.Unlock()
 			g.assess(c, p)
 		}
@@ -371,6 +372,7 @@
 	s.asking = nil
 	if q.err = p.err; p.err == nil {
 		s.report, s.reportAt, s.reported, s.sentSince = p.report, g.now(), true, 0
+		p.at = g.origin.Add(s.reportAt)
 	}
 	f.mu.Unlock()
 	close(q.done)
@@ -437,12 +439,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.target(p.target.ID)
+	was := s.coldUntil > now
+	s.coldUntil = 0
 	if p.report.ColdLeft > 0 {
 		s.coldUntil = now + p.report.ColdLeft
-	} else {
-		s.coldUntil = 0
 	}
 	p.cold = s.coldUntil > now
+	if p.cold != was {
+		g.noteChange("msg", "target's cold state changed", "target", p.target.ID, "cold", p.cold, "left_ms", p.report.ColdLeft.Milliseconds())
+	}
 	running := max(p.report.Running+s.sentSince, s.sending)
 	slots := max(1, p.report.Slots)
 	if p.report.Slots == 0 {
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -26,11 +26,12 @@
 	service *pimentoroute.Service
 	until   time.Time // When the final answer is due.
 
-	tried    []pimentoroute.TargetID
-	sends    int  // Sends that a target may have run or refused.
-	mayRan   bool // A send whose outcome isn't known, or that ran.
-	lastWhy  reason
-	repeated bool
+	tried   []pimentoroute.TargetID
+	sends   int    // Sends that a target may have run or refused.
+	mayRan  bool   // A send whose outcome isn't known, or that ran.
+	lastWhy reason // Why the last send wasn't the last one.
+	last    *pick  // The last choice of a target, and when it was sent there.
+	lastAt  time.Time
 
 	mu     sync.Mutex // Guards the fields below.
 	active []*pimentohttp.Exchange
--- a/pimentogate/fleet.go
+++ b/pimentogate/fleet.go
@@ -18,6 +18,7 @@
 	state   pimentofeed.State
 	records map[string]pimentoroute.Record // The decoded items that exist.
 	lapsed  map[string]lapse
+	present presence
 	roster  *pimentopeer.Roster
 	reader  pimentofeed.Reader
 	readers map[string]time.Duration // When a member last said that it reads.
@@ -49,6 +50,7 @@
 	return &fleet{
 		records: make(map[string]pimentoroute.Record),
 		lapsed:  make(map[string]lapse),
+		present: make(presence),
 		roster:  pimentopeer.NewRoster(self),
 		readers: make(map[string]time.Duration),
 		changed: make(chan struct{}),
@@ -118,7 +120,7 @@
 	}
 	f.mu.Unlock()
 	if len(changed) > 0 {
-		g.note(level.InfoValue(), "msg", "published items changed", "from", from, "items", len(changed), "revision", u.AsOf, "age", age)
+		g.noteChange("msg", "published items changed", "from", from, "items", len(changed), "revision", u.AsOf, "age", age)
 	}
 }
 
@@ -190,9 +192,10 @@
 	old := g.table.Load()
 	t := pimentoroute.Build(records, g.settings.Regions)
 	g.table.Store(t)
+	g.noteTargets(old, t)
 	g.flow.forget(t)
 	if t.Config != nil && (old == nil || old.Config == nil || old.Config.Version != t.Config.Version) {
-		g.note(level.InfoValue(), "msg", "configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes))
+		g.noteChange("msg", "configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes))
 	}
 	g.limitConns(t)
 }
@@ -261,7 +264,7 @@
 	wanted := f.reader.Decide(now, rank, earlier, age, known)
 	if wanted != f.wanted {
 		f.wanted = wanted
-		g.note(level.InfoValue(), "msg", "reading the platform", "reads", wanted, "rank", rank, "age", age)
+		g.noteChange("msg", "reading the platform", "reads", wanted, "rank", rank, "age", age)
 	}
 	return wanted
 }
@@ -357,6 +360,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.roster.Expire(now)
+	g.noteMembers()
 	var kept []crashNews // A new list, since notes may still hold the old one.
 	for _, n := range f.crashes {
 		if now-n.at < crashMemory {
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -242,26 +242,39 @@
 	return a
 }
 
+// noteServed writes the line about a request that has ended: what was decided,
+// and what it was decided from.
 func (g *Gate) noteServed(c *call, a *answer, status int, took time.Duration) {
-	route, service := "", pimentoregister.ServiceName("")
+	severity := level.InfoValue()
+	if a.why != reasonNone || status >= 500 {
+		severity = level.WarnValue()
+	}
+	fields := []any{"msg", "request ended", "id", c.id, "from", c.from, "status", status}
+	if a.why != reasonNone {
+		fields = append(fields, "reason", a.why, "ran", ranWord(c.mayRan))
+	}
+	if c.lastWhy != reasonNone {
+		fields = append(fields, "last", c.lastWhy)
+	}
 	if c.route != nil {
-		route = string(c.route.Name)
+		fields = append(fields, "route", c.route.Name)
 	}
 	if c.service != nil {
-		service = c.part()
+		fields = append(fields, "service", c.part(), "config", c.table.Config.Version)
 	}
-	severity := level.DebugValue()
-	if a.why != reasonNone || status >= 500 {
-		severity = level.WarnValue()
-	} else if c.sends > 1 {
-		severity = level.InfoValue()
-	}
-	version := pimentoroute.Version(0)
-	if c.table != nil && c.table.Config != nil {
-		version = c.table.Config.Version
+	fields = append(fields, "sends", c.sends, "ms", took.Milliseconds())
+	g.note(severity, append(fields, c.decided()...)...)
+}
+
+// decided returns what the last choice of a target was made from.
+func (c *call) decided() []any {
+	p := c.last
+	if p == nil {
+		return nil
 	}
-	g.note(severity, "msg", "request ended", "id", c.id, "route", route, "service", service, "status", status,
-		"reason", a.why, "last", c.lastWhy, "target", a.target, "sends", c.sends, "ran", ranWord(c.mayRan), "ms", took.Milliseconds(), "config", version)
+	return []any{"target", p.target.ID, "domain", p.target.Domain, "expected_ms", p.expected.Milliseconds(),
+		"stretch", p.report.Stretch, "running", p.report.Running, "waiting", p.report.Waiting,
+		"report_age_ms", c.lastAt.Sub(p.at).Milliseconds(), "cold", p.cold}
 }
 
 func ranWord(mayRan bool) string {
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/panjf2000/ants/v2"
 
 	"pimentoarch/pimentofeed"
@@ -164,12 +163,12 @@
 	wg.Go(func() { g.watchSettings(ctx, reload) })
 	wg.Go(func() { g.acceptCallers(l.callers) })
 	go g.follow(ctx) // Not waited for: a waiting watch can't be cut short.
-	g.note(level.InfoValue(), "msg", "started", "name", g.settings.Name, "region", g.region, "domain", g.settings.Domain, "callers", g.settings.Callers)
+	g.noteChange("msg", "started", "name", g.settings.Name, "region", g.region, "domain", g.settings.Domain, "callers", g.settings.Callers)
 	<-stop
 	g.stop(l.callers)
 	cancel()
 	closeAll()
-	g.note(level.InfoValue(), "msg", "stopped", "open", g.conns.size())
+	g.noteChange("msg", "stopped", "open", g.conns.size())
 	return nil
 }
 
--- a/pimentogate/log.go
+++ b/pimentogate/log.go
@@ -14,7 +14,7 @@
 
 	mu      sync.Mutex // Guards the fields below.
 	second  int64
-	used    int
+	used    [2]int // Of plain and of urgent lines.
 	leftOut int
 }
 
@@ -28,27 +28,34 @@
 	defer b.mu.Unlock()
 	if s := int64(now / time.Second); s != b.second {
 		b.second = s
-		b.used = 0
+		b.used = [2]int{}
 	}
-	limit := b.lines
+	limit, kind := b.lines, 0
 	if urgent {
-		limit = max(1, b.lines) * urgentFactor
+		limit, kind = max(1, b.lines)*urgentFactor, 1
 	}
-	if b.used >= limit {
+	if b.used[kind] >= limit {
 		b.leftOut++
 		return false, 0
 	}
-	b.used++
+	b.used[kind]++
 	out := b.leftOut
 	b.leftOut = 0
 	return true, out
 }
 
-// note writes a log line if the budget allows.
+// note writes a log line about a request or an event if the budget allows.
 func (g *Gate) note(severity level.Value, fields ...any) {
-	urgent := severity == level.WarnValue() || severity == level.ErrorValue()
+	g.write(severity, severity == level.WarnValue() || severity == level.ErrorValue(), fields)
+}
+
+// noteChange writes a log line about something that this entry now believes.
+func (g *Gate) noteChange(fields ...any) { g.write(level.InfoValue(), true, fields) }
+
+func (g *Gate) write(severity level.Value, urgent bool, fields []any) {
 	ok, leftOut := g.budget.allow(g.now(), urgent)
 	if !ok {
+		g.metrics.count("pimento_lines_left_out_total")
 		return
 	}
 	if leftOut > 0 {
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -134,7 +134,7 @@
 		h.Del(name)
 	}
 	removeHopHeaders(h)
-	return &answer{resp: s.x.Resp, target: string(s.pick.target.ID)}
+	return &answer{resp: s.x.Resp}
 }
 
 // race sends a request to a target, and to a second one if the first takes
@@ -147,6 +147,7 @@
 		running++
 		c.sends++
 		c.tried = append(c.tried, p.target.ID)
+		c.last, c.lastAt = p, time.Now()
 		s := g.newSend(c, p)
 		go func() {
 			g.do(c, s)
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -29,7 +29,7 @@
 	f.roster.Stop()
 	f.touch()
 	f.mu.Unlock()
-	g.note(level.InfoValue(), "msg", "stopping", "open", g.conns.size())
+	g.noteChange("msg", "stopping", "open", g.conns.size())
 	time.Sleep(balancerTime)
 	_ = callers.Close()
 	last := began.Add(time.Duration(runShare * float64(g.settings.Grace)))
@@ -72,7 +72,7 @@
 		}
 		g.seedList.Store(&s.Seeds)
 		if signalled {
-			g.note(level.InfoValue(), "msg", "settings read again", "seeds", len(s.Seeds))
+			g.noteChange("msg", "settings read again", "seeds", len(s.Seeds))
 		}
 	}
 }
