--- a/cmd/pimentoarch/explain.go
+++ b/cmd/pimentoarch/explain.go
@@ -3,12 +3,12 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"fmt"
 	"io"
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-logfmt/logfmt"
 )
@@ -24,6 +24,7 @@
 type record struct {
 	source string
 	ts     string
+	at     time.Time
 	msg    string
 	fields []field
 }
@@ -59,7 +60,7 @@
 		}
 		all = append(all, list...)
 	}
-	slices.SortStableFunc(all, func(a, b record) int { return cmp.Compare(a.ts, b.ts) })
+	slices.SortStableFunc(all, func(a, b record) int { return a.at.Compare(b.at) })
 	story := cmd.story(all)
 	if len(story) == 0 {
 		fmt.Fprintf(stderr, "pimentoarch: no line of %d tells of %s%s\n", len(all), cmd.ID, cmd.Target)
@@ -109,7 +110,9 @@
 			}
 		}
 	}
-	return r, d.Err() == nil && r.ts != ""
+	var err error
+	r.at, err = time.Parse(time.RFC3339Nano, r.ts)
+	return r, d.Err() == nil && err == nil
 }
 
 // story returns the lines about the subject, and before each first one of a
