pimentogate: full queues are refused soon; questions within the fleet's limit

Requests are refused after an eighth of the objective while all queues are full, wait no longer than 0.9 of it otherwise, and each entry has a share of the questions.

--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -56,6 +57,7 @@
 	report Report
 	at     time.Time // When the report came.
 	cold   bool
+	full   bool // Its queue is as long as those that refused.
 	// expected is the time that an answer takes, and cost stands for the price
 	// of its bytes.
 	expected, cost time.Duration
@@ -117,8 +119,15 @@
 func (g *Gate) choose(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
 	for wait := firstWait; ; wait = min(2*wait, maxWait) {
 		best, why := g.nearest(c, tried)
-		if best == nil || g.goodEnough(c, best) {
-			return best, why
+		if best == nil {
+			return nil, why
+		}
+		switch g.decide(c, best) {
+		case verdictSend:
+			return best, reasonNone
+		case verdictRefuse:
+			best.release()
+			return nil, reasonBusy
 		}
 		best.release()
 		select {
@@ -134,28 +143,40 @@
 	// enough. It doubles up to maxWait.
 	firstWait = 25 * time.Millisecond
 	maxWait   = 100 * time.Millisecond
+	// refuseShare is the part of the objective after which a request is refused
+	// while all queues are full, so that its caller soon knows.
+	refuseShare = 0.125
 	// hopeShare is the part of the objective for which a request waits for a
-	// target that answers in time.
-	hopeShare = 0.6
-	// patienceShare is the part of the time that a request has for which it
-	// waits for a target that isn't slow, once the objective is lost.
-	patienceShare = 0.4
+	// target that answers in time, and patienceShare for one that isn't slow.
+	hopeShare     = 0.6
+	patienceShare = 0.9
 	// slowFactor is how many times the usual work makes a target slow.
 	slowFactor = 3
 )
 
-// goodEnough reports whether waiting longer isn't worth it.
-func (g *Gate) goodEnough(c *call, p *pick) bool {
+// verdict says what to do with the best target at the moment.
+type verdict uint8
+
+const (
+	verdictSend verdict = iota
+	verdictWait
+	verdictRefuse
+)
+
+func (g *Gate) decide(c *call, p *pick) verdict {
 	elapsed := time.Since(c.received)
+	within := func(share float64) bool { return elapsed < time.Duration(share*float64(c.route.Objective)) }
 	switch {
 	case elapsed+p.expected <= c.route.Objective:
-		return true
-	case elapsed < time.Duration(hopeShare*float64(c.route.Objective)):
-		return false
-	case p.expected <= slowFactor*g.usual(c):
-		return true
-	}
-	return elapsed > time.Duration(patienceShare*float64(c.until.Sub(c.received)))
+		return verdictSend
+	case p.full && !within(refuseShare):
+		return verdictRefuse
+	case within(hopeShare):
+		return verdictWait
+	case p.expected > slowFactor*g.usual(c) && within(patienceShare):
+		return verdictWait
+	}
+	return verdictSend
 }
 
 // nearest asks targets in rounds, the near ones first, and returns the best
@@ -332,6 +353,9 @@
 	askTime = 400 * time.Millisecond
 	// reportFresh is the age up to which a report serves other requests too.
 	reportFresh = 8 * time.Millisecond
+	// reportStale is the age up to which a report serves where no question is
+	// left.
+	reportStale = 400 * time.Millisecond
 )
 
 // question is one question to one target. Other requests that want to know the
@@ -364,6 +388,18 @@
 		}
 		return p
 	}
+	if !g.mayAsk() {
+		recent := s.reported && g.now()-s.reportAt < reportStale
+		p.report, p.at = s.report, g.origin.Add(s.reportAt)
+		f.mu.Unlock()
+		g.metrics.count("pimento_questions_spared_total")
+		if !recent {
+			p.err = errNoQuestions
+			return p
+		}
+		g.assess(c, p)
+		return p
+	}
 	q := &question{done: make(chan struct{})}
 	s.asking = q
 	f.mu.Unlock()
@@ -382,6 +418,39 @@
 	return p
 }
 
+// errNoQuestions is the error of a pick whose target wasn't asked.
+var errNoQuestions = errors.New("this entry's share of the questions is used up")
+
+const (
+	// questionShare is the part of the limit on questions that is used.
+	questionShare = 0.8
+	// questionWindow is the time for which unused questions are saved.
+	questionWindow = 6 * time.Second
+	// guessedFleet is the number of entries assumed before others are known.
+	guessedFleet = 32
+)
+
+// mayAsk takes one question from this entry's share. It is called with flow.mu
+// held.
+func (g *Gate) mayAsk() bool {
+	if g.settings.Questions == 0 {
+		return true
+	}
+	targets := 0
+	for _, list := range g.table.Load().Targets {
+		targets += len(list)
+	}
+	n := int(g.fleetSize.Load())
+	if n == 0 {
+		n = guessedFleet
+	}
+	a := &g.flow.questions
+	a.Window = questionWindow
+	// Half of the fixed number flows in during a window.
+	a.Fixed = 2 * questionShare * g.settings.Questions * questionWindow.Seconds() * float64(targets) / float64(n)
+	return a.Spend(g.now())
+}
+
 // question asks a target on a connection that the pick keeps.
 func (g *Gate) question(c *call, p *pick) {
 	tg := p.target
@@ -463,6 +532,7 @@
 	run = run * time.Duration(max(1, p.report.Stretch)) / 100
 	expected += run
 	if limit := f.queues[c.part()]; limit > 0 && p.report.Waiting+s.sentSince >= limit {
+		p.full = true
 		expected += fullPenalty
 	}
 	if running >= slots {
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -181,7 +181,7 @@
 	_ = cc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req := new(fasthttp.Request)
 	if err := req.Header.Read(cc.r); err != nil {
-		return nil, time.Time{}, &badRequest{status: headStatus(err), err: err}
+		return nil, time.Time{}, headError(err)
 	}
 	received := time.Now()
 	if err := checkHead(&req.Header, limits); err != nil {
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -22,7 +22,9 @@
 	targets  map[pimentoroute.TargetID]*targetState
 	repeats  map[pimentoregister.ServiceName]*pimentoretry.Allowance
 	suspects pimentoretry.Quarantine
-	// queues are the lengths of the queues at which targets refused lately.
+	// questions is this entry's share of the questions to all targets.
+	questions pimentoretry.Allowance
+	// queues are the greatest lengths of queues at which targets refused.
 	queues map[pimentoregister.ServiceName]int
 }
 
@@ -157,9 +159,13 @@
 	return s.Next(r.Parts)
 }
 
+// leastQueue is the length of a queue, in slots, below which a refusal has
+// another cause than a full queue.
+const leastQueue = 2
+
 // learnQueue takes a refusal for lack of room.
 func (f *flow) learnQueue(s pimentoregister.ServiceName, r Report) {
-	if r.Slots == 0 || r.Running < r.Slots || r.Waiting == 0 {
+	if r.Slots == 0 || r.Running < r.Slots || r.Waiting < leastQueue*r.Slots {
 		return
 	}
 	f.mu.Lock()
@@ -167,7 +173,7 @@
 	if f.queues == nil {
 		f.queues = make(map[pimentoregister.ServiceName]int)
 	}
-	f.queues[s] = r.Waiting
+	f.queues[s] = max(f.queues[s], r.Waiting)
 }
 
 // learn takes the time of one answer of a target that wasn't disturbed when
--- a/pimentogate/head.go
+++ b/pimentogate/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 
 	"github.com/valyala/fasthttp"
 
@@ -22,12 +24,20 @@
 // Unwrap returns the cause.
 func (b *badRequest) Unwrap() error { return b.err }
 
-func headStatus(err error) int {
+// headError says how a head that couldn't be read is refused. A caller that
+// has gone is no bad request.
+func headError(err error) error {
 	var small *fasthttp.ErrSmallBuffer
-	if errors.As(err, &small) {
-		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	var ne net.Error
+	switch {
+	case errors.As(err, &small):
+		return &badRequest{status: fasthttp.StatusRequestHeaderFieldsTooLarge, err: err}
+	case errors.As(err, &ne) && ne.Timeout():
+		return &badRequest{status: fasthttp.StatusRequestTimeout, err: err}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
+		return err
 	}
-	return fasthttp.StatusBadRequest
+	return &badRequest{status: fasthttp.StatusBadRequest, err: err}
 }
 
 // checkHead refuses heads that could be read in two ways, so that no request
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -57,6 +57,9 @@
 	// entries together: Overshoot times what it bears, and a fixed number.
 	Overshoot float64 `json:"overshoot"`
 	Slack     float64 `json:"slack"`
+	// Questions bounds the questions to a target a second, all entries together
+	// and over the day. 0 means no bound.
+	Questions float64 `json:"questions"`
 	// Memory is the VM's memory in MiB.
 	Memory int `json:"memory"`
 	// Log is the least level that is logged: debug, info, warn or error.
@@ -136,6 +139,7 @@
 		{"window", time.Duration(s.Window).Seconds(), 0.1},
 		{"overshoot", s.Overshoot, 0},
 		{"slack", s.Slack, 0},
+		{"questions", s.Questions, 0},
 		{"memory", float64(s.Memory), 16},
 		{"lines", float64(s.Lines), 0},
 	} {
