pimentogate: a request waits no longer than 0.7 of its objective

Cause: what was offered to a target after the objective was held in vain; the questions before it take time too.

--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -148,8 +148,8 @@
 	refuseShare = 0.125
 	// hopeShare is the part of the objective for which a request waits for a
 	// target that answers in time, and patienceShare for one that isn't slow.
-	hopeShare     = 0.6
-	patienceShare = 0.9
+	hopeShare     = 0.5
+	patienceShare = 0.7
 	// slowFactor is how many times the usual work makes a target slow.
 	slowFactor = 3
 )
