--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -403,7 +403,7 @@
 	q := &question{done: make(chan struct{})}
 	s.asking = q
 	f.mu.Unlock()
-	g.question(c, p)
+	g.question(c, p, false)
 	f.mu.Lock()
 	s.asking = nil
 	if q.err = p.err; p.err == nil {
@@ -451,11 +451,12 @@
 	return a.Spend(g.now())
 }
 
-// question asks a target on a connection that the pick keeps.
-func (g *Gate) question(c *call, p *pick) {
+// question asks a target on a connection that the pick keeps, a new one where
+// fresh is set.
+func (g *Gate) question(c *call, p *pick, fresh bool) {
 	tg := p.target
 	deadline := time.Now().Add(askTime)
-	p.conn, p.err = g.client.Take(tg.Address, false, deadline)
+	p.conn, p.err = g.client.Take(tg.Address, fresh, deadline)
 	if p.err != nil {
 		g.rest(tg, failRest)
 		return
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pimentoarch/pimentoretry"
+	"pimentoarch/pimentoroute"
 )
 
 // fingerprint identifies a request that may come again.
@@ -42,20 +43,34 @@
 	f := &g.flow
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.suspects.Len() > 0 {
-		f.suspects.Clear(fingerprint(c))
+	f.suspects.Clear(g.now(), fingerprint(c))
+}
+
+// crashLook is the time after a broken connection at which its target is asked
+// whether it is still there.
+const crashLook = 30 * time.Millisecond
+
+// broke deals with a target that dropped the connection while it had a request.
+// If the target is still there, it hasn't crashed.
+func (g *Gate) broke(c *call, tg *pimentoroute.Target) {
+	time.Sleep(crashLook)
+	p := &pick{target: tg}
+	g.question(c, p, true)
+	defer p.release()
+	if p.err != nil {
+		g.crashed(c, tg)
 	}
 }
 
-// crashed notes that a target dropped the connection while it had a request,
-// and tells the other entries.
-func (g *Gate) crashed(c *call, s *send) {
+// crashed notes that a request crashed a target, and tells the other entries.
+func (g *Gate) crashed(c *call, tg *pimentoroute.Target) {
 	f := &g.flow
 	f.mu.Lock()
 	p := fingerprint(c)
-	crash, news := f.suspects.Add(g.now(), p, string(s.pick.target.ID))
+	crash, news := f.suspects.Add(g.now(), p, string(tg.ID))
 	f.mu.Unlock()
 	if news {
+		g.noteChange("msg", "request crashed a target", "id", c.id, "target", tg.ID, "count", crash.Count)
 		g.fleet.tell(crashNews{print: p, crash: crash, at: g.now()})
 	}
 }
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -387,7 +387,7 @@
 	case outBroken:
 		bad = 1
 		c.mayRan = true
-		g.crashed(c, s)
+		go g.broke(c, tg)
 	case outTimeout:
 		bad = 1
 		c.mayRan = true
--- a/pimentoretry/quarantine.go
+++ b/pimentoretry/quarantine.go
@@ -140,8 +140,11 @@
 	return q.Crashed(now, p, target)
 }
 
-// Clear forgets the crashes of a request that was answered.
-func (q *Quarantine) Clear(p Print) { delete(q.suspects, p) }
+// Clear notes that a request was answered, where Allow wasn't asked.
+func (q *Quarantine) Clear(now time.Duration, p Print) {
+	delete(q.suspects, p)
+	q.passed.add(now, p)
+}
 
 // Merge takes a peer's news of a crash. It reports whether it was news.
 func (q *Quarantine) Merge(now time.Duration, p Print, in Crash) bool {
