pimentofeed: an old update brings nothing back; pimentowire; files by concern

Up to its revision a state is complete, so older items are passed over now. Reading protobuf fields stood three times and is one package; the files of choice, outcome and reading are split.

--- a/cmd/pimentoarch/soak_test.go
+++ b/cmd/pimentoarch/soak_test.go
@@ -149,15 +149,7 @@
 
 func (s *soak) newGate(i int, store string) *soakGate {
 	g := &soakGate{name: fmt.Sprint("g", i), storeAt: store, settings: filepath.Join(s.dir, fmt.Sprint("g", i, ".json"))}
-	ports := make([]string, 4)
-	for j := range ports {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		ports[j] = ln.Addr().String()
-		_ = ln.Close()
-	}
+	ports := standin.Addresses(4)
 	g.callers, g.ready = ports[0], ports[1]
 	var seeds []string
 	if i > 0 {
--- a/pimentofeed/state.go
+++ b/pimentofeed/state.go
@@ -88,8 +88,10 @@
 		s.items = make(map[string]Item)
 	}
 	var changed []Item
+	known := s.asOf
 	for _, it := range u.Items {
-		if s.put(it) {
+		// Up to known the state is complete: what it doesn't have is removed.
+		if it.Revision > known && s.put(it) {
 			changed = append(changed, it)
 		}
 	}
--- a/pimentofeed/state_test.go
+++ b/pimentofeed/state_test.go
@@ -164,6 +164,18 @@
 	is.Equal(b.Live()[0].Key, "y")
 }
 
+// An old full update doesn't bring back what was removed before a copy's own
+// full read, which the copy never had.
+func TestOldUpdateBringsNothingBack(t *testing.T) {
+	is := is.New(t)
+	var s State
+	s.Merge(0, Update{Full: true, AsOf: 2})
+	changed := s.Merge(0, Update{Full: true, AsOf: 1, Items: []Item{{Key: "a", Value: []byte("0"), Revision: 1}}})
+	is.Equal(len(changed), 0)
+	is.Equal(len(s.Live()), 0)
+	is.Equal(s.AsOf(), Revision(2))
+}
+
 // An update that begins after what a state knows leaves a gap, so it is ignored.
 func TestGapIsIgnored(t *testing.T) {
 	is := is.New(t)
--- a/pimentofeed/wire.go
+++ b/pimentofeed/wire.go
@@ -1,14 +1,12 @@
 package pimentofeed
 
 import (
-	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/easyproto"
-)
 
-// errCorrupt is returned for messages with fields of the wrong type.
-var errCorrupt = errors.New("pimentofeed: update: a field has the wrong type")
+	"pimentoarch/pimentowire"
+)
 
 // message Update {
 //   uint64 from = 1; uint64 as_of = 2; bool full = 3; uint64 age_ms = 4;
@@ -34,76 +32,48 @@
 
 // Unmarshal reads an update from a message. It copies what it keeps.
 func (u *Update) Unmarshal(src []byte) error {
-	var fc easyproto.FieldContext
-	for len(src) > 0 {
-		rest, err := fc.NextField(src)
-		if err != nil {
-			return err
-		}
-		src = rest
-		if !u.field(&fc) {
-			return errCorrupt
-		}
-	}
-	return nil
-}
-
-func (u *Update) field(fc *easyproto.FieldContext) bool {
-	var ok bool
-	var n uint64
-	switch fc.FieldNum {
-	case 1:
-		n, ok = fc.Uint64()
-		u.From = Revision(n)
-	case 2:
-		n, ok = fc.Uint64()
-		u.AsOf = Revision(n)
-	case 3:
-		u.Full, ok = fc.Bool()
-	case 4:
-		n, ok = fc.Uint64()
-		u.Age = time.Duration(n) * time.Millisecond
-	case 5:
-		var data []byte
-		if data, ok = fc.MessageData(); ok {
-			var it Item
-			ok = it.unmarshal(data)
-			u.Items = append(u.Items, it)
+	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
+		var ms uint64
+		switch fc.FieldNum {
+		case 1:
+			return pimentowire.Number(&u.From, fc.Uint64)
+		case 2:
+			return pimentowire.Number(&u.AsOf, fc.Uint64)
+		case 3:
+			u.Full, ok = fc.Bool()
+		case 4:
+			ms, ok = fc.Uint64()
+			u.Age = time.Duration(ms) * time.Millisecond
+		case 5:
+			var data []byte
+			if data, ok = fc.MessageData(); ok {
+				var it Item
+				ok = it.unmarshal(data) == nil
+				u.Items = append(u.Items, it)
+			}
+		default:
+			ok = true
 		}
-	default:
-		ok = true
-	}
-	return ok
+		return ok
+	})
 }
 
-func (it *Item) unmarshal(src []byte) bool {
-	var fc easyproto.FieldContext
-	for len(src) > 0 {
-		rest, err := fc.NextField(src)
-		if err != nil {
-			return false
-		}
-		src = rest
-		ok := true
+func (it *Item) unmarshal(src []byte) error {
+	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
 		switch fc.FieldNum {
 		case 1:
-			var key string
-			key, ok = fc.String()
-			it.Key = string([]byte(key))
+			return pimentowire.Text(&it.Key, fc)
 		case 2:
 			var value []byte
 			value, ok = fc.Bytes()
 			it.Value = append([]byte(nil), value...)
 		case 3:
-			var n uint64
-			n, ok = fc.Uint64()
-			it.Revision = Revision(n)
+			return pimentowire.Number(&it.Revision, fc.Uint64)
 		case 4:
 			it.Removed, ok = fc.Bool()
+		default:
+			ok = true
 		}
-		if !ok {
-			return false
-		}
-	}
-	return true
+		return ok
+	})
 }
--- /dev/null
+++ b/pimentogate/assess.go
@@ -0,0 +1,97 @@
+package pimentogate
+
+import (
+	"time"
+
+	"pimentoarch/pimentoroute"
+)
+
+// assess works out how long the target would take.
+func (g *Gate) assess(c *call, p *pick) {
+	now := g.now()
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.target(p.target.ID)
+	was := s.coldUntil > now
+	s.coldUntil = 0
+	if p.report.ColdLeft > 0 {
+		s.coldUntil = now + p.report.ColdLeft
+	}
+	p.cold = s.coldUntil > now
+	if p.cold != was {
+		g.noteChange("msg", "target's cold state changed", "target", p.target.ID, "cold", p.cold, "left_ms", p.report.ColdLeft.Milliseconds())
+	}
+	running := max(p.report.Running+s.sentSince, s.sending)
+	slots := max(1, p.report.Slots)
+	if p.report.Slots == 0 {
+		slots = max(1, p.target.Slots)
+	}
+	w := f.work(c.route)
+	expected := g.distance(c, p.target)
+	p.cost = g.costOf(w, p.target)
+	run := w.alone
+	if running > 0 {
+		run = w.beside
+	}
+	run = run * time.Duration(max(1, p.report.Stretch)) / 100
+	expected += run
+	if limit := f.queues[c.part()]; limit > 0 && p.report.Waiting+s.sentSince >= limit {
+		p.full = true
+		expected += fullPenalty
+	}
+	if running >= slots {
+		expected += run * time.Duration(p.report.Waiting+running-slots+1) / time.Duration(slots)
+	}
+	expected += time.Duration(s.failing * float64(failPenalty))
+	if !p.report.Healthy {
+		expected += illPenalty
+	}
+	p.expected = expected
+}
+
+// distance is the time on the way to a target and back.
+func (g *Gate) distance(c *call, tg *pimentoroute.Target) time.Duration {
+	switch {
+	case tg.Domain == g.settings.Domain:
+		return sameDomain
+	case tg.Region == g.region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// cost stands for the price of the bytes of an answer from a target.
+func (g *Gate) cost(c *call, tg *pimentoroute.Target) time.Duration {
+	g.flow.mu.Lock()
+	defer g.flow.mu.Unlock()
+	return g.costOf(g.flow.work(c.route), tg)
+}
+
+func (g *Gate) costOf(w *work, tg *pimentoroute.Target) time.Duration {
+	switch {
+	case tg.Domain == g.settings.Domain:
+		return 0
+	case tg.Region == g.region:
+		return time.Duration(w.bytes * float64(domainCost))
+	}
+	return time.Duration(w.bytes * float64(regionCost))
+}
+
+// Distances of targets, as what a request and its answer take on the way.
+const (
+	sameDomain  = 500 * time.Microsecond
+	sameRegion  = 2 * time.Millisecond
+	otherRegion = 61 * time.Millisecond
+	// domainCost and regionCost are added for each byte of an answer from
+	// another domain or region, whose bytes are paid for.
+	domainCost = 12 * time.Microsecond
+	regionCost = 30 * time.Microsecond
+	// illPenalty is added for targets that call themselves unwell.
+	illPenalty = 2 * time.Second
+	// fullPenalty is added for a target whose queue is as long as those that
+	// refused.
+	fullPenalty = time.Second
+	// failPenalty is added for a target that fails all sends.
+	failPenalty = 1500 * time.Millisecond
+)
--- /dev/null
+++ b/pimentogate/choose.go
@@ -0,0 +1,210 @@
+package pimentogate
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
+)
+
+// choose asks targets until one is good enough for the time that the request
+// has, and returns it, or nil and the reason. While all are busy or slow it waits,
+// because how busy they are changes within parts of a second, and a slow target
+// would lose the time of many others.
+func (g *Gate) choose(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
+	for wait := firstWait; ; wait = min(2*wait, maxWait) {
+		best, why := g.nearest(c, tried)
+		if best == nil {
+			return nil, why
+		}
+		switch g.decide(c, best) {
+		case verdictSend:
+			return best, reasonNone
+		case verdictRefuse:
+			best.release()
+			return nil, reasonBusy
+		}
+		best.release()
+		select {
+		case <-c.left:
+			return nil, reasonLeft
+		case <-time.After(wait):
+		}
+	}
+}
+
+const (
+	// firstWait is the time until targets are asked again when none is good
+	// enough. It doubles up to maxWait.
+	firstWait = 25 * time.Millisecond
+	maxWait   = 100 * time.Millisecond
+	// refuseShare is the part of the objective after which a request is refused
+	// while all queues are full, so that its caller soon knows.
+	refuseShare = 0.125
+	// hopeShare is the part of the objective for which a request waits for a
+	// target that answers in time, and patienceShare for one that isn't slow.
+	hopeShare     = 0.5
+	patienceShare = 0.7
+	// slowFactor is how many times the usual work makes a target slow.
+	slowFactor = 3
+)
+
+// verdict says what to do with the best target at the moment.
+type verdict uint8
+
+const (
+	verdictSend verdict = iota
+	verdictWait
+	verdictRefuse
+)
+
+func (g *Gate) decide(c *call, p *pick) verdict {
+	elapsed := time.Since(c.received)
+	within := func(share float64) bool { return elapsed < time.Duration(share*float64(c.route.Objective)) }
+	switch {
+	case elapsed+p.expected <= c.route.Objective:
+		return verdictSend
+	case p.full && !within(refuseShare):
+		return verdictRefuse
+	case within(hopeShare):
+		return verdictWait
+	case p.expected > slowFactor*g.usual(c) && within(patienceShare):
+		return verdictWait
+	}
+	return verdictSend
+}
+
+// nearest asks targets in rounds, the near ones first, and returns the best
+// one, or nil and the reason. It ends when another round could hardly find a
+// better one in time.
+func (g *Gate) nearest(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
+	candidates := g.candidates(c, tried)
+	if len(candidates) == 0 {
+		return nil, reasonTargets
+	}
+	var best *pick
+	for range maxRounds {
+		group := g.nextGroup(candidates)
+		if len(group) == 0 || time.Until(c.until) < 0 || c.hasLeft() {
+			break
+		}
+		if best != nil && best.price() <= g.potential(c, group[0]) {
+			break
+		}
+		answers := g.ask(c, group)
+		candidates = candidates[len(group):]
+		best = g.better(c, best, answers)
+	}
+	if best == nil {
+		return nil, reasonBusy
+	}
+	return best, reasonNone
+}
+
+// nextGroup returns the first candidates, as many as are asked at once, and all
+// of them near or all of them far.
+func (g *Gate) nextGroup(candidates []*pimentoroute.Target) []*pimentoroute.Target {
+	n := 0
+	for n < len(candidates) && n < askAtOnce && (candidates[n].Region == g.region) == (candidates[0].Region == g.region) {
+		n++
+	}
+	return candidates[:n]
+}
+
+// potential is the time that an answer takes where a target is asked now and
+// turns out to be idle.
+func (g *Gate) potential(c *call, tg *pimentoroute.Target) time.Duration {
+	return g.usual(c) + 2*g.distance(c, tg) + g.cost(c, tg)
+}
+
+// usual is a little more than the usual work on a request.
+func (g *Gate) usual(c *call) time.Duration {
+	g.flow.mu.Lock()
+	defer g.flow.mu.Unlock()
+	return time.Duration(usualFactor * float64(g.flow.work(c.route).alone))
+}
+
+// better returns the best of a pick and new ones, and releases the others.
+func (g *Gate) better(c *call, best *pick, answers []*pick) *pick {
+	slices.SortFunc(answers, func(a, b *pick) int { return cmp.Compare(a.price(), b.price()) })
+	for _, p := range answers {
+		switch {
+		case best != nil && p.price() >= best.price():
+			p.release()
+		case p.cold && !g.takeCold(c, p):
+			p.release()
+		default:
+			if best != nil {
+				best.release()
+			}
+			best = p
+		}
+	}
+	return best
+}
+
+// takeCold takes one request of this entry's share of a cold target.
+func (g *Gate) takeCold(c *call, p *pick) bool {
+	share := g.coldShare(c.service)
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.target(p.target.ID).cold.Take(g.now(), share)
+}
+
+// coldMargin is the part of a cold target's limit that is used, since two
+// lists of members may differ and requests bunch up on the way.
+const coldMargin = 0.8
+
+func (g *Gate) coldShare(s *pimentoroute.Service) int {
+	entries, rank := int(g.domainSize.Load()), int(g.domainRank.Load())
+	if entries == 0 {
+		return 0
+	}
+	limit := (s.ColdRate*g.settings.Overshoot + g.settings.Slack) * coldMargin
+	return pimentotarget.ColdShare(limit, entries, rank)
+}
+
+// candidates returns the targets that a request may go to, the near ones first
+// and at random among equals.
+func (g *Gate) candidates(c *call, tried []pimentoroute.TargetID) []*pimentoroute.Target {
+	now := g.now()
+	var list []*pimentoroute.Target
+	rank := make(map[pimentoroute.TargetID]int)
+	f := &g.flow
+	f.mu.Lock()
+	for _, tg := range g.targetsOf(c) {
+		if slices.Contains(tried, tg.ID) || !c.route.Allows(tg.Region) {
+			continue
+		}
+		s := f.target(tg.ID)
+		if s.coldUntil > now && tg.Domain != g.settings.Domain {
+			continue
+		}
+		n := 0
+		switch {
+		case tg.Domain == g.settings.Domain:
+		case tg.Region == g.region:
+			n = 1
+		default:
+			n = 2
+		}
+		if s.restUntil > now {
+			n += 3
+		}
+		rank[tg.ID] = n
+		list = append(list, tg)
+	}
+	f.mu.Unlock()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b *pimentoroute.Target) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
+	return list
+}
+
+// targetsOf returns the targets of a request's service that are known now.
+func (g *Gate) targetsOf(c *call) []*pimentoroute.Target {
+	return g.table.Load().Targets[c.part()]
+}
--- a/pimentogate/note.go
+++ b/pimentogate/note.go
@@ -2,15 +2,13 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"github.com/VictoriaMetrics/easyproto"
 
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentopeer"
-	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoretry"
-	"pimentoarch/pimentotarget"
+	"pimentoarch/pimentowire"
 )
 
 // note is what one entry tells another at intervals and when something changes.
@@ -27,7 +25,6 @@
 
 var (
 	marshalers     easyproto.MarshalerPool
-	errFieldType   = errors.New("a field has the wrong type")
 	errNoteNoName  = errors.New("the sender has no name")
 	errNoteUnknown = errors.New("a message within isn't valid")
 )
@@ -83,32 +80,10 @@
 	mm.AppendUint32(3, uint32(n.crash.Count))
 }
 
-// eachField calls visit for each field of a message until one isn't valid.
-func eachField(src []byte, visit func(*easyproto.FieldContext) bool) error {
-	var fc easyproto.FieldContext
-	for len(src) > 0 {
-		rest, err := fc.NextField(src)
-		if err != nil {
-			return err
-		}
-		src = rest
-		if !visit(&fc) {
-			return fmt.Errorf("field %d: %w", fc.FieldNum, errFieldType)
-		}
-	}
-	return nil
-}
-
-func text[T ~string](dst *T, fc *easyproto.FieldContext) bool {
-	b, ok := fc.Bytes()
-	*dst = T(b)
-	return ok
-}
-
 func unmarshalNote(src []byte) (*note, error) {
 	n := new(note)
 	var nested error
-	err := eachField(src, func(fc *easyproto.FieldContext) (ok bool) {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
 		switch fc.FieldNum {
 		case 1:
 			n.self, nested = memberField(fc)
@@ -161,16 +136,16 @@
 	if !ok {
 		return m, errNoteUnknown
 	}
-	err := eachField(data, func(fc *easyproto.FieldContext) (ok bool) {
+	err := pimentowire.EachField(data, func(fc *easyproto.FieldContext) (ok bool) {
 		switch fc.FieldNum {
 		case 1:
-			return text[pimentotarget.EntryName](&m.Name, fc)
+			return pimentowire.Text(&m.Name, fc)
 		case 2:
-			return text(&m.Address, fc)
+			return pimentowire.Text(&m.Address, fc)
 		case 3:
-			return text[pimentoregister.RegionName](&m.Region, fc)
+			return pimentowire.Text(&m.Region, fc)
 		case 4:
-			return text[pimentoregister.DomainName](&m.Domain, fc)
+			return pimentowire.Text(&m.Domain, fc)
 		case 5:
 			m.Run, ok = fc.Fixed64()
 		case 6:
@@ -188,14 +163,14 @@
 }
 
 func unmarshalCrash(src []byte, n *crashNews) error {
-	return eachField(src, func(fc *easyproto.FieldContext) (ok bool) {
+	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
 		switch fc.FieldNum {
 		case 1:
 			var v uint64
 			v, ok = fc.Fixed64()
 			n.print = pimentoretry.Print(v)
 		case 2:
-			ok = text(&n.crash.Target, fc)
+			ok = pimentowire.Text(&n.crash.Target, fc)
 		case 3:
 			var v uint32
 			v, ok = fc.Uint32()
--- a/pimentolink/fetch.go
+++ b/pimentolink/fetch.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/yamux"
 
 	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentowire"
 )
 
 // Fetch returns the configuration in force at a peer.
@@ -49,10 +50,10 @@
 func unmarshalValue(src []byte) (pimentoregister.Revision, []byte, error) {
 	var rev pimentoregister.Revision
 	var data []byte
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			return setNumber(&rev, fc.Uint64)
+			return pimentowire.Number(&rev, fc.Uint64)
 		case 2:
 			v, ok := fc.Bytes()
 			data = v
--- a/pimentolink/forward.go
+++ b/pimentolink/forward.go
@@ -11,6 +11,8 @@
 	"github.com/VictoriaMetrics/easyproto"
 	"github.com/hashicorp/yamux"
 	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentowire"
 )
 
 // Purpose says why a request is forwarded. It bounds further forwarding.
@@ -253,7 +255,7 @@
 func unmarshalRequest(src []byte, in *Incoming) error {
 	var millis uint64
 	var head []byte
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		var ok bool
 		switch fc.FieldNum {
 		case 1:
@@ -300,7 +302,7 @@
 func unmarshalResponse(src []byte, resp *fasthttp.Response) (int, error) {
 	var size int64
 	var head []byte
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		var ok bool
 		switch fc.FieldNum {
 		case 1:
--- a/pimentolink/handover.go
+++ b/pimentolink/handover.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 
 	"pimentoarch/pimentokey"
+	"pimentoarch/pimentowire"
 )
 
 // Handover gives the key ranges of process from to the process with the incarnation at a peer. An
@@ -170,10 +171,10 @@
 }
 
 func unmarshalHandover(src []byte) (from, to pimentokey.Incarnation, ranges []pimentokey.Range, err error) {
-	err = eachField(src, func(fc *easyproto.FieldContext) bool {
+	err = pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			return setNumber(&to, fc.Fixed64)
+			return pimentowire.Number(&to, fc.Fixed64)
 		case 2:
 			data, ok := fc.MessageData()
 			if !ok {
@@ -183,7 +184,7 @@
 			ranges = append(ranges, r)
 			return err == nil
 		case 3:
-			return setNumber(&from, fc.Fixed64)
+			return pimentowire.Number(&from, fc.Fixed64)
 		}
 		return true
 	})
@@ -192,18 +193,18 @@
 
 func unmarshalRange(src []byte) (pimentokey.Range, error) {
 	var r pimentokey.Range
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			return setNumber(&r.Issuer, fc.Fixed64)
+			return pimentowire.Number(&r.Issuer, fc.Fixed64)
 		case 2:
-			return setNumber(&r.Secret[0], fc.Fixed64)
+			return pimentowire.Number(&r.Secret[0], fc.Fixed64)
 		case 3:
-			return setNumber(&r.Secret[1], fc.Fixed64)
+			return pimentowire.Number(&r.Secret[1], fc.Fixed64)
 		case 4:
-			return setNumber(&r.Next, fc.Uint64)
+			return pimentowire.Number(&r.Next, fc.Uint64)
 		case 5:
-			return setNumber(&r.Floor, fc.Uint64)
+			return pimentowire.Number(&r.Floor, fc.Uint64)
 		case 6:
 			data, ok := fc.MessageData()
 			if !ok {
@@ -228,7 +229,7 @@
 
 func unmarshalPage(src []byte) (pimentokey.NumberedPage, bool) {
 	var p pimentokey.NumberedPage
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
 			v, ok := fc.Uint64()
@@ -248,12 +249,12 @@
 
 func unmarshalRecord(src []byte) (pimentokey.Record, bool) {
 	var r pimentokey.Record
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			return setNumber(&r.Seq, fc.Uint64)
+			return pimentowire.Number(&r.Seq, fc.Uint64)
 		case 2:
-			return setNumber(&r.Fingerprint, fc.Fixed64)
+			return pimentowire.Number(&r.Fingerprint, fc.Fixed64)
 		case 3:
 			v, ok := fc.Uint32()
 			r.Outcome = pimentokey.Outcome(v)
@@ -273,7 +274,7 @@
 
 func unmarshalAnswer(src []byte) (*pimentokey.Answer, bool) {
 	a := new(pimentokey.Answer)
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
 			v, ok := fc.Uint32()
@@ -306,7 +307,7 @@
 
 func unmarshalLesson(src []byte) (Lesson, error) {
 	var l Lesson
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
 			data, ok := fc.MessageData()
@@ -319,9 +320,9 @@
 			l.Answer = rec.Answer
 			return ok
 		case 2:
-			return setNumber(&l.Key.Issuer, fc.Fixed64)
+			return pimentowire.Number(&l.Key.Issuer, fc.Fixed64)
 		case 3:
-			return setNumber(&l.Key.Sum, fc.Fixed64)
+			return pimentowire.Number(&l.Key.Sum, fc.Fixed64)
 		}
 		return true
 	})
--- a/pimentolink/heartbeat.go
+++ b/pimentolink/heartbeat.go
@@ -7,6 +7,7 @@
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentotarget"
+	"pimentoarch/pimentowire"
 )
 
 // Heart sends heartbeats to a peer. It isn't safe for concurrent use.
@@ -73,14 +74,14 @@
 
 func unmarshalHeartbeat(src []byte) (pimentopeer.Heartbeat, error) {
 	var hb pimentopeer.Heartbeat
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			return setText(&hb.Name, fc)
+			return pimentowire.Text(&hb.Name, fc)
 		case 2:
-			return setNumber(&hb.Incarnation, fc.Fixed64)
+			return pimentowire.Number(&hb.Incarnation, fc.Fixed64)
 		case 3:
-			return setNumber(&hb.Revision, fc.Uint64)
+			return pimentowire.Number(&hb.Revision, fc.Uint64)
 		case 4:
 			v, ok := fc.Bool()
 			hb.Leaving = v
@@ -131,20 +132,20 @@
 
 func unmarshalChange(src []byte) (pimentopeer.Change, error) {
 	var c pimentopeer.Change
-	err := eachField(src, func(fc *easyproto.FieldContext) bool {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) bool {
 		switch fc.FieldNum {
 		case 1:
-			return setText(&c.Service, fc)
+			return pimentowire.Text(&c.Service, fc)
 		case 2:
-			return setText(&c.Target, fc)
+			return pimentowire.Text(&c.Target, fc)
 		case 3:
-			return setNumber(&c.Mark.Epoch, fc.Uint64)
+			return pimentowire.Number(&c.Mark.Epoch, fc.Uint64)
 		case 4:
 			v, ok := fc.Uint32()
 			c.Mark.Phase = pimentotarget.Phase(v)
 			return ok && v <= uint32(pimentotarget.PhaseWarm)
 		case 5:
-			return setNumber(&c.Print, fc.Fixed64)
+			return pimentowire.Number(&c.Print, fc.Fixed64)
 		case 6:
 			v, ok := fc.Uint32()
 			c.Crash.Count = int(v)
@@ -154,7 +155,7 @@
 			c.Regions = append(c.Regions, pimentoregister.RegionName([]byte(v)))
 			return ok
 		case 8:
-			return setText(&c.Crash.Target, fc)
+			return pimentowire.Text(&c.Crash.Target, fc)
 		}
 		return true
 	})
--- a/pimentopeer/roster_test.go
+++ b/pimentopeer/roster_test.go
@@ -73,7 +73,7 @@
 			for queue := []int{0}; len(queue) > 0; queue = queue[1:] {
 				for i := range ring {
 					for _, m := range successors(ring, i) {
-						j := int(m.Name[0]-'A')
+						j := int(m.Name[0] - 'A')
 						for k := range ring {
 							if ring[k].Name == m.Name {
 								j = k
