--- a/cmd/pimentoarch/gate.go
+++ b/cmd/pimentoarch/gate.go
@@ -22,6 +22,10 @@
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
 }
 
+// gateGCPercent is lower than gcPercent, because memory has a price where gates
+// run, and their load is small.
+const gateGCPercent = 100
+
 // memoryShare is the part of the VM's memory, in parts of a hundred, from which
 // garbage is collected more eagerly.
 const memoryShare = 50
@@ -39,6 +43,7 @@
 	if cmd.Check {
 		return exitOK
 	}
+	debug.SetGCPercent(gateGCPercent)
 	debug.SetMemoryLimit(int64(s.Memory) << 20 * memoryShare / 100)
 	logger := newLogger(stdout, s.Log)
 	client, closeClient := pimentoplatform.NewClient(s.Platform)
