--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -13,7 +13,7 @@
 
 const (
 	// askAtOnce is the number of targets that are asked together.
-	askAtOnce = 4
+	askAtOnce = 3
 	// maxRounds bounds the rounds of questions for one send.
 	maxRounds = 4
 	// nearWait bounds the answer of a target in the same region, and farWait
