--- a/pimentoentry/fleet_test.go
+++ b/pimentoentry/fleet_test.go
@@ -53,6 +53,12 @@
 	return len(p), nil
 }
 
+func (b *safeBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return string(b.data)
+}
+
 func (b *safeBuffer) lines(t testing.TB) []pimentofake.RunLine {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -149,7 +155,13 @@
 	ports := pimentofake.Addresses(3)
 	s.Callers, s.Peers, s.Admin = ports[0], ports[1], ports[2]
 	s.Name = pimentotarget.EntryName(name)
-	e, cleanup, err := New(s, log.NewNopLogger())
+	lines := new(safeBuffer)
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", name, lines.text())
+		}
+	})
+	e, cleanup, err := New(s, log.NewLogfmtLogger(lines))
 	f.is.NoErr(err)
 	e.startSpread = time.Millisecond
 	m := &member{Entry: e, stop: make(chan struct{}), done: make(chan error, 1)}
--- a/pimentofake/platform.go
+++ b/pimentofake/platform.go
@@ -33,6 +33,8 @@
 	mu      sync.Mutex // Guards the fields below.
 	values  map[string]published
 	list    published
+	set     uint64        // Counts the lists that were set.
+	listSet uint64        // The count at the published list.
 	changed chan struct{} // Closed at each change.
 	down    bool
 	slow    time.Duration
@@ -79,12 +81,22 @@
 	if err != nil {
 		panic(err)
 	}
-	time.AfterFunc(p.Lag, func() { p.publishList(data) })
+	p.mu.Lock()
+	p.set++
+	set := p.set
+	p.mu.Unlock()
+	time.AfterFunc(p.Lag, func() { p.publishList(set, data) })
 }
 
-func (p *Platform) publishList(data []byte) {
+// publishList publishes a list, unless a later one is published: timers that
+// end at the same moment run in any order.
+func (p *Platform) publishList(set uint64, data []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if set < p.listSet {
+		return
+	}
+	p.listSet = set
 	p.list = published{revision: p.list.revision + 1, data: data}
 	p.wake()
 }
