--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -61,6 +61,8 @@
 	verdictRefuse
 )
 
+// decide says what to do, by the time that the request has and how long its
+// best target would take.
 func (g *Gate) decide(c *call, p *pick) verdict {
 	elapsed := time.Since(c.received)
 	within := func(share float64) bool { return elapsed < time.Duration(share*float64(c.route.Objective)) }
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -97,6 +97,7 @@
 // comeBackSoon is when a caller may come back after a refusal for lack of room.
 const comeBackSoon = 120 * time.Millisecond
 
+// target returns what is known of a target. It is called with mu held.
 func (f *flow) target(id pimentoroute.TargetID) *targetState {
 	if f.targets == nil {
 		f.targets = make(map[pimentoroute.TargetID]*targetState)
--- a/pimentohttp/doc.go
+++ b/pimentohttp/doc.go
@@ -9,6 +9,9 @@
 The outcome of an exchange says how far it came. Unsent means that no byte of
 the request was written, so that the target did not run it.
 
+A connection can be taken for several exchanges in a row, such as a question and
+the request that follows from its answer.
+
 A Watch finds callers that have closed their connections while they wait.
 */
 package pimentohttp
--- a/pimentoplatform/doc.go
+++ b/pimentoplatform/doc.go
@@ -13,5 +13,8 @@
 nothing. It begins after a random time, and pauses after each read, so that 300
 entries together stay below a tenth of the service's 2,000 reads/s, also when
 all start at once, when a change wakes all of them, and while the service fails.
+
+Services of another form are a Source, two functions that read and watch. Follow
+reads a Source while it is asked to, with its own pauses.
 */
 package pimentoplatform
