pimentohttp, pimentogate: parameters that nothing needs any more

Cause: read the whole change again: closing idle connections by a time was left with one caller form, all of them, since connections carry their own limit; the distance of a target took the request and didn't use it; a comment named a function that isn't there. Ruled out as worth it now: the start of both commands in cmd/pimentoarch and the checks of both settings share ten lines each, with other types. No behaviour changed; tests of the three packages pass.

--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -103,7 +103,7 @@
 			r.deliver(&pick{target: tg, err: err})
 		}
 	}
-	good := g.usual(c) + g.distance(c, targets[0])
+	good := g.usual(c) + g.distance(targets[0])
 	timer := time.NewTimer(min(wait, max(0, time.Until(c.until))))
 	defer timer.Stop()
 	var answers []*pick
--- a/pimentogate/assess.go
+++ b/pimentogate/assess.go
@@ -28,7 +28,7 @@
 		slots = max(1, p.target.Slots)
 	}
 	w := f.work(c.route)
-	expected := g.distance(c, p.target)
+	expected := g.distance(p.target)
 	p.cost = g.costOf(w, p.target)
 	run := w.alone
 	if running > 0 {
@@ -51,7 +51,7 @@
 }
 
 // distance is the time on the way to a target and back.
-func (g *Gate) distance(c *call, tg *pimentoroute.Target) time.Duration {
+func (g *Gate) distance(tg *pimentoroute.Target) time.Duration {
 	switch {
 	case tg.Domain == g.settings.Domain:
 		return sameDomain
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -99,7 +99,7 @@
 // repeatable reports whether the request may run more than once.
 func (c *call) repeatable() bool { return c.route.Kind != pimentoroute.KindUnsafe }
 
-// print identifies the request for the quarantine.
+// printable returns what identifies a request that may come again.
 func (c *call) printable() []string {
 	return []string{c.from, string(c.req.Header.Method()), string(c.req.Header.Host()), string(c.req.Header.RequestURI()), string(c.req.Body())}
 }
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -119,7 +119,7 @@
 // potential is the time that an answer takes where a target is asked now and
 // turns out to be idle.
 func (g *Gate) potential(c *call, tg *pimentoroute.Target) time.Duration {
-	return g.usual(c) + 2*g.distance(c, tg) + g.cost(c, tg)
+	return g.usual(c) + 2*g.distance(tg) + g.cost(c, tg)
 }
 
 // usual is a little more than the usual work on a request.
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -95,7 +95,7 @@
 	switch s.outcome {
 	case outAnswer:
 		if r := &s.pick.report; r.Stretch <= calmStretch && r.Running < r.Slots {
-			g.flow.learn(c.route, time.Since(s.started)-g.distance(c, tg), r.Running, len(s.x.Resp.Body()))
+			g.flow.learn(c.route, time.Since(s.started)-g.distance(tg), r.Running, len(s.x.Resp.Body()))
 		}
 		g.passed(c)
 	case outNotRun:
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -106,7 +106,7 @@
 	delete(c.pools, address)
 	c.mu.Unlock()
 	if p != nil {
-		p.closeIdle(time.Time{})
+		p.closeIdle()
 	}
 }
 
@@ -137,10 +137,8 @@
 	p.keepIdle(func(c *Conn) bool { return now.Sub(c.usedAt) < c.maxIdle(limit) })
 }
 
-// closeIdle closes connections last used before the time, or all if it is zero.
-func (p *pool) closeIdle(before time.Time) {
-	p.keepIdle(func(c *Conn) bool { return !before.IsZero() && !c.usedAt.Before(before) })
-}
+// closeIdle closes all idle connections.
+func (p *pool) closeIdle() { p.keepIdle(func(*Conn) bool { return false }) }
 
 // keepIdle closes the idle connections that keep reports false for, and returns
 // their number.
@@ -166,7 +164,7 @@
 
 // ForgetIdle closes the idle connections to a target that stays. Its limit
 // stays as well.
-func (c *Client) ForgetIdle(address string) { c.pool(address).closeIdle(time.Time{}) }
+func (c *Client) ForgetIdle(address string) { c.pool(address).closeIdle() }
 
 // ForgetAll closes all idle connections, because one of them was silent and
 // others may be.
@@ -175,7 +173,7 @@
 	pools := maps.Clone(c.pools)
 	c.mu.Unlock()
 	for _, p := range pools {
-		p.closeIdle(time.Time{})
+		p.closeIdle()
 	}
 }
 
