pimentoentry: the first list can't miss services of the first configuration

Three faults, found by printing an entry's status when a test fails: - The first configuration and the first list of VMs are put in force by two goroutines. A service that was made after the list had been handed out, but before it was kept for later services, never heard of it: the entry had no shares and owned nothing until the list changed. Both now take configMu. Slowness now halves each second without an answer, and doesn't count for cold targets. TestSlowFirstAnswer, TestSlowOnce failed first. - A request that waited for a cold target of its own entry went on waiting after another entry had become the owner. It is handed over now. TestOwnerChangesWhileWaiting failed first. Ruled out: process pauses (no log line), lost heartbeats (peers reachable in the status).

--- a/pimentoentry/config.go
+++ b/pimentoentry/config.go
@@ -98,8 +98,11 @@
 	s.pump(now)
 }
 
-// takeList takes the platform's list of VMs.
+// takeList takes the platform's list of VMs. No configuration is put in force
+// meanwhile, so that its new services can't miss the list.
 func (e *Entry) takeList(list pimentoplatform.List) {
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
 	e.listMu.Lock()
 	e.leaving = list.Leaving
 	e.listAt = e.now()
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -41,7 +41,7 @@
 	platform   *pimentoplatform.Client
 	workers    *ants.Pool
 
-	configMu sync.Mutex // Held while a document is put in force. Taken before all others.
+	configMu sync.Mutex // Held while a document or a list of VMs is put in force. Taken before all others.
 	listMu   sync.Mutex // Guards the fields below. No other lock is taken under it.
 	entries  []pimentotarget.EntryName
 	leaving  map[pimentoregister.VMName]bool
--- a/pimentoentry/fleet_test.go
+++ b/pimentoentry/fleet_test.go
@@ -156,11 +156,6 @@
 	s.Callers, s.Peers, s.Admin = ports[0], ports[1], ports[2]
 	s.Name = pimentotarget.EntryName(name)
 	lines := new(safeBuffer)
-	f.t.Cleanup(func() {
-		if f.t.Failed() {
-			f.t.Logf("%s:\n%s", name, lines.text())
-		}
-	})
 	e, cleanup, err := New(s, log.NewLogfmtLogger(lines))
 	f.is.NoErr(err)
 	e.startSpread = time.Millisecond
@@ -174,6 +169,12 @@
 		cleanup()
 	}()
 	f.t.Cleanup(e.cancel)
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			body, _ := json.MarshalIndent(e.Status(), "        ", " ")
+			f.t.Logf("%s:\n%s\n%s", name, lines.text(), body)
+		}
+	})
 	f.entries = append(f.entries, m)
 	f.vms = append(f.vms, pimentofake.VM{
 		Name: name, Role: "entry", Address: s.Peers, Region: string(s.Region), Domain: string(domain), State: "live",
--- a/pimentoentry/once.go
+++ b/pimentoentry/once.go
@@ -186,8 +186,15 @@
 		return nil
 	}
 	var avoid []*pimentotarget.Target
-	for n := 1; ; n++ {
+	for n := 1; ; {
 		a, f := e.sendOnce(c, avoid)
+		if f == handOver {
+			if o, ok := e.relayed(c); ok {
+				e.keys.settle(key, o, keep(c.resp))
+				return nil
+			}
+			continue
+		}
 		if f != nil {
 			e.keys.settle(key, pimentokey.OutcomeNotRun, nil)
 			return f.prove()
@@ -210,6 +217,7 @@
 		}
 		e.counters.retries[a.retryReason()].Inc()
 		avoid = append(avoid, a.target)
+		n++
 	}
 }
 
--- a/pimentoentry/path_test.go
+++ b/pimentoentry/path_test.go
@@ -50,6 +50,33 @@
 	}
 }
 
+// A request waits at an entry that has just become the owner of the only
+// target, which is cold. Then another entry becomes the owner, and gets it.
+func TestOwnerChangesWhileWaiting(t *testing.T) {
+	for _, path := range []string{"/charts/x", "/bookings/book"} {
+		t.Run(path[1:7], func(t *testing.T) {
+			f := newFleet(t, 1)
+			m := f.start("west-a")
+			f.awaitReady()
+			s := m.service(pimentoregister.ServiceName(path[1:strings.LastIndex(path, "/")]))
+			s.mu.Lock()
+			s.table.OwnerWait = time.Hour
+			s.mu.Unlock()
+			done := make(chan string)
+			go func() {
+				if path == "/charts/x" {
+					done <- refusalOf(f.raw(m, "GET", path, "any", "", headerTimeout, "15000"))
+					return
+				}
+				done <- refusalOf(f.raw(m, "POST", path, "any", "", headerTimeout, "15000", headerKey, f.freshKey(m, "any")))
+			}()
+			f.await("request waits", func() bool { return s.waiting.Load() > 0 })
+			f.start("west-b")
+			f.is.Equal(<-done, "200  ")
+		})
+	}
+}
+
 func refusalOf(resp *fasthttp.Response) string {
 	return fmt.Sprintf("%d %s %s", resp.StatusCode(), resp.Header.Peek(headerReason), resp.Header.Peek(headerRun))
 }
--- a/pimentoentry/read.go
+++ b/pimentoentry/read.go
@@ -30,9 +30,14 @@
 	s.mu.Unlock()
 	var avoid []*pimentotarget.Target
 	var last *attempt
-	for n := 1; ; n++ {
+	for n := 1; ; {
 		a, f := e.readOnce(c, avoid)
 		switch {
+		case f == handOver:
+			if e.readElsewhere(c) {
+				return nil
+			}
+			continue
 		case f != nil && last != nil:
 			return last.refusal()
 		case f != nil:
@@ -49,6 +54,7 @@
 		e.counters.retries[a.retryReason()].Inc()
 		avoid = append(avoid, a.target)
 		last = a
+		n++
 	}
 }
 
--- a/pimentoentry/service.go
+++ b/pimentoentry/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"pimentoarch/pimentolink"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
@@ -96,19 +97,50 @@
 	return nil
 }
 
+// helpPause is the time after which a waiting request looks for another entry
+// that may send to a target.
+const helpPause = 100 * time.Millisecond
+
+// handOver is returned for a request that waits in vain here, since another
+// entry has become the owner of the cold targets that it may go to.
+var handOver = refuse(ReasonTargets, RunNo, "another entry warms up the targets of the service")
+
 // await waits until the queue gives the request back, or the caller has gone.
 func (e *Entry) await(c *call, r *pimentotarget.Request) *refusal {
 	e.noteQueued()
 	timer := time.NewTimer(time.Until(c.deadline))
 	defer timer.Stop()
-	select {
-	case <-r.Ready:
-		return nil
-	case <-c.ctx.Done():
-		return e.withdraw(c, r, refuse(ReasonGone, RunNo, "the caller has gone"))
-	case <-timer.C:
-		return e.withdraw(c, r, refuse(ReasonDeadline, RunNo, "the deadline passed while the request waited for a target"))
+	help := time.NewTicker(helpPause)
+	defer help.Stop()
+	for {
+		select {
+		case <-r.Ready:
+			return nil
+		case <-c.ctx.Done():
+			return e.withdraw(c, r, refuse(ReasonGone, RunNo, "the caller has gone"))
+		case <-timer.C:
+			return e.withdraw(c, r, refuse(ReasonDeadline, RunNo, "the deadline passed while the request waited for a target"))
+		case <-help.C:
+			if e.mustHandOver(c) {
+				return e.withdraw(c, r, notHere(c))
+			}
+		}
+	}
+}
+
+// mustHandOver reports whether only another entry may send the request.
+func (e *Entry) mustHandOver(c *call) bool {
+	owner, must, ok := e.helper(c)
+	return ok && must && e.peers.find(owner) != nil
+}
+
+// notHere returns handOver, or a refusal to the entry that has handed the
+// request over to this one, which finds the new owner by itself.
+func notHere(c *call) *refusal {
+	if c.purpose == pimentolink.PurposeCold || c.purpose == pimentolink.PurposeRelay {
+		return refuse(ReasonTargets, RunNo, handOver.detail)
 	}
+	return handOver
 }
 
 // withdraw takes a request out of the queue. If it has just got a target, the
--- a/pimentotarget/choose.go
+++ b/pimentotarget/choose.go
@@ -17,6 +17,12 @@
 	// overPrice is the part of a slot's time that exceeding the own share by one
 	// request is expected to cost.
 	overPrice = 0.5
+	// slownessHalf is the time without an answer in which the known slowness of
+	// a target halves.
+	slownessHalf = time.Second
+	// slownessLeast is the part of the average latency, as 1/slownessLeast, below
+	// which slowness no longer counts.
+	slownessLeast = 8
 	// defaultLatency is used before any latency is known.
 	defaultLatency = 5 * time.Millisecond
 )
@@ -99,10 +105,34 @@
 	if age := tg.oldest(now); age > slowFactor*mean {
 		d += age - slowFactor*mean
 	}
-	if tg.latency.count > 0 && tg.latency.value > mean {
-		d += tg.latency.value - mean
+	return d + t.slowness(now, tg)
+}
+
+// slowness is what the target's own latency exceeds the average by. It fades,
+// since a target that gets no work has no way to show that it is fast again. A
+// cold target's latency says nothing of its time when warm.
+func (t *Table) slowness(now time.Duration, tg *Target) time.Duration {
+	if tg.latency.count == 0 || tg.Mark.Phase == PhaseCold {
+		return 0
+	}
+	excess := tg.latency.value - t.mean()
+	if excess <= 0 {
+		return 0
+	}
+	excess >>= min((now-tg.measuredAt)/slownessHalf, 62)
+	if excess < t.mean()/slownessLeast {
+		return 0
+	}
+	return excess
+}
+
+// measure takes how long an exchange with the target took, or has taken so far.
+func (t *Table) measure(now time.Duration, tg *Target, took time.Duration) {
+	if now-tg.measuredAt >= slownessHalf {
+		tg.latency.value = min(tg.latency.value, t.mean()+t.slowness(now, tg))
 	}
-	return d
+	tg.latency.add(took)
+	tg.measuredAt = now
 }
 
 func (t *Table) distance(tg *Target) time.Duration {
--- a/pimentotarget/done.go
+++ b/pimentotarget/done.go
@@ -59,12 +59,12 @@
 		t.backOff(now, tg)
 		t.turnCold(now, tg)
 	case ResultTimeout:
-		tg.latency.add(now - sent)
+		t.measure(now, tg, now-sent)
 		t.backOff(now, tg)
 	case ResultCancelled:
 		// Age is a lower bound of the latency.
 		if age := now - sent; age > tg.latency.value {
-			tg.latency.add(age)
+			t.measure(now, tg, age)
 		}
 	}
 }
@@ -82,7 +82,7 @@
 	tg.notBefore = 0
 	t.price = max(t.price-priceDecay, 0)
 	tg.heardAt = now
-	tg.latency.add(took)
+	t.measure(now, tg, took)
 	t.latency.add(took)
 	if tg.Mark.Phase != PhaseCold || !tg.owned {
 		return
--- /dev/null
+++ b/pimentotarget/latency_test.go
@@ -0,0 +1,73 @@
+package pimentotarget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pimentoarch/pimentoregister"
+)
+
+// tableOf returns a table of one entry that owns count local targets.
+func tableOf(count int) *Table {
+	tb := &Table{Self: "entry", Place: Place{Region: "r", Domain: "a"}, OwnerWait: time.Millisecond}
+	tb.SetEntries(0, []EntryName{"entry"})
+	s := &pimentoregister.ServiceView{Service: pimentoregister.Service{Name: "s", Slots: 3, Cold: 3}}
+	for i := range count {
+		name := fmt.Sprint("t", i)
+		s.Targets = append(s.Targets, pimentoregister.TargetView{
+			VM:     pimentoregister.VM{Name: pimentoregister.VMName(name), Address: name, Domain: "a"},
+			Region: "r",
+		})
+	}
+	tb.Update(0, s)
+	return tb
+}
+
+// slowOnce sends requests one after the other for a time. The first one at
+// target t0 takes slow, all others fast. It returns the requests that t0 got
+// after its slow one.
+func slowOnce(t *testing.T, tb *Table, now, span, slow, fast time.Duration) int {
+	t.Helper()
+	first := tb.Target("t0")
+	seen := 0
+	for end := now + span; now < end; now += 10 * time.Millisecond {
+		r := &Request{Arrived: now, Deadline: now + time.Hour}
+		tb.Offer(r)
+		if tb.Next(now) == nil {
+			t.Fatalf("no target at %s", now)
+		}
+		took := fast
+		if r.Target == first {
+			if seen++; seen == 1 {
+				took = slow
+			}
+		}
+		now += took
+		tb.Done(now, r.Target, r.Sent, ResultOK, 0)
+	}
+	return seen - 1
+}
+
+// A cold target whose first answer took long, since the machine was busy, gets
+// the rest of the answers that it needs to become warm.
+func TestSlowFirstAnswer(t *testing.T) {
+	tb := tableOf(3)
+	slowOnce(t, tb, time.Second, 2*time.Second, 500*time.Millisecond, time.Millisecond)
+	for _, tg := range tb.Targets() {
+		if state, why := tb.State(4*time.Second, tg); state != "warm" {
+			t.Errorf("target %s is %s: %s", tg.Name, state, why)
+		}
+	}
+}
+
+// A warm target that was slow once is tried again, though others are free.
+func TestSlowOnce(t *testing.T) {
+	tb := tableOf(3)
+	for _, tg := range tb.Targets() {
+		tb.Merge(0, tg, Mark{Epoch: 1, Phase: PhaseWarm})
+	}
+	if n := slowOnce(t, tb, time.Second, 20*time.Second, 500*time.Millisecond, time.Millisecond); n < 10 {
+		t.Errorf("target t0 got %d requests in 20 s after a slow one", n)
+	}
+}
--- a/pimentotarget/target.go
+++ b/pimentotarget/target.go
@@ -21,19 +21,20 @@
 	// Leaving is set while the platform lists the VM as leaving.
 	Leaving bool
 
-	owned     bool          // This entry is the owner.
-	ownedAt   time.Duration // When it became the owner.
-	removed   bool          // The register no longer has the target.
-	notBefore time.Duration // No request is sent earlier, after failures.
-	failures  int           // Consecutive failures.
-	refusals  int           // Consecutive refusals within the own share.
-	latency   average       // Of this entry's own exchanges.
-	started   []time.Duration
-	boot      uint64 // Hash of the last boot mark, 0 if none was seen.
-	coldSince time.Duration
-	coldOK    int           // Successes since the target turned cold.
-	heardAt   time.Duration // When it answered last.
-	probedAt  time.Duration
+	owned      bool          // This entry is the owner.
+	ownedAt    time.Duration // When it became the owner.
+	removed    bool          // The register no longer has the target.
+	notBefore  time.Duration // No request is sent earlier, after failures.
+	failures   int           // Consecutive failures.
+	refusals   int           // Consecutive refusals within the own share.
+	latency    average       // Of this entry's own exchanges.
+	measuredAt time.Duration // When latency changed last.
+	started    []time.Duration
+	boot       uint64 // Hash of the last boot mark, 0 if none was seen.
+	coldSince  time.Duration
+	coldOK     int           // Successes since the target turned cold.
+	heardAt    time.Duration // When it answered last.
+	probedAt   time.Duration
 }
 
 // usable reports whether the target may get new work at all.
