pimentogate: ask again where no target answered in time

It is now treated as all targets being busy: asked again for up to half of the objective, then refused. The same goes for requests whose only targets are cold and have had their share for the moment.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -17,17 +17,17 @@
 func (g *Gate) choose(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
 	for wait := firstWait; ; wait = min(2*wait, maxWait) {
 		best, why := g.nearest(c, tried)
-		if best == nil {
+		if why == reasonTargets {
 			return nil, why
 		}
 		switch g.decide(c, best) {
 		case verdictSend:
 			return best, reasonNone
 		case verdictRefuse:
-			best.release()
+			best.drop()
 			return nil, reasonBusy
 		}
-		best.release()
+		best.drop()
 		select {
 		case <-c.left:
 			return nil, reasonLeft
@@ -62,11 +62,16 @@
 )
 
 // decide says what to do, by the time that the request has and how long its
-// best target would take.
+// best target would take. There is none while no target has said in time how
+// busy it is, or none that did may be sent to at the moment.
 func (g *Gate) decide(c *call, p *pick) verdict {
 	elapsed := time.Since(c.received)
 	within := func(share float64) bool { return elapsed < time.Duration(share*float64(c.route.Objective)) }
 	switch {
+	case p == nil && within(hopeShare):
+		return verdictWait
+	case p == nil:
+		return verdictRefuse
 	case elapsed+p.expected <= c.route.Objective:
 		return verdictSend
 	case p.full && !within(refuseShare):
