pimentogate: targets of the own domain are asked first

A round of three questions mixed targets of the own domain with others of the region where the own one has fewer than three. The answers of the others were rarely taken, and cost bytes between domains. A round now has targets of one distance only.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -115,7 +115,7 @@
 // of them near or all of them far.
 func (g *Gate) nextGroup(candidates []*pimentoroute.Target) []*pimentoroute.Target {
 	n := 0
-	for n < len(candidates) && n < askAtOnce && (candidates[n].Region == g.region) == (candidates[0].Region == g.region) {
+	for n < len(candidates) && n < askAtOnce && g.distance(candidates[n]) == g.distance(candidates[0]) {
 		n++
 	}
 	return candidates[:n]
