pimentogate: refuse at once under overload, and take repeats before looking for targets

A repeat is now taken first, and given back if none is sent. Further, while targets refuse three of ten sends of a service, a request whose best target would answer late is refused at once instead of waiting for up to 0.7 of its objective: waiting pays where targets are noisy, not where they are full. What can be in time is sent as before.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -68,6 +68,8 @@
 	elapsed := time.Since(c.received)
 	within := func(share float64) bool { return elapsed < time.Duration(share*float64(c.route.Objective)) }
 	switch {
+	case (p == nil || elapsed+p.expected > c.route.Objective) && g.flow.overloaded(c.part()):
+		return verdictRefuse
 	case p == nil && within(hopeShare):
 		return verdictWait
 	case p == nil:
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -26,6 +26,20 @@
 	questions pimentoretry.Allowance
 	// queues are the greatest lengths of queues at which targets refused.
 	queues map[pimentoregister.ServiceName]int
+	// shed is how many of the sends to a service its targets refused lately.
+	shed map[pimentoregister.ServiceName]*share
+}
+
+// share is a moving average of yes (1) and no (0).
+type share float64
+
+// add takes one more observation.
+func (s *share) add(yes bool, weight float64) {
+	x := 0.0
+	if yes {
+		x = 1
+	}
+	*s += share(weight * (x - float64(*s)))
 }
 
 // work is the usual time that a target works on a route's requests, with none
@@ -177,6 +191,35 @@
 	f.queues[s] = max(f.queues[s], r.Waiting)
 }
 
+const (
+	// shedWeight is the weight of one send in a service's share of refusals.
+	shedWeight = 0.05
+	// shedLimit is the share of refused sends from which a service counts as
+	// overloaded.
+	shedLimit = 0.3
+)
+
+// sent takes whether a target refused a send for lack of room.
+func (f *flow) sent(s pimentoregister.ServiceName, refused bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.shed == nil {
+		f.shed = make(map[pimentoregister.ServiceName]*share)
+	}
+	if f.shed[s] == nil {
+		f.shed[s] = new(share)
+	}
+	f.shed[s].add(refused, shedWeight)
+}
+
+// overloaded reports whether targets of a service refuse a good part of what
+// is sent there.
+func (f *flow) overloaded(s pimentoregister.ServiceName) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shed[s] != nil && *f.shed[s] > shedLimit
+}
+
 // learn takes the time of one answer of a target that wasn't disturbed when
 // the request was sent, beside a number of others.
 func (f *flow) learn(r *pimentoroute.Route, took time.Duration, others, bytes int) {
@@ -207,6 +250,14 @@
 	return g.allowance(c.part()).Spend(g.now())
 }
 
+// unrepeat gives a repeat back that wasn't sent.
+func (g *Gate) unrepeat(c *call) {
+	f := &g.flow
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g.allowance(c.part()).Return()
+}
+
 // first counts a request whose first send is due.
 func (g *Gate) first(c *call) {
 	f := &g.flow
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -92,6 +92,9 @@
 			"status", s.status(), "stretch", s.pick.report.Stretch, "running", s.pick.report.Running, "ms", time.Since(s.started).Milliseconds())
 	}
 	bad := 0.0
+	if s.outcome != outUnsent && s.outcome != outLeft {
+		g.flow.sent(c.part(), s.outcome == outNotRun)
+	}
 	switch s.outcome {
 	case outAnswer:
 		if r := &s.pick.report; r.Stretch <= calmStretch && r.Running < r.Slots {
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -31,22 +31,18 @@
 func (g *Gate) attempts(c *call) *answer {
 	var failed *send
 	for {
-		p, why := g.choose(c, c.tried)
-		if c.hasLeft() {
-			p.drop()
-			return g.giveUp(c, failed, reasonLeft)
+		repeated := c.sends > 0
+		if repeated && !g.repeat(c) {
+			return g.giveUp(c, failed, reasonBudget)
 		}
-		if time.Until(c.until) <= 0 {
+		p, why := g.choose(c, c.tried)
+		if why = g.lastLook(c, p, why); why != reasonNone {
 			p.drop()
-			return g.giveUp(c, failed, reasonTimeout)
-		}
-		if p == nil {
+			if repeated {
+				g.unrepeat(c)
+			}
 			return g.giveUp(c, failed, why)
 		}
-		if c.sends > 0 && !g.repeat(c) {
-			p.drop()
-			return g.giveUp(c, failed, reasonBudget)
-		}
 		s := g.race(c, p)
 		a, again := g.settle(c, s, &failed)
 		if !again {
@@ -59,6 +55,19 @@
 	}
 }
 
+// lastLook returns why a request isn't sent to the target that was chosen.
+func (g *Gate) lastLook(c *call, p *pick, why reason) reason {
+	switch {
+	case c.hasLeft():
+		return reasonLeft
+	case time.Until(c.until) <= 0:
+		return reasonTimeout
+	case p == nil:
+		return why
+	}
+	return reasonNone
+}
+
 // drop releases a pick, which may be nil.
 func (p *pick) drop() {
 	if p != nil {
--- a/pimentoretry/allowance.go
+++ b/pimentoretry/allowance.go
@@ -35,6 +35,9 @@
 	return true
 }
 
+// Return gives back a repeat that was taken and not used.
+func (a *Allowance) Return() { a.saved = min(a.saved+1, a.limit()) }
+
 // limit is what can be saved up. Half of the fixed number is saved and half
 // flows in during a window, so that no window has more than both.
 func (a *Allowance) limit() float64 { return max(1, a.Fixed/2) }
--- a/pimentoretry/allowance_test.go
+++ b/pimentoretry/allowance_test.go
@@ -38,6 +38,10 @@
 			}
 			for range rapid.IntRange(0, 6).Draw(t, "repeats") {
 				if a.Spend(now) {
+					if rapid.IntRange(0, 9).Draw(t, "unused") == 0 {
+						a.Return()
+						continue
+					}
 					events = append(events, event{now, true})
 				}
 			}
