cmd/pimentoarch: report writes a page about logs, status shows gates

The page was not looked at in a browser; one of its plots was, as PNG. pimentogate: the status is exported with what its fields hold, a change of overload is a line, and what is known of queues and refusals goes with its service.

--- a/cmd/pimentoarch/explain.go
+++ b/cmd/pimentoarch/explain.go
@@ -51,16 +51,11 @@
 		fmt.Fprintln(stderr, "pimentoarch: explain needs one of --id and --target")
 		return exitSettings
 	}
-	var all []record
-	for _, name := range cmd.Files {
-		list, err := readLog(name)
-		if err != nil {
-			fmt.Fprintf(stderr, "pimentoarch: %s: %v\n", name, err)
-			return exitFailed
-		}
-		all = append(all, list...)
+	all, err := readLogs(cmd.Files)
+	if err != nil {
+		fmt.Fprintf(stderr, "pimentoarch: %v\n", err)
+		return exitFailed
 	}
-	slices.SortStableFunc(all, func(a, b record) int { return a.at.Compare(b.at) })
 	story := cmd.story(all)
 	if len(story) == 0 {
 		fmt.Fprintf(stderr, "pimentoarch: no line of %d tells of %s%s\n", len(all), cmd.ID, cmd.Target)
@@ -72,6 +67,20 @@
 	return exitOK
 }
 
+// readLogs reads the lines of several logs, in the order of time.
+func readLogs(names []string) ([]record, error) {
+	var all []record
+	for _, name := range names {
+		list, err := readLog(name)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		all = append(all, list...)
+	}
+	slices.SortStableFunc(all, func(a, b record) int { return a.at.Compare(b.at) })
+	return all, nil
+}
+
 // readLog reads the lines of a log that are logfmt, and passes over others.
 func readLog(name string) ([]record, error) {
 	f, err := os.Open(name)
--- a/cmd/pimentoarch/main.go
+++ b/cmd/pimentoarch/main.go
@@ -41,6 +41,7 @@
 	Entry   *entryCmd   `arg:"subcommand:entry" help:"run an entry"`
 	Gate    *gateCmd    `arg:"subcommand:gate" help:"run an entry on a platform that can only be read"`
 	Explain *explainCmd `arg:"subcommand:explain" help:"tell the story of a request or a target from logs"`
+	Report  *reportCmd  `arg:"subcommand:report" help:"write a page with plots about logs"`
 	Check   *checkCmd   `arg:"subcommand:check" help:"list the errors of a register and rules file"`
 	Status  *statusCmd  `arg:"subcommand:status" help:"show what an entry knows"`
 }
@@ -89,12 +90,14 @@
 		return runGate(a.Gate, stdout, stderr)
 	case a.Explain != nil:
 		return runExplain(a.Explain, stdout, stderr)
+	case a.Report != nil:
+		return runReport(a.Report, stdout, stderr)
 	case a.Check != nil:
 		return runCheck(a.Check, stdout, stderr)
 	case a.Status != nil:
 		return runStatus(a.Status, stdout, stderr)
 	}
-	fmt.Fprintln(stderr, "pimentoarch: a command is required: entry, gate, check, explain or status")
+	fmt.Fprintln(stderr, "pimentoarch: a command is required: entry, gate, check, explain, report or status")
 	return exitSettings
 }
 
--- a/cmd/pimentoarch/status.go
+++ b/cmd/pimentoarch/status.go
@@ -4,17 +4,21 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentoentry"
+	"pimentoarch/pimentogate"
 )
 
 const statusTimeout = 5 * time.Second
 
-// runStatus prints an entry's status as text or JSON.
+// runStatus prints an entry's status as text or JSON. Both kinds of entries
+// serve one, in shapes of their own.
 func runStatus(cmd *statusCmd, stdout, stderr io.Writer) int {
 	code, body, err := fasthttp.GetTimeout(nil, "http://"+cmd.Address+"/status", statusTimeout)
 	if err != nil {
@@ -29,6 +33,12 @@
 		fmt.Fprintf(stdout, "%s\n", body)
 		return exitOK
 	}
+	var gate struct {
+		AsOf *uint64 `json:"asof"`
+	}
+	if json.Unmarshal(body, &gate) == nil && gate.AsOf != nil {
+		return printGate(stdout, stderr, cmd.Address, body)
+	}
 	var st pimentoentry.Status
 	if err := json.Unmarshal(body, &st); err != nil {
 		fmt.Fprintf(stderr, "pimentoarch: status of %s: %v\n", cmd.Address, err)
@@ -57,3 +67,29 @@
 	}
 	_ = w.Flush()
 }
+
+// printGate prints the status of an entry on a platform that can only be read.
+func printGate(stdout, stderr io.Writer, address string, body []byte) int {
+	var st pimentogate.Status
+	if err := json.Unmarshal(body, &st); err != nil {
+		fmt.Fprintf(stderr, "pimentoarch: status of %s: %v\n", address, err)
+		return exitFailed
+	}
+	fmt.Fprintf(stdout, "%s: configuration %d, ready %t, items of revision %d known %d ms ago, reads the platform %t, %d entries, %d in the own domain\n",
+		st.Name, st.Version, st.Ready, st.AsOf, st.Age, st.Reads, st.Entries, st.Domain)
+	for _, domain := range st.Out {
+		fmt.Fprintf(stdout, "failure domain %s is out of service\n", domain)
+	}
+	w := tabwriter.NewWriter(stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "\nSERVICE\tTARGET\tDOMAIN\tADDRESS\tCOLD\tRESTING\tFAILING\tSENDING\t")
+	for _, name := range slices.Sorted(maps.Keys(st.Targets)) {
+		for _, t := range st.Targets[name] {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%t\t%.2f\t%d\t\n", name, t.ID, t.Domain, t.Address, t.Cold, t.Resting, t.Failing, t.Sending)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		fmt.Fprintf(stderr, "pimentoarch: status of %s: %v\n", address, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -51,38 +51,46 @@
 	}
 }
 
-// statusView is what an entry knows, for operators.
-type statusView struct {
-	Name    pimentotarget.EntryName                      `json:"name"`
-	Ready   bool                                         `json:"ready"`
-	Version pimentoroute.Version                         `json:"version"`
-	AsOf    uint64                                       `json:"asof"`
-	Age     int64                                        `json:"age"` // Milliseconds, negative if unknown.
-	Reads   bool                                         `json:"reads"`
-	Entries int                                          `json:"entries"`
-	Domain  int                                          `json:"domain"`
-	Targets map[pimentoregister.ServiceName][]targetView `json:"targets"`
-	Out     []pimentoregister.DomainName                 `json:"out"`
+// Status is what an entry knows, as JSON at /status.
+type Status struct {
+	Name    pimentotarget.EntryName `json:"name"`
+	Ready   bool                    `json:"ready"`
+	Version pimentoroute.Version    `json:"version"`
+	// AsOf is the platform's revision of the newest item known.
+	AsOf uint64 `json:"asof"`
+	Age  int64  `json:"age"` // Milliseconds, negative if unknown.
+	// Reads is set while this entry reads the platform for others.
+	Reads bool `json:"reads"`
+	// Entries is the number of entries known, Domain of those in the own domain.
+	Entries int                                            `json:"entries"`
+	Domain  int                                            `json:"domain"`
+	Targets map[pimentoregister.ServiceName][]TargetStatus `json:"targets"`
+	// Out lists the failure domains that get no requests.
+	Out []pimentoregister.DomainName `json:"out"`
 }
 
-type targetView struct {
+// TargetStatus is what an entry knows of one target.
+type TargetStatus struct {
 	ID      pimentoroute.TargetID      `json:"id"`
 	Address string                     `json:"address"`
 	Domain  pimentoregister.DomainName `json:"domain"`
 	Cold    bool                       `json:"cold"`
-	Resting bool                       `json:"resting"`
-	Failing float64                    `json:"failing"`
-	Sending int                        `json:"sending"`
+	// Resting is set for a moment after a failure: the target is asked last.
+	Resting bool `json:"resting"`
+	// Failing is the share of sends that failed lately, from 0 to 1.
+	Failing float64 `json:"failing"`
+	// Sending counts this entry's requests that run there.
+	Sending int `json:"sending"`
 }
 
-func (g *Gate) status() statusView {
+func (g *Gate) status() Status {
 	now := g.now()
 	f := g.fleet
 	f.mu.Lock()
-	v := statusView{
+	v := Status{
 		Name: g.settings.Name, Ready: g.ready(), AsOf: uint64(f.state.AsOf()), Age: -1, Reads: f.reading,
 		Entries: f.roster.Size(), Domain: len(f.roster.Domain(g.settings.Domain)),
-		Targets: make(map[pimentoregister.ServiceName][]targetView),
+		Targets: make(map[pimentoregister.ServiceName][]TargetStatus),
 	}
 	if age, known := f.age(now); known {
 		v.Age = age.Milliseconds()
@@ -103,7 +111,7 @@
 	for name, list := range t.Targets {
 		for _, tg := range list {
 			s := g.flow.target(tg.ID)
-			v.Targets[name] = append(v.Targets[name], targetView{
+			v.Targets[name] = append(v.Targets[name], TargetStatus{
 				ID: tg.ID, Address: tg.Address, Domain: tg.Domain, Cold: s.coldUntil > now,
 				Resting: s.restUntil > now, Failing: s.failing, Sending: s.sending,
 			})
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -139,6 +139,16 @@
 			delete(f.targets, id)
 		}
 	}
+	for name := range f.shed {
+		if t.Targets[name] == nil {
+			delete(f.shed, name)
+		}
+	}
+	for name := range f.queues {
+		if t.Targets[name] == nil {
+			delete(f.queues, name)
+		}
+	}
 	if t.Config == nil {
 		return
 	}
@@ -199,8 +209,9 @@
 	shedLimit = 0.3
 )
 
-// sent takes whether a target refused a send for lack of room.
-func (f *flow) sent(s pimentoregister.ServiceName, refused bool) {
+// sent takes whether a target refused a send for lack of room. It reports
+// whether the service has begun or ceased to count as overloaded.
+func (f *flow) sent(s pimentoregister.ServiceName, refused bool) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.shed == nil {
@@ -209,7 +220,9 @@
 	if f.shed[s] == nil {
 		f.shed[s] = new(share)
 	}
+	before := *f.shed[s] > shedLimit
 	f.shed[s].add(refused, shedWeight)
+	return before != (*f.shed[s] > shedLimit)
 }
 
 // overloaded reports whether targets of a service refuse a good part of what
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -93,7 +93,9 @@
 	}
 	bad := 0.0
 	if s.outcome != outUnsent && s.outcome != outLeft {
-		g.flow.sent(c.part(), s.outcome == outNotRun)
+		if g.flow.sent(c.part(), s.outcome == outNotRun) {
+			g.noteChange("msg", "overload of a service began or ended", "service", c.part(), "overloaded", g.flow.overloaded(c.part()), "limit", shedLimit)
+		}
 	}
 	switch s.outcome {
 	case outAnswer:
