pimentogate: a peer that knows more doesn't confirm an older state

Cause: a note without an update, from a peer whose state was newer, confirmed the older state as current; the update right behind it then looked like a change without an outage. Only a peer with the same revision confirms a state now. It also made ages too small that the takeover of reading is decided by.

--- a/pimentogate/talk.go
+++ b/pimentogate/talk.go
@@ -266,7 +266,6 @@
 	} else {
 		delete(f.readers, string(n.self.Name))
 	}
-	asOf := f.state.AsOf()
 	f.mu.Unlock()
 	if n.update != nil {
 		n.update.Age = time.Duration(max(0, n.age)) * time.Millisecond
@@ -274,9 +273,11 @@
 			n.update.Age = unknownAge
 		}
 		g.take(*n.update, string(n.self.Name))
-	} else if n.age >= 0 && n.asOf >= asOf {
+	} else if n.age >= 0 {
 		f.mu.Lock()
-		if n.asOf >= f.state.AsOf() {
+		// A peer that knows more confirms only what it knows itself: the
+		// update that follows must still find out how old this state is.
+		if n.asOf == f.state.AsOf() {
 			f.confirm(now, time.Duration(n.age)*time.Millisecond)
 		}
 		f.mu.Unlock()
