--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -11,9 +11,10 @@
 )
 
 // choose asks targets until one is good enough for the time that the request
-// has, and returns it, or nil and the reason. While all are busy or slow it waits,
-// because how busy they are changes within parts of a second, and a slow target
-// would lose the time of many others.
+// has, and returns it, or nil and the reason. While all are busy or slow, or none
+// answers, it waits, because how busy they are changes within parts of a second,
+// and a slow target would lose the time of many others. It doesn't wait while the
+// service is overloaded: room that comes up then is taken by newer requests.
 func (g *Gate) choose(c *call, tried []pimentoroute.TargetID) (*pick, reason) {
 	for wait := firstWait; ; wait = min(2*wait, maxWait) {
 		best, why := g.nearest(c, tried)
--- a/pimentotarget/table.go
+++ b/pimentotarget/table.go
@@ -138,8 +138,9 @@
 const donateEvery = 16
 
 // Helper returns the owner of a cold target of the own region to which a
-// request that is allowed in some regions (none mean any) should be handed: every request if this entry may send to no target
-// at all, and otherwise one in donateEvery. It reports whether there is one.
+// request that is allowed in some regions (none mean any) should be handed:
+// every request if this entry may send to no target at all, and otherwise one
+// in donateEvery. It reports whether there is one.
 func (t *Table) Helper(now time.Duration, regions []pimentoregister.RegionName) (owner EntryName, must, ok bool) {
 	must = true
 	var cold *Target
