pimentopeer, pimentogate: only the parts of a roster that differ are told

Cause: where the hashes of two rosters differed, both told all members, about 85 bytes each. A note now has 64 checksums where the hash differs (262 bytes), and the answer has the members of the parts that differ.

--- a/pimentogate/note.go
+++ b/pimentogate/note.go
@@ -15,7 +15,8 @@
 type note struct {
 	self    pimentopeer.Member
 	hash    uint64               // Of the sender's roster.
-	members []pimentopeer.Member // Where the receiver's roster differs.
+	sums    *pimentopeer.Sums    // Of the sender's roster, where the receiver's may differ.
+	members []pimentopeer.Member // The parts in which the receiver's roster differs.
 	asOf    pimentofeed.Revision // Up to which the sender knows everything.
 	update  *pimentofeed.Update  // What the receiver lacks, as far as is known. May be nil.
 	age     int64                // Of the sender's state, in milliseconds; negative if unknown.
@@ -26,13 +27,14 @@
 var (
 	marshalers     easyproto.MarshalerPool
 	errNoteNoName  = errors.New("the sender has no name")
+	errNoteSums    = errors.New("it has a wrong number of checksums")
 	errNoteUnknown = errors.New("a message within isn't valid")
 )
 
 // message Note {
 //   Member self = 1; fixed64 hash = 2; repeated Member members = 3;
 //   uint64 as_of = 4; Update update = 5; sint64 age = 6; bool reads = 7;
-//   repeated Crash crashes = 8;
+//   repeated Crash crashes = 8; repeated fixed32 sums = 9;
 // }
 
 func (n *note) marshal() []byte {
@@ -53,6 +55,9 @@
 	for i := range n.crashes {
 		marshalCrash(mm.AppendMessage(8), &n.crashes[i])
 	}
+	if n.sums != nil {
+		mm.AppendFixed32s(9, n.sums[:])
+	}
 	return m.Marshal(nil)
 }
 
@@ -116,6 +121,9 @@
 				ok = unmarshalCrash(data, &c) == nil
 				n.crashes = append(n.crashes, c)
 			}
+		case 9:
+			n.sums, nested = sumsField(fc)
+			ok = nested == nil
 		default:
 			ok = true
 		}
@@ -130,6 +138,16 @@
 	return n, nil
 }
 
+func sumsField(fc *easyproto.FieldContext) (*pimentopeer.Sums, error) {
+	s := new(pimentopeer.Sums)
+	list, ok := fc.UnpackFixed32s(nil)
+	if !ok || len(list) != len(s) {
+		return nil, errNoteSums
+	}
+	copy(s[:], list)
+	return s, nil
+}
+
 func memberField(fc *easyproto.FieldContext) (pimentopeer.Member, error) {
 	var m pimentopeer.Member
 	data, ok := fc.MessageData()
--- a/pimentogate/note_test.go
+++ b/pimentogate/note_test.go
@@ -16,6 +16,7 @@
 	return &note{
 		self:    pimentopeer.Member{Name: "a", Address: "10.0.0.1:7", Region: "r", Domain: "d", Run: 7, Version: 9, Stopping: true},
 		hash:    5,
+		sums:    &pimentopeer.Sums{1, 0, 7},
 		members: []pimentopeer.Member{{Name: "b", Version: 3, Gone: true}, {Name: "c", Run: 1}},
 		asOf:    12,
 		update:  &pimentofeed.Update{From: 3, AsOf: 12, Items: []pimentofeed.Item{{Key: "k", Value: []byte("v"), Revision: 4}, {Key: "x", Revision: 5, Removed: true}}},
@@ -33,6 +34,17 @@
 	is.True(reflect.DeepEqual(got, n))
 }
 
+func TestNoteWithTooFewSumsIsAnError(t *testing.T) {
+	is := is.New(t)
+	m := marshalers.Get()
+	mm := m.MessageMarshaler()
+	self := sampleNote().self
+	marshalMember(mm.AppendMessage(1), &self)
+	mm.AppendFixed32s(9, []uint32{1, 2, 3})
+	_, err := unmarshalNote(m.Marshal(nil))
+	is.True(err != nil)
+}
+
 func TestNoteWithoutSenderIsAnError(t *testing.T) {
 	is := is.New(t)
 	_, err := unmarshalNote(nil)
--- a/pimentogate/talk.go
+++ b/pimentogate/talk.go
@@ -186,12 +186,13 @@
 }
 
 // exchange tells what the peer lacks and takes what this entry lacks. What the
-// peer lacks is known from its answer, so that nothing is told twice.
+// peer lacks is known from its answer, so that nothing is told twice: it has the
+// revision of its state, and the checksums of its roster where that differs.
 func (t *talker) exchange(send func([]byte) ([]byte, error)) bool {
 	g := t.gate
-	n, ok := t.send(send, g.newNote(t.knownHash))
-	if ok && n.asOf < g.asOf() {
-		_, ok = t.send(send, g.withUpdate(g.newNote(n.hash), n.asOf))
+	n, ok := t.send(send, g.newNote(t.knownHash, nil))
+	if ok && (n.asOf < g.asOf() || n.hash != g.rosterHash()) {
+		_, ok = t.send(send, g.withUpdate(g.newNote(n.hash, n.sums), n.asOf))
 	}
 	return ok
 }
@@ -223,21 +224,35 @@
 		return nil, err
 	}
 	g.takeNote(n)
-	return g.withUpdate(g.newNote(n.hash), n.asOf).marshal(), nil
+	return g.withUpdate(g.newNote(n.hash, n.sums), n.asOf).marshal(), nil
 }
 
-// newNote returns a note without an update for a peer whose roster has a hash.
-func (g *Gate) newNote(peerHash uint64) *note {
+// rosterHash stands for all that is known of the members.
+func (g *Gate) rosterHash() uint64 {
+	f := g.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sums := f.roster.Sums()
+	return sums.Hash()
+}
+
+// newNote returns a note without an update for a peer whose roster has a hash
+// and, where they are known, checksums.
+func (g *Gate) newNote(peerHash uint64, peer *pimentopeer.Sums) *note {
 	now := g.now()
 	f := g.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := &note{self: f.roster.Self(), hash: f.roster.Hash(), asOf: f.state.AsOf(), age: -1, reads: f.reading, crashes: f.crashes}
+	sums := f.roster.Sums()
+	n := &note{self: f.roster.Self(), hash: sums.Hash(), asOf: f.state.AsOf(), age: -1, reads: f.reading, crashes: f.crashes}
 	if age, known := f.age(now); known {
 		n.age = age.Milliseconds()
 	}
 	if peerHash != n.hash {
-		n.members = f.roster.All()
+		n.sums = &sums
+		if peer != nil {
+			n.members = f.roster.Differing(peer)
+		}
 	}
 	return n
 }
--- a/pimentopeer/roster.go
+++ b/pimentopeer/roster.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentotarget"
 )
@@ -261,20 +258,3 @@
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
-
-// Hash is equal for two rosters that know the same.
-func (r *Roster) Hash() uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	var buf [9]byte
-	for _, m := range r.list(func(*Member) bool { return true }) {
-		_, _ = d.WriteString(string(m.Name))
-		binary.BigEndian.PutUint64(buf[:], m.Version)
-		buf[8] = 0
-		if m.Gone {
-			buf[8] = 1
-		}
-		_, _ = d.Write(buf[:])
-	}
-	return d.Sum64()
-}
--- a/pimentopeer/roster_test.go
+++ b/pimentopeer/roster_test.go
@@ -140,7 +140,7 @@
 			if r.Size() != size {
 				t.Fatalf("roster %d counts %d entries, want %d: %+v", i, r.Size(), size, r.All())
 			}
-			if r.Hash() != rosters[0].Hash() {
+			if r.Sums() != rosters[0].Sums() {
 				t.Fatalf("rosters 0 and %d differ: %+v and %+v", i, append(rosters[0].All(), rosters[0].Self()), append(r.All(), r.Self()))
 			}
 		}
