--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -2,12 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
@@ -30,18 +27,6 @@
 	shed map[pimentoregister.ServiceName]*share
 }
 
-// share is a moving average of yes (1) and no (0).
-type share float64
-
-// add takes one more observation.
-func (s *share) add(yes bool, weight float64) {
-	x := 0.0
-	if yes {
-		x = 1
-	}
-	*s += share(weight * (x - float64(*s)))
-}
-
 // work is the usual time that a target works on a route's requests, with none
 // or some others beside them: running medians, which a few very slow answers
 // don't move.
@@ -184,55 +169,6 @@
 	return s.Next(r.Parts)
 }
 
-// leastQueue is the length of a queue, in slots, below which a refusal has
-// another cause than a full queue.
-const leastQueue = 2
-
-// learnQueue takes a refusal for lack of room.
-func (f *flow) learnQueue(s pimentoregister.ServiceName, r Report) {
-	if r.Slots == 0 || r.Running < r.Slots || r.Waiting < leastQueue*r.Slots {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.queues == nil {
-		f.queues = make(map[pimentoregister.ServiceName]int)
-	}
-	f.queues[s] = max(f.queues[s], r.Waiting)
-}
-
-const (
-	// shedWeight is the weight of one send in a service's share of refusals.
-	shedWeight = 0.05
-	// shedLimit is the share of refused sends from which a service counts as
-	// overloaded.
-	shedLimit = 0.3
-)
-
-// sent takes whether a target refused a send for lack of room. It reports
-// whether the service has begun or ceased to count as overloaded.
-func (f *flow) sent(s pimentoregister.ServiceName, refused bool) (changed bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.shed == nil {
-		f.shed = make(map[pimentoregister.ServiceName]*share)
-	}
-	if f.shed[s] == nil {
-		f.shed[s] = new(share)
-	}
-	before := *f.shed[s] > shedLimit
-	f.shed[s].add(refused, shedWeight)
-	return before != (*f.shed[s] > shedLimit)
-}
-
-// overloaded reports whether targets of a service refuse a good part of what
-// is sent there.
-func (f *flow) overloaded(s pimentoregister.ServiceName) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.shed[s] != nil && *f.shed[s] > shedLimit
-}
-
 // learn takes the time of one answer of a target that wasn't disturbed when
 // the request was sent, beside a number of others.
 func (f *flow) learn(r *pimentoroute.Route, took time.Duration, others, bytes int) {
@@ -300,91 +236,3 @@
 	}
 	return a
 }
-
-// serve answers one request.
-func (g *Gate) serve(c *call) *answer {
-	a := g.answer(c)
-	took := time.Since(c.received)
-	status := a.resp.StatusCode()
-	if c.service != nil && a.why == reasonNone {
-		g.metrics.served(c.part(), took)
-	}
-	g.noteServed(c, a, status, took)
-	return a
-}
-
-// noteServed writes the line about a request that has ended: what was decided,
-// and what it was decided from.
-func (g *Gate) noteServed(c *call, a *answer, status int, took time.Duration) {
-	severity := level.InfoValue()
-	if a.why != reasonNone || status >= 500 {
-		severity = level.WarnValue()
-	}
-	fields := []any{"msg", "request ended", "id", c.id, "from", c.from, "status", status}
-	if a.why != reasonNone {
-		fields = append(fields, "reason", a.why, "ran", ranWord(c.mayRan))
-	}
-	if c.lastWhy != reasonNone {
-		fields = append(fields, "last", c.lastWhy)
-	}
-	if c.route != nil {
-		fields = append(fields, "route", c.route.Name)
-	}
-	if c.service != nil {
-		fields = append(fields, "service", c.part(), "config", c.table.Config.Version)
-	}
-	fields = append(fields, "sends", c.sends, "ms", took.Milliseconds())
-	g.note(severity, append(fields, c.decided()...)...)
-}
-
-// decided returns what the last choice of a target was made from.
-func (c *call) decided() []any {
-	p := c.last
-	if p == nil {
-		return nil
-	}
-	return []any{"target", p.target.ID, "domain", p.target.Domain, "expected_ms", p.expected.Milliseconds(),
-		"stretch", p.report.Stretch, "running", p.report.Running, "waiting", p.report.Waiting,
-		"report_age_ms", c.lastAt.Sub(p.at).Milliseconds(), "cold", p.cold}
-}
-
-func ranWord(mayRan bool) string {
-	if mayRan {
-		return "unknown"
-	}
-	return "no"
-}
-
-// answer routes a request and sends it on.
-func (g *Gate) answer(c *call) *answer {
-	t := g.table.Load()
-	if t == nil || t.Config == nil {
-		return g.refusal(c, reasonUnconfigured, comeBackStart)
-	}
-	c.table = t
-	path := string(c.req.Header.RequestURI())
-	if !strings.HasPrefix(path, "/") {
-		a := g.refusal(c, reasonInvalid, 0)
-		a.closes = true
-		return a
-	}
-	route := t.Match(string(c.req.Header.Host()), path)
-	if route == nil {
-		return g.refusal(c, reasonRoute, 0)
-	}
-	c.setRoute(route)
-	part := g.flow.part(route)
-	if part == nil {
-		return g.refusal(c, reasonTargets, comeBackSoon)
-	}
-	c.service = t.Config.Services[part.Service]
-	if !g.mayTry(c) {
-		return g.refusal(c, reasonCrash, 0)
-	}
-	g.first(c)
-	return g.attempts(c)
-}
-
-// comeBackStart is when a caller may come back to an entry that has just
-// started.
-const comeBackStart = 150 * time.Millisecond
