pimentosettings: both kinds of entries check and start in one way

Cause: pimentogate wrote the checks of addresses, log level and lower limits again that pimentoentry had, and runGate was runEntry with other names. The checks are a package now, and loadSettings and runProcess serve both commands.

--- a/cmd/pimentoarch/gate.go
+++ b/cmd/pimentoarch/gate.go
@@ -2,16 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
-	"github.com/go-kit/log/level"
-	"github.com/samber/oops"
-
 	"pimentoarch/pimentogate"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/platform"
@@ -31,13 +27,8 @@
 const memoryShare = 50
 
 func runGate(cmd *gateCmd, stdout, stderr io.Writer) int {
-	if cmd.Settings == "" {
-		fmt.Fprintln(stderr, "pimentoarch: --settings is required")
-		return exitSettings
-	}
-	s, err := cmd.load()
-	if err != nil {
-		fmt.Fprintf(stderr, "pimentoarch: %s: %v\n", cmd.Settings, err)
+	s, ok := loadSettings(cmd.Settings, cmd.load, stderr)
+	if !ok {
 		return exitSettings
 	}
 	if cmd.Check {
@@ -48,22 +39,16 @@
 	logger := newLogger(stdout, s.Log)
 	client, closeClient := pimentoplatform.NewClient(s.Platform)
 	defer closeClient()
-	g, cleanup, err := pimentogate.New(s, pimentogate.Ports{
+	ports := pimentogate.Ports{
 		Dialect: platform.Dialect(),
 		Source:  platform.Source(client),
 		Decode:  platform.Decode,
 		Reload:  cmd.load,
-	}, logger)
-	if err != nil {
-		_ = level.Error(logger).Log("msg", "start", "err", oops.In("gate").Wrap(err))
-		return exitFailed
-	}
-	defer cleanup()
-	if err := g.Run(stopSignal(logger), reloadSignal()); err != nil {
-		_ = level.Error(logger).Log("msg", "gate ended", "err", oops.In("gate").With("name", s.Name).Wrap(err))
-		return exitFailed
 	}
-	return exitOK
+	return runProcess("gate", string(s.Name), logger, func() (func() error, func(), error) {
+		g, cleanup, err := pimentogate.New(s, ports, logger)
+		return func() error { return g.Run(stopSignal(logger), reloadSignal()) }, cleanup, err
+	})
 }
 
 func (cmd *gateCmd) load() (pimentogate.Settings, error) {
--- a/cmd/pimentoarch/main.go
+++ b/cmd/pimentoarch/main.go
@@ -102,24 +102,42 @@
 }
 
 func runEntry(cmd *entryCmd, stderr io.Writer) int {
-	if cmd.Settings == "" {
-		fmt.Fprintln(stderr, "pimentoarch: --settings is required")
+	s, ok := loadSettings(cmd.Settings, cmd.load, stderr)
+	if !ok {
 		return exitSettings
 	}
-	s, err := cmd.load()
+	logger := newLogger(stderr, s.Log)
+	return runProcess("entry", string(s.Name), logger, func() (func() error, func(), error) {
+		e, cleanup, err := pimentoentry.New(s, logger)
+		return func() error { return e.Run(stopSignal(logger)) }, cleanup, err
+	})
+}
+
+// loadSettings reads settings, or says why it can't.
+func loadSettings[S any](file string, load func() (S, error), stderr io.Writer) (s S, ok bool) {
+	if file == "" {
+		fmt.Fprintln(stderr, "pimentoarch: --settings is required")
+		return s, false
+	}
+	s, err := load()
 	if err != nil {
-		fmt.Fprintf(stderr, "pimentoarch: %s: %v\n", cmd.Settings, err)
-		return exitSettings
+		fmt.Fprintf(stderr, "pimentoarch: %s: %v\n", file, err)
+		return s, false
 	}
-	logger := newLogger(stderr, s.Log)
-	e, cleanup, err := pimentoentry.New(s, logger)
+	return s, true
+}
+
+// runProcess creates a process of some kind, runs it until it has stopped, and
+// returns the exit status. create returns what runs it, and its clean-up function.
+func runProcess(kind, name string, logger log.Logger, create func() (run func() error, cleanup func(), err error)) int {
+	run, cleanup, err := create()
 	if err != nil {
-		_ = level.Error(logger).Log("msg", "start", "err", oops.In("entry").Wrap(err))
+		_ = level.Error(logger).Log("msg", "start", "err", oops.In(kind).Wrap(err))
 		return exitFailed
 	}
 	defer cleanup()
-	if err := e.Run(stopSignal(logger)); err != nil {
-		_ = level.Error(logger).Log("msg", "entry ended", "err", oops.In("entry").With("name", s.Name).Wrap(err))
+	if err := run(); err != nil {
+		_ = level.Error(logger).Log("msg", kind+" ended", "err", oops.In(kind).With("name", name).Wrap(err))
 		return exitFailed
 	}
 	return exitOK
--- a/pimentoentry/settings.go
+++ b/pimentoentry/settings.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
-	"net/netip"
 	"time"
 
 	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentosettings"
 	"pimentoarch/pimentotarget"
 )
 
@@ -72,52 +73,37 @@
 }
 
 func (s *Settings) check() error {
-	for _, f := range []struct{ field, value string }{
-		{"name", string(s.Name)}, {"region", string(s.Region)}, {"domain", string(s.Domain)}, {"config", s.Config},
-	} {
-		if f.value == "" {
-			return fmt.Errorf("%s: a value is required", f.field)
-		}
-	}
-	for _, f := range []struct{ field, value string }{
-		{"callers", s.Callers}, {"peers", s.Peers}, {"admin", s.Admin},
-	} {
-		if _, err := netip.ParseAddrPort(f.value); err != nil {
-			return fmt.Errorf("%s: value %q: an address is IP:port", f.field, f.value)
-		}
+	if err := cmp.Or(
+		pimentosettings.Required("name", string(s.Name)),
+		pimentosettings.Required("region", string(s.Region)),
+		pimentosettings.Required("domain", string(s.Domain)),
+		pimentosettings.Required("config", s.Config),
+		pimentosettings.Address("callers", s.Callers),
+		pimentosettings.Address("peers", s.Peers),
+		pimentosettings.Address("admin", s.Admin),
+	); err != nil {
+		return err
 	}
 	if len(s.Platform) == 0 {
 		return fmt.Errorf("platform: at least one address is required")
 	}
 	for i, a := range s.Platform {
-		if _, err := netip.ParseAddrPort(a); err != nil {
-			return fmt.Errorf("platform[%d]: value %q: an address is IP:port", i, a)
+		if err := pimentosettings.Address(fmt.Sprintf("platform[%d]", i), a); err != nil {
+			return err
 		}
 	}
 	return s.checkNumbers()
 }
 
 func (s *Settings) checkNumbers() error {
-	switch s.Log {
-	case "debug", "info", "warn", "error":
-	default:
-		return fmt.Errorf("log: value %q: the levels are debug, info, warn and error", s.Log)
-	}
-	for _, f := range []struct {
-		field        string
-		value, limit int64
-	}{
-		{"grace", int64(s.Grace), 0},
-		{"drain", int64(s.Drain), 1},
-		{"answers", int64(s.Answers), 1},
-		{"queue", int64(s.Queue), 1},
-		{"lag", int64(s.Lag), 0},
-	} {
-		if f.value < f.limit {
-			return fmt.Errorf("%s: value %d: the lower limit is %d", f.field, f.value, f.limit)
-		}
-	}
-	return nil
+	return cmp.Or(
+		pimentosettings.Level(s.Log),
+		pimentosettings.AtLeast("grace", s.Grace, 0),
+		pimentosettings.AtLeast("drain", s.Drain, 1),
+		pimentosettings.AtLeast("answers", s.Answers, 1),
+		pimentosettings.AtLeast("queue", s.Queue, 1),
+		pimentosettings.AtLeast("lag", s.Lag, 0),
+	)
 }
 
 func millis(m pimentoregister.Millis) time.Duration { return time.Duration(m) * time.Millisecond }
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -1,12 +1,13 @@
 package pimentogate
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
-	"net/netip"
 	"time"
 
 	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentosettings"
 	"pimentoarch/pimentotarget"
 )
 
@@ -97,8 +98,8 @@
 }
 
 func (s *Settings) check() error {
-	if s.Name == "" {
-		return fmt.Errorf("name: a value is required")
+	if err := pimentosettings.Required("name", string(s.Name)); err != nil {
+		return err
 	}
 	if s.Region() == "" {
 		return fmt.Errorf("domain: value %q isn't in regions", s.Domain)
@@ -116,36 +117,24 @@
 		addresses = append(addresses, struct{ field, value string }{"platform", a})
 	}
 	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			return fmt.Errorf("%s: value %q: an address is IP:port", a.field, a.value)
+		if err := pimentosettings.Address(a.field, a.value); err != nil {
+			return err
 		}
 	}
 	return s.checkNumbers()
 }
 
 func (s *Settings) checkNumbers() error {
-	switch s.Log {
-	case "debug", "info", "warn", "error":
-	default:
-		return fmt.Errorf("log: value %q: the levels are debug, info, warn and error", s.Log)
-	}
-	for _, f := range []struct {
-		field        string
-		value, limit float64
-	}{
-		{"grace", time.Duration(s.Grace).Seconds(), 0},
-		{"ratio", s.Ratio, 0},
-		{"repeats", s.Repeats, 0},
-		{"window", time.Duration(s.Window).Seconds(), 0.1},
-		{"overshoot", s.Overshoot, 0},
-		{"slack", s.Slack, 0},
-		{"questions", s.Questions, 0},
-		{"memory", float64(s.Memory), 16},
-		{"lines", float64(s.Lines), 0},
-	} {
-		if f.value < f.limit {
-			return fmt.Errorf("%s: value %g: the lower limit is %g", f.field, f.value, f.limit)
-		}
-	}
-	return nil
+	return cmp.Or(
+		pimentosettings.Level(s.Log),
+		pimentosettings.AtLeast("grace", time.Duration(s.Grace).Seconds(), 0),
+		pimentosettings.AtLeast("ratio", s.Ratio, 0),
+		pimentosettings.AtLeast("repeats", s.Repeats, 0),
+		pimentosettings.AtLeast("window", time.Duration(s.Window).Seconds(), 0.1),
+		pimentosettings.AtLeast("overshoot", s.Overshoot, 0),
+		pimentosettings.AtLeast("slack", s.Slack, 0),
+		pimentosettings.AtLeast("questions", s.Questions, 0),
+		pimentosettings.AtLeast("memory", s.Memory, 16),
+		pimentosettings.AtLeast("lines", s.Lines, 0),
+	)
 }
