--- a/pimentoentry/call.go
+++ b/pimentoentry/call.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentolink"
 	"pimentoarch/pimentoregister"
 )
@@ -206,19 +207,11 @@
 	return d.Sum64()
 }
 
-// hopHeaders concern one connection and aren't passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Upgrade", "Expect",
-}
-
 // outgoing returns the request as it is sent to a target, with the time left.
 func (c *call) outgoing(left time.Duration) *fasthttp.Request {
 	out := fasthttp.AcquireRequest()
 	c.req.Header.CopyTo(&out.Header)
-	for _, name := range hopHeaders {
-		out.Header.Del(name)
-	}
+	pimentohttp.DelHopHeaders(&out.Header)
 	out.Header.SetRequestURIBytes(c.rest)
 	out.UseHostHeader = true
 	if len(out.Header.Host()) == 0 {
@@ -232,9 +225,7 @@
 // move transfers an answer. src can then be released.
 func move(dst, src *fasthttp.Response) {
 	src.Header.CopyTo(&dst.Header)
-	for _, name := range hopHeaders {
-		dst.Header.Del(name)
-	}
+	pimentohttp.DelHopHeaders(&dst.Header)
 	dst.SkipBody = src.SkipBody
 	if src.IsBodyStream() {
 		stream := src.BodyStream()
--- a/pimentoentry/fault_test.go
+++ b/pimentoentry/fault_test.go
@@ -356,7 +356,7 @@
 	f.await("revision 2", f.revisionEverywhere(2))
 	wg.Wait()
 	for _, log := range f.logs {
-		for _, line := range log.lines(t) {
+		for _, line := range runLines(t, log) {
 			if line.Reference == "late" && line.Region == "west" {
 				t.Error("the request ran in a region that is no longer its home")
 			}
--- a/pimentoentry/fleet_test.go
+++ b/pimentoentry/fleet_test.go
@@ -1,12 +1,11 @@
 package pimentoentry
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
-	"sync"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,7 +27,7 @@
 	address  string // Of the platform.
 	doc      pimentoregister.Document
 	targets  []*pimentofake.Target
-	logs     []*safeBuffer
+	logs     []*pimentofake.Lines
 	entries  []*member
 	vms      []pimentofake.VM
 }
@@ -40,30 +39,10 @@
 	done chan error
 }
 
-// safeBuffer is a log of runs.
-type safeBuffer struct {
-	mu   sync.Mutex
-	data []byte
-}
-
-func (b *safeBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.data = append(b.data, p...)
-	return len(p), nil
-}
-
-func (b *safeBuffer) text() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return string(b.data)
-}
-
-func (b *safeBuffer) lines(t testing.TB) []pimentofake.RunLine {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// runLines returns a target's log of runs.
+func runLines(t testing.TB, log *pimentofake.Lines) []pimentofake.RunLine {
 	var list []pimentofake.RunLine
-	dec := json.NewDecoder(bytes.NewReader(b.data))
+	dec := json.NewDecoder(strings.NewReader(log.String()))
 	for {
 		var line pimentofake.RunLine
 		if err := dec.Decode(&line); err == io.EOF {
@@ -110,7 +89,7 @@
 func (f *fleet) addTarget(service pimentoregister.ServiceName, i int) {
 	domains := []pimentoregister.DomainName{"west-a", "east-a", "west-b", "east-b"}
 	domain := domains[i%len(domains)]
-	log := &safeBuffer{}
+	log := new(pimentofake.Lines)
 	tg := &pimentofake.Target{
 		Name: fmt.Sprintf("%s-%d", service, i), Domain: string(domain), Region: string(domain[:4]),
 		Slots: 3, Queue: 50, Cold: 50, Work: time.Millisecond, Log: log,
@@ -155,7 +134,7 @@
 	ports := pimentofake.Addresses(3)
 	s.Callers, s.Peers, s.Admin = ports[0], ports[1], ports[2]
 	s.Name = pimentotarget.EntryName(name)
-	lines := new(safeBuffer)
+	lines := new(pimentofake.Lines)
 	e, cleanup, err := New(s, log.NewLogfmtLogger(lines))
 	f.is.NoErr(err)
 	e.startSpread = time.Millisecond
@@ -172,7 +151,7 @@
 	f.t.Cleanup(func() {
 		if f.t.Failed() {
 			body, _ := json.MarshalIndent(e.Status(), "        ", " ")
-			f.t.Logf("%s:\n%s\n%s", name, lines.text(), body)
+			f.t.Logf("%s:\n%s\n%s", name, lines, body)
 		}
 	})
 	f.entries = append(f.entries, m)
@@ -224,7 +203,7 @@
 func (f *fleet) runs() map[string][]pimentofake.RunLine {
 	byKey := make(map[string][]pimentofake.RunLine)
 	for _, log := range f.logs {
-		for _, line := range log.lines(f.t) {
+		for _, line := range runLines(f.t, log) {
 			if line.Key != "" {
 				byKey[line.Key] = append(byKey[line.Key], line)
 			}
--- a/pimentoentry/once.go
+++ b/pimentoentry/once.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentolink"
 	"pimentoarch/pimentopeer"
@@ -264,9 +265,7 @@
 	if err := resp.Header.Read(bufio.NewReaderSize(bytes.NewReader(a.Header), len(a.Header)+1)); err != nil {
 		return refuse(ReasonForgotten, RunYes, "the request has run; its answer is no longer kept")
 	}
-	for _, name := range hopHeaders {
-		resp.Header.Del(name)
-	}
+	pimentohttp.DelHopHeaders(&resp.Header)
 	resp.SetBody(a.Body)
 	return nil
 }
--- a/pimentoentry/path_test.go
+++ b/pimentoentry/path_test.go
@@ -270,7 +270,7 @@
 		f.is.Equal(resp.StatusCode(), 200)
 	}
 	for _, log := range f.logs {
-		for _, line := range log.lines(t) {
+		for _, line := range runLines(t, log) {
 			f.is.Equal(line.Region, "west")
 		}
 	}
--- /dev/null
+++ b/pimentofake/lines.go
@@ -0,0 +1,25 @@
+package pimentofake
+
+import "sync"
+
+// Lines holds a log in memory. The zero value is ready to use. It is safe for
+// concurrent use.
+type Lines struct {
+	mu   sync.Mutex // Guards data.
+	data []byte
+}
+
+// Write implements io.Writer.
+func (l *Lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.data = append(l.data, p...)
+	return len(p), nil
+}
+
+// String returns all that was written.
+func (l *Lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return string(l.data)
+}
--- a/pimentogate/hop.go
+++ b/pimentogate/hop.go
@@ -4,10 +4,9 @@
 	"bytes"
 
 	"github.com/valyala/fasthttp"
-)
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Upgrade", "Transfer-Encoding", "Expect"}
+	"pimentoarch/pimentohttp"
+)
 
 // removeHopRequestHeaders removes the headers that concern one connection, and
 // those that a caller names as such.
@@ -18,17 +17,15 @@
 		}
 	}
 	h.ResetConnectionClose()
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
+	pimentohttp.DelHopHeaders(h)
+	h.Del(fasthttp.HeaderTransferEncoding)
 	h.SetNoDefaultContentType(true)
 }
 
 // removeHopHeaders removes the headers of an answer that concern one connection.
 func removeHopHeaders(h *fasthttp.ResponseHeader) {
 	h.ResetConnectionClose()
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
+	pimentohttp.DelHopHeaders(h)
+	h.Del(fasthttp.HeaderTransferEncoding)
 	h.SetNoDefaultContentType(true)
 }
