pimentogate: nearness, reports and averages in one place each

The three ways to tell how near a target is (distance, price of bytes, order of candidates) are one function and two tables. askOne took a report over in four places with two conditions, now findReport and takeReport. The share of failed sends was the moving average that overload.go has as a type. The candidates are ranked without a map. Done twice: the fingerprint of a request, with its whole body, was worked out at the first try and at the end, both times under the lock of all flows; now once, before it. Targets were counted over all services at each question; the table knows their number. cmd/pimentoarch: the slot of a report is one expression.

--- a/cmd/pimentoarch/page.go
+++ b/cmd/pimentoarch/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	_ "embed"
 	"html/template"
 	"io"
@@ -82,10 +83,7 @@
 		}
 	}
 	names := slices.SortedFunc(maps.Keys(total), func(a, b string) int {
-		if total[a] != total[b] {
-			return total[b] - total[a]
-		}
-		return bytes.Compare([]byte(a), []byte(b))
+		return cmp.Or(cmp.Compare(total[b], total[a]), cmp.Compare(a, b))
 	})
 	var lines []line
 	for _, name := range names[:min(len(names), mostLines-1)] {
--- a/cmd/pimentoarch/report.go
+++ b/cmd/pimentoarch/report.go
@@ -100,10 +100,7 @@
 	for _, name := range files {
 		r.Files = append(r.Files, filepath.Base(name))
 	}
-	r.Slot = max(time.Second, (r.To.Sub(r.From)/mostSlots).Truncate(time.Second)+time.Second)
-	if r.To.Sub(r.From) < mostSlots*time.Second {
-		r.Slot = time.Second
-	}
+	r.Slot = (r.To.Sub(r.From) / mostSlots).Truncate(time.Second) + time.Second
 	r.Slots = make([]slot, r.To.Sub(r.From)/r.Slot+1)
 	for i := range r.Slots {
 		r.Slots[i] = slot{refused: make(map[string]int), beliefs: make(map[string]int), took: newTook()}
--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -113,7 +113,7 @@
 			s := g.flow.target(tg.ID)
 			v.Targets[name] = append(v.Targets[name], TargetStatus{
 				ID: tg.ID, Address: tg.Address, Domain: tg.Domain, Cold: s.coldUntil > now,
-				Resting: s.restUntil > now, Failing: s.failing, Sending: s.sending,
+				Resting: s.restUntil > now, Failing: float64(s.failing), Sending: s.sending,
 			})
 		}
 	}
--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -147,37 +147,41 @@
 // askOne finds out how busy one target is.
 func (g *Gate) askOne(c *call, tg *pimentoroute.Target) *pick {
 	p := &pick{target: tg}
+	if p.err = g.findReport(c, p); p.err == nil {
+		g.assess(c, p)
+	}
+	return p
+}
+
+// findReport puts the target's report into a pick: a recent one, the answer to
+// a question that is under way, or the answer to one of its own.
+func (g *Gate) findReport(c *call, p *pick) error {
 	f := &g.flow
 	f.mu.Lock()
-	s := f.target(tg.ID)
-	if s.reported && g.now()-s.reportAt < reportFresh {
-		p.report, p.at = s.report, g.origin.Add(s.reportAt)
+	s := f.target(p.target.ID)
+	if g.takeReport(p, s, reportFresh) {
 		f.mu.Unlock()
-		g.assess(c, p)
-		return p
+		return nil
 	}
 	if q := s.asking; q != nil {
 		f.mu.Unlock()
 		<-q.done
-		if p.err = q.err; p.err == nil {
-			f.mu.Lock()
-			p.report, p.at = s.report, g.origin.Add(s.reportAt)
-			f.mu.Unlock()
-			g.assess(c, p)
+		if q.err != nil {
+			return q.err
 		}
-		return p
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		p.report, p.at = s.report, g.origin.Add(s.reportAt)
+		return nil
 	}
 	if !g.mayAsk() {
-		recent := s.reported && g.now()-s.reportAt < reportStale
-		p.report, p.at = s.report, g.origin.Add(s.reportAt)
+		recent := g.takeReport(p, s, reportStale)
 		f.mu.Unlock()
 		g.metrics.count("pimento_questions_spared_total")
 		if !recent {
-			p.err = errNoQuestions
-			return p
+			return errNoQuestions
 		}
-		g.assess(c, p)
-		return p
+		return nil
 	}
 	q := &question{done: make(chan struct{})}
 	s.asking = q
@@ -185,16 +189,23 @@
 	g.question(c, p, false)
 	f.mu.Lock()
 	s.asking = nil
-	if q.err = p.err; p.err == nil {
+	if q.err = p.err; q.err == nil {
 		s.report, s.reportAt, s.reported, s.sentSince = p.report, g.now(), true, 0
 		p.at = g.origin.Add(s.reportAt)
 	}
 	f.mu.Unlock()
 	close(q.done)
-	if p.err == nil {
-		g.assess(c, p)
+	return q.err
+}
+
+// takeReport puts a target's last report into a pick if it isn't older than
+// limit. It is called with flow.mu held.
+func (g *Gate) takeReport(p *pick, s *targetState, limit time.Duration) bool {
+	if !s.reported || g.now()-s.reportAt >= limit {
+		return false
 	}
-	return p
+	p.report, p.at = s.report, g.origin.Add(s.reportAt)
+	return true
 }
 
 // errNoQuestions is the error of a pick whose target wasn't asked.
@@ -215,10 +226,7 @@
 	if g.settings.Questions == 0 {
 		return true
 	}
-	targets := 0
-	for _, list := range g.table.Load().Targets {
-		targets += len(list)
-	}
+	targets := g.table.Load().Size()
 	n := int(g.fleetSize.Load())
 	if n == 0 {
 		n = guessedFleet
--- a/pimentogate/assess.go
+++ b/pimentogate/assess.go
@@ -43,24 +43,35 @@
 	if running >= slots {
 		expected += run * time.Duration(p.report.Waiting+running-slots+1) / time.Duration(slots)
 	}
-	expected += time.Duration(s.failing * float64(failPenalty))
+	expected += time.Duration(float64(s.failing) * float64(failPenalty))
 	if !p.report.Healthy {
 		expected += illPenalty
 	}
 	p.expected = expected
 }
 
-// distance is the time on the way to a target and back.
-func (g *Gate) distance(tg *pimentoroute.Target) time.Duration {
+// nearness says how far away a target is.
+type nearness uint8
+
+const (
+	nearDomain nearness = iota // In the own failure domain.
+	nearRegion                 // In another one of the own region.
+	nearNot
+)
+
+func (g *Gate) nearness(tg *pimentoroute.Target) nearness {
 	switch {
 	case tg.Domain == g.settings.Domain:
-		return sameDomain
+		return nearDomain
 	case tg.Region == g.region:
-		return sameRegion
+		return nearRegion
 	}
-	return otherRegion
+	return nearNot
 }
 
+// distance is the time on the way to a target and back.
+func (g *Gate) distance(tg *pimentoroute.Target) time.Duration { return distances[g.nearness(tg)] }
+
 // cost stands for the price of the bytes of an answer from a target.
 func (g *Gate) cost(c *call, tg *pimentoroute.Target) time.Duration {
 	g.flow.mu.Lock()
@@ -69,15 +80,15 @@
 }
 
 func (g *Gate) costOf(w *work, tg *pimentoroute.Target) time.Duration {
-	switch {
-	case tg.Domain == g.settings.Domain:
-		return 0
-	case tg.Region == g.region:
-		return time.Duration(w.bytes * float64(domainCost))
-	}
-	return time.Duration(w.bytes * float64(regionCost))
+	return time.Duration(w.bytes * float64(byteCosts[g.nearness(tg)]))
 }
 
+// distances and byteCosts are by the nearness of a target.
+var (
+	distances = [...]time.Duration{nearDomain: sameDomain, nearRegion: sameRegion, nearNot: otherRegion}
+	byteCosts = [...]time.Duration{nearDomain: 0, nearRegion: domainCost, nearNot: regionCost}
+)
+
 // Distances of targets, as what a request and its answer take on the way.
 const (
 	sameDomain  = 500 * time.Microsecond
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -9,6 +9,7 @@
 
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
 )
 
@@ -20,6 +21,8 @@
 	received time.Time
 	// callerUntil is when the caller gives up, zero if it doesn't say.
 	callerUntil time.Time
+	// print identifies the request, which may come again. It is set by mayTry.
+	print pimentoretry.Print
 
 	table   *pimentoroute.Table
 	route   *pimentoroute.Route
@@ -99,10 +102,5 @@
 // repeatable reports whether the request may run more than once.
 func (c *call) repeatable() bool { return c.route.Kind != pimentoroute.KindUnsafe }
 
-// printable returns what identifies a request that may come again.
-func (c *call) printable() []string {
-	return []string{c.from, string(c.req.Header.Method()), string(c.req.Header.Host()), string(c.req.Header.RequestURI()), string(c.req.Body())}
-}
-
 // part names the service of the request.
 func (c *call) part() pimentoregister.ServiceName { return c.service.Name }
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -115,10 +115,10 @@
 }
 
 // nextGroup returns the first candidates, as many as are asked at once, and all
-// of them near or all of them far.
+// of them equally near.
 func (g *Gate) nextGroup(candidates []*pimentoroute.Target) []*pimentoroute.Target {
 	n := 0
-	for n < len(candidates) && n < askAtOnce && g.distance(candidates[n]) == g.distance(candidates[0]) {
+	for n < len(candidates) && n < askAtOnce && g.nearness(candidates[n]) == g.nearness(candidates[0]) {
 		n++
 	}
 	return candidates[:n]
@@ -181,9 +181,12 @@
 // candidates returns the targets that a request may go to, the near ones first
 // and at random among equals.
 func (g *Gate) candidates(c *call, tried []pimentoroute.TargetID) []*pimentoroute.Target {
+	type ranked struct {
+		target *pimentoroute.Target
+		rank   int
+	}
 	now := g.now()
-	var list []*pimentoroute.Target
-	rank := make(map[pimentoroute.TargetID]int)
+	var list []ranked
 	f := &g.flow
 	f.mu.Lock()
 	for _, tg := range g.targetsOf(c) {
@@ -191,29 +194,29 @@
 			continue
 		}
 		s := f.target(tg.ID)
-		if s.coldUntil > now && tg.Domain != g.settings.Domain {
+		near := g.nearness(tg)
+		if s.coldUntil > now && near != nearDomain {
 			continue
 		}
-		n := 0
-		switch {
-		case tg.Domain == g.settings.Domain:
-		case tg.Region == g.region:
-			n = 1
-		default:
-			n = 2
-		}
+		rank := int(near)
 		if s.restUntil > now {
-			n += 3
+			rank += restRank
 		}
-		rank[tg.ID] = n
-		list = append(list, tg)
+		list = append(list, ranked{tg, rank})
 	}
 	f.mu.Unlock()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b *pimentoroute.Target) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
-	return list
+	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	targets := make([]*pimentoroute.Target, len(list))
+	for i := range list {
+		targets[i] = list[i].target
+	}
+	return targets
 }
 
+// restRank puts targets that rest behind all others.
+const restRank = int(nearNot) + 1
+
 // targetsOf returns the targets of a request's service that are known now.
 func (g *Gate) targetsOf(c *call) []*pimentoroute.Target {
 	return g.table.Load().Targets[c.part()]
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -10,11 +10,12 @@
 )
 
 // fingerprint identifies a request that may come again.
-func fingerprint(c *call) pimentoretry.Print {
+func (c *call) fingerprint() pimentoretry.Print {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range c.printable() {
-		_, _ = d.WriteString(part)
+	h := &c.req.Header
+	for _, part := range [][]byte{[]byte(c.from), h.Method(), h.Host(), h.RequestURI(), c.req.Body()} {
+		_, _ = d.Write(part)
 		_, _ = d.Write([]byte{0})
 	}
 	return pimentoretry.Print(d.Sum64())
@@ -32,10 +33,11 @@
 
 // mayTry reports whether a request hasn't crashed too many targets.
 func (g *Gate) mayTry(c *call) bool {
+	c.print = c.fingerprint()
 	f := &g.flow
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.suspects.Crashes(g.now(), fingerprint(c)) < pimentoretry.MaxCrashes
+	return f.suspects.Crashes(g.now(), c.print) < pimentoretry.MaxCrashes
 }
 
 // passed notes that a request was answered.
@@ -43,7 +45,7 @@
 	f := &g.flow
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspects.Clear(g.now(), fingerprint(c))
+	f.suspects.Clear(g.now(), c.print)
 }
 
 // crashLook is the time after a broken connection at which its target is asked
@@ -66,12 +68,11 @@
 func (g *Gate) crashed(c *call, tg *pimentoroute.Target) {
 	f := &g.flow
 	f.mu.Lock()
-	p := fingerprint(c)
-	crash, news := f.suspects.Add(g.now(), p, string(tg.ID))
+	crash, news := f.suspects.Add(g.now(), c.print, string(tg.ID))
 	f.mu.Unlock()
 	if news {
 		g.noteChange("msg", "request crashed a target", "id", c.id, "target", tg.ID, "count", crash.Count)
-		g.fleet.tell(crashNews{print: p, crash: crash, at: g.now()})
+		g.fleet.tell(crashNews{print: c.print, crash: crash, at: g.now()})
 	}
 }
 
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -72,7 +72,7 @@
 	// restUntil is set after a failure; the target is asked last until then.
 	restUntil time.Duration
 	// failing is the share of sends that failed lately, from 0 to 1.
-	failing float64
+	failing share
 	// sending counts this entry's requests that run there.
 	sending int
 	// report is the last one, where there is one, and sentSince counts this
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -91,10 +91,9 @@
 		g.note(level.WarnValue(), "msg", "send failed", "id", c.id, "target", tg.ID, "outcome", s.outcome, "err", s.err,
 			"status", s.status(), "stretch", s.pick.report.Stretch, "running", s.pick.report.Running, "ms", time.Since(s.started).Milliseconds())
 	}
-	bad := 0.0
 	if s.outcome != outUnsent && s.outcome != outLeft {
-		if g.flow.sent(c.part(), s.outcome == outNotRun) {
-			g.noteChange("msg", "overload of a service began or ended", "service", c.part(), "overloaded", g.flow.overloaded(c.part()), "limit", shedLimit)
+		if now, changed := g.flow.sent(c.part(), s.outcome == outNotRun); changed {
+			g.noteChange("msg", "overload of a service began or ended", "service", c.part(), "overloaded", now, "limit", shedLimit)
 		}
 	}
 	switch s.outcome {
@@ -111,23 +110,17 @@
 		c.sends--
 		g.rest(tg, failRest)
 		return
-	case outFailed:
-		bad = 1
-		c.mayRan = true
+	case outLeft:
+		return
 	case outBroken:
-		bad = 1
 		c.mayRan = true
 		go g.broke(c, tg)
-	case outTimeout:
-		bad = 1
+	case outFailed, outTimeout:
 		c.mayRan = true
-	case outLeft:
-		return
 	}
 	f := &g.flow
 	f.mu.Lock()
-	t := f.target(tg.ID)
-	t.failing += failWeight * (bad - t.failing)
+	f.target(tg.ID).failing.add(s.outcome != outAnswer, failWeight)
 	f.mu.Unlock()
 }
 
--- a/pimentogate/overload.go
+++ b/pimentogate/overload.go
@@ -40,19 +40,22 @@
 )
 
 // sent takes whether a target refused a send for lack of room. It reports
-// whether the service has begun or ceased to count as overloaded.
-func (f *flow) sent(s pimentoregister.ServiceName, refused bool) (changed bool) {
+// whether the service counts as overloaded now, and whether that is a change.
+func (f *flow) sent(s pimentoregister.ServiceName, refused bool) (now, changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.shed == nil {
 		f.shed = make(map[pimentoregister.ServiceName]*share)
 	}
-	if f.shed[s] == nil {
-		f.shed[s] = new(share)
+	shed := f.shed[s]
+	if shed == nil {
+		shed = new(share)
+		f.shed[s] = shed
 	}
-	before := *f.shed[s] > shedLimit
-	f.shed[s].add(refused, shedWeight)
-	return before != (*f.shed[s] > shedLimit)
+	before := *shed > shedLimit
+	shed.add(refused, shedWeight)
+	now = *shed > shedLimit
+	return now, now != before
 }
 
 // overloaded reports whether targets of a service refuse a good part of what
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -136,8 +136,12 @@
 	Out map[pimentoregister.DomainName]bool
 
 	hosts map[string][]*Route // Longest prefix first.
+	size  int
 }
 
+// Size is the number of targets in service.
+func (t *Table) Size() int { return t.size }
+
 // Build makes a table of records. regions tells the region of each failure
 // domain; targets in others aren't used.
 func Build(records []Record, regions map[pimentoregister.DomainName]pimentoregister.RegionName) *Table {
@@ -176,6 +180,7 @@
 	placed := *tg
 	placed.Region = region
 	t.Targets[tg.Service] = append(t.Targets[tg.Service], &placed)
+	t.size++
 }
 
 func (t *Table) index() {
