--- a/pimentogate/ask.go
+++ b/pimentogate/ask.go
@@ -35,7 +35,7 @@
 	report Report
 	at     time.Time // When the report came.
 	cold   bool
-	full   bool // Its queue is as long as those that refused.
+	queued bool // All its slots are taken.
 	// expected is the time that an answer takes, and cost stands for the price
 	// of its bytes.
 	expected, cost time.Duration
--- a/pimentogate/assess.go
+++ b/pimentogate/assess.go
@@ -37,10 +37,9 @@
 	run = run * time.Duration(max(1, p.report.Stretch)) / 100
 	expected += run
 	if limit := f.queues[c.part()]; limit > 0 && p.report.Waiting+s.sentSince >= limit {
-		p.full = true
 		expected += fullPenalty
 	}
-	if running >= slots {
+	if p.queued = running >= slots; p.queued {
 		expected += run * time.Duration(p.report.Waiting+running-slots+1) / time.Duration(slots)
 	}
 	expected += time.Duration(float64(s.failing) * float64(failPenalty))
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -43,7 +43,8 @@
 	firstWait = 25 * time.Millisecond
 	maxWait   = 100 * time.Millisecond
 	// refuseShare is the part of the objective after which a request is refused
-	// while all queues are full, so that its caller soon knows.
+	// that would be late because it waits behind others: its caller soon knows, and
+	// those that can still be in time don't wait behind it.
 	refuseShare = 0.125
 	// hopeShare is the part of the objective for which a request waits for a
 	// target that answers in time, and patienceShare for one that isn't slow.
@@ -77,7 +78,7 @@
 		return verdictRefuse
 	case elapsed+p.expected <= c.route.Objective:
 		return verdictSend
-	case p.full && !within(refuseShare):
+	case p.queued && !within(refuseShare):
 		return verdictRefuse
 	case within(hopeShare):
 		return verdictWait
@@ -108,12 +109,36 @@
 		candidates = candidates[len(group):]
 		best = g.better(c, best, answers)
 	}
-	if best == nil {
+	if best = g.refresh(c, best); best == nil {
 		return nil, reasonBusy
 	}
 	return best, reasonNone
 }
 
+// refreshAge is the age of a near target's report from which it is asked once
+// more before it gets a request.
+const refreshAge = 12 * time.Millisecond
+
+// refresh asks the target of a pick once more if others were asked since that
+// are farther away, because it may have been taken meanwhile. It returns nil if
+// the target doesn't answer. A far target isn't asked: its next report would be
+// as old as this one.
+func (g *Gate) refresh(c *call, old *pick) *pick {
+	if old == nil || time.Since(old.at) <= refreshAge || g.nearness(old.target) == nearNot {
+		return old
+	}
+	old.release()
+	p := g.askOne(c, old.target)
+	if p.err != nil {
+		return nil
+	}
+	if p.cold && !old.cold && !g.takeCold(c, p) {
+		p.release()
+		return nil
+	}
+	return p
+}
+
 // nextGroup returns the first candidates, as many as are asked at once, and all
 // of them equally near.
 func (g *Gate) nextGroup(candidates []*pimentoroute.Target) []*pimentoroute.Target {
--- a/pimentogate/choose_test.go
+++ b/pimentogate/choose_test.go
@@ -8,14 +8,14 @@
 )
 
 // What is decided about a request, by the time that its best target takes,
-// whether queues are full, and whether the targets refuse much of what is sent.
+// whether it would wait there behind others, and whether the targets refuse much of what is sent.
 func TestDecide(t *testing.T) {
 	const objective = 400 * time.Millisecond
 	for _, tc := range []struct {
 		name       string
 		elapsed    time.Duration
 		expected   time.Duration // 0 means that no target answered.
-		full       bool
+		queued     bool
 		overloaded bool
 		want       verdict
 	}{
@@ -23,8 +23,10 @@
 		{"in time while overloaded", 0, 300 * time.Millisecond, false, true, verdictSend},
 		{"late soon after it came", 0, 500 * time.Millisecond, false, false, verdictWait},
 		{"late while overloaded", 0, 500 * time.Millisecond, false, true, verdictRefuse},
-		{"full at first", 0, 500 * time.Millisecond, true, false, verdictWait},
-		{"full for an eighth", 60 * time.Millisecond, 500 * time.Millisecond, true, false, verdictRefuse},
+		{"late in a queue at first", 0, 500 * time.Millisecond, true, false, verdictWait},
+		{"late in a queue after an eighth", 60 * time.Millisecond, 500 * time.Millisecond, true, false, verdictRefuse},
+		{"a little late in a queue after half", 210 * time.Millisecond, 250 * time.Millisecond, true, false, verdictRefuse},
+		{"in time in a queue", 210 * time.Millisecond, 150 * time.Millisecond, true, false, verdictSend},
 		{"late after half", 210 * time.Millisecond, 250 * time.Millisecond, false, false, verdictSend},
 		{"slow after half", 210 * time.Millisecond, 900 * time.Millisecond, false, false, verdictWait},
 		{"slow after most", 300 * time.Millisecond, 900 * time.Millisecond, false, false, verdictSend},
@@ -44,7 +46,7 @@
 			}
 			var p *pick
 			if tc.expected > 0 {
-				p = &pick{expected: tc.expected, full: tc.full}
+				p = &pick{expected: tc.expected, queued: tc.queued}
 			}
 			if got := g.decide(c, p); got != tc.want {
 				t.Errorf("verdict %d, want %d", got, tc.want)
--- a/pimentogate/flow.go
+++ b/pimentogate/flow.go
@@ -93,8 +93,12 @@
 	failWeight = 0.25
 )
 
-// comeBackSoon is when a caller may come back after a refusal for lack of room.
-const comeBackSoon = 120 * time.Millisecond
+const (
+	// comeBackSoon is when a caller may come back after a refusal for lack of
+	// room, and comeBackLater while the service is overloaded.
+	comeBackSoon  = 120 * time.Millisecond
+	comeBackLater = 400 * time.Millisecond
+)
 
 // target returns what is known of a target. It is called with mu held.
 func (f *flow) target(id pimentoroute.TargetID) *targetState {
--- a/pimentogate/hedge.go
+++ b/pimentogate/hedge.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"pimentoarch/pimentoroute"
 )
 
@@ -42,6 +44,29 @@
 	return p
 }
 
+// mayHedge reports whether a second target may get a request while the first
+// one has it.
+func (g *Gate) mayHedge(c *call) bool {
+	return c.repeatable() && c.sends < c.route.Attempts && !c.hasLeft()
+}
+
+// hedge decides whether a second target that would answer sooner gets the
+// request too, and writes what that was decided from.
+func (g *Gate) hedge(c *call, first, second *pick, ran time.Duration) bool {
+	if second == nil || !g.mayHedge(c) {
+		return false
+	}
+	if !g.repeat(c) {
+		g.metrics.count("pimento_hedges_denied_total")
+		return false
+	}
+	g.metrics.repeated("hedge")
+	g.note(level.InfoValue(), "msg", "request hedged", "id", c.id, "target", first.target.ID, "ran_ms", ran.Milliseconds(),
+		"expected_ms", first.expected.Milliseconds(), "second", second.target.ID, "second_ms", second.expected.Milliseconds(),
+		"report_age_ms", time.Since(second.at).Milliseconds())
+	return true
+}
+
 // leftAt estimates how much longer a target takes for a request that has run
 // for a while. It asks the target how it is now.
 func (g *Gate) leftAt(c *call, first *pick, ran time.Duration) time.Duration {
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -112,8 +111,11 @@
 	if failed != nil && why != reasonLeft {
 		return g.passOn(c, failed)
 	}
-	spread := time.Duration(rand.Float64() * float64(comeBackSoon))
-	return g.refusal(c, why, comeBackSoon/2+spread)
+	comeBack := comeBackSoon
+	if g.flow.overloaded(c.part()) {
+		comeBack = comeBackLater
+	}
+	return g.refusal(c, why, comeBack/2+spreadOf(comeBack))
 }
 
 // passOn returns a target's answer.
@@ -174,8 +176,7 @@
 			go func() { picks <- g.second(c, first, time.Since(started), tried) }()
 		case p := <-picks:
 			asking = false
-			if p != nil && g.mayHedge(c) && g.repeat(c) {
-				g.metrics.repeated("hedge")
+			if g.hedge(c, first, p, time.Since(started)) {
 				launch(p)
 				continue
 			}
@@ -229,10 +230,6 @@
 	}
 }
 
-func (g *Gate) mayHedge(c *call) bool {
-	return c.repeatable() && c.sends < c.route.Attempts && !c.hasLeft()
-}
-
 // newSend prepares a request for one target.
 func (g *Gate) newSend(c *call, p *pick) *send {
 	req := new(fasthttp.Request)
