--- a/cmd/pimentoarch/soak_test.go
+++ b/cmd/pimentoarch/soak_test.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,7 +30,10 @@
 const (
 	soakTime   = 8 * time.Second // Of faults, in CI; SOAK_SECONDS goes before it.
 	soakGates  = 4
-	soakHealed = 12 * time.Second // In which all must be served again.
+	soakHealed = 12 * time.Second        // In which all must be served again.
+	soakCalm   = 4 * time.Second         // After the faults, before planned work begins.
+	leavingEnd = 2500 * time.Millisecond // After which a leaving target gets nothing.
+	outEnd     = 5 * time.Second         // After which a domain that is out gets nothing.
 )
 
 // TestSoak runs gates as processes, and harms them and all that they talk to
@@ -62,19 +64,23 @@
 	rng     *rand.Rand
 	store   *standin.Store
 	targets []*standin.Target
-	proxies []*standin.Proxy // Of the targets, then of the store for each gate.
-	gates   []*soakGate
-	version int
+	// addresses are those of the targets, each of its proxy.
+	addresses []string
+	proxies   []*standin.Proxy // Of the targets, then of the store for each gate.
+	gates     []*soakGate
+	version   int
 
 	mu       sync.Mutex // Guards outcomes.
 	outcomes map[string]outcome
 	next     atomic.Int64
+	calmFrom time.Time // No faults from then on.
 }
 
 // outcome is what a caller was told about one request.
 type outcome struct {
 	unsafe bool
 	status int // 0 if the connection ended.
+	sent   time.Time
 }
 
 type soakGate struct {
@@ -92,7 +98,8 @@
 		domain := []string{"a1", "a2", "b1"}[i%3]
 		tg := &standin.Target{ID: fmt.Sprint("i-", i), Slots: 3, Work: 20 * time.Millisecond, Fault: s.faultOf(uint64(i), seed)}
 		s.targets = append(s.targets, tg)
-		s.publish(i, s.proxy(s.listen(tg.Serve)), domain, "ready")
+		s.addresses = append(s.addresses, s.proxy(s.listen(tg.Serve)))
+		s.publish(i, s.addresses[i], domain, "ready")
 	}
 	s.configure()
 	for i := range soakGates {
@@ -235,6 +242,7 @@
 	}
 	s.harm(time.Now().Add(duration))
 	s.awaitServed("after the faults")
+	s.plannedWork()
 	close(stop)
 	wg.Wait()
 	s.check()
@@ -302,6 +310,42 @@
 	wg.Wait()
 }
 
+// plannedWork lets a target leave, takes a domain out, and stops and starts
+// gates, while callers go on. check compares what came of it.
+func (s *soak) plannedWork() {
+	time.Sleep(soakCalm)
+	s.calmFrom = time.Now()
+	s.publish(0, s.addresses[0], "a1", "draining")
+	s.store.PutJSON("op/evacuate/a2", map[string]any{})
+	time.Sleep(time.Second)
+	s.restart(s.gates[1], syscall.SIGTERM)
+	s.configure()
+	s.restart(s.gates[2], syscall.SIGTERM)
+	s.awaitServed("after planned work")
+}
+
+// checkPlanned checks that a target that leaves and a domain that is out get no
+// request after their time, and that no request was cut that a target had.
+func (s *soak) checkPlanned(runs map[string]int) {
+	for i, tg := range s.targets {
+		end := s.calmFrom.Add(leavingEnd)
+		if i%3 == 1 {
+			end = s.calmFrom.Add(outEnd)
+		}
+		for _, at := range tg.Arrived() {
+			if (i == 0 || i%3 == 1) && at.After(end) {
+				s.t.Errorf("target i-%d got a request %v after it began to leave", i, at.Sub(s.calmFrom))
+				break
+			}
+		}
+	}
+	for id, o := range s.outcomes {
+		if o.status == 0 && runs[id] > 0 && o.sent.After(s.calmFrom) {
+			s.t.Errorf("request %s reached a target and was cut by planned work", id)
+		}
+	}
+}
+
 // call sends requests to gates that are ready, on kept connections where they
 // stay open.
 func (s *soak) call(rng *rand.Rand, stop chan struct{}) {
@@ -320,28 +364,28 @@
 			}
 			conns[g] = c
 		}
-		if !s.request(conns[g], rng.IntN(2) == 0) {
+		if _, open := s.request(conns[g], rng.IntN(2) == 0); !open {
 			_ = conns[g].Close()
 			conns[g] = nil
 		}
 	}
 }
 
-// request sends one request and notes the outcome. It reports whether the
-// connection stays open.
-func (s *soak) request(c net.Conn, unsafe bool) bool {
-	id := fmt.Sprint("r", s.next.Add(1))
+// request sends one request and notes the outcome. It returns the request's id
+// and whether the connection stays open.
+func (s *soak) request(c net.Conn, unsafe bool) (id string, open bool) {
+	id = fmt.Sprint("r", s.next.Add(1))
 	line := "GET /read/x"
 	if unsafe {
 		line = "POST /book/" + id
 	}
-	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
+	o := outcome{unsafe: unsafe, sent: time.Now()}
+	_ = c.SetDeadline(o.sent.Add(4 * time.Second))
 	var resp fasthttp.Response
 	_, err := fmt.Fprintf(c, "%s HTTP/1.1\r\nHost: seats.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n", line, id)
 	if err == nil {
 		err = resp.Read(bufio.NewReader(c))
 	}
-	o := outcome{unsafe: unsafe}
 	if err == nil {
 		o.status = resp.StatusCode()
 	}
@@ -351,7 +395,7 @@
 	s.mu.Lock()
 	s.outcomes[id] = o
 	s.mu.Unlock()
-	return err == nil && !resp.ConnectionClose()
+	return id, err == nil && !resp.ConnectionClose()
 }
 
 // awaitServed waits until every gate serves ten requests in a row.
@@ -379,11 +423,11 @@
 		return false
 	}
 	defer func() { _ = c.Close() }()
-	id := fmt.Sprint("r", s.next.Load()+1)
-	s.request(c, false)
+	id, _ := s.request(c, false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outcomes[id].status == 200 || strings.HasPrefix(fmt.Sprint(s.outcomes[id].status), "5") && s.expectedToFail(id)
+	status := s.outcomes[id].status
+	return status == fasthttp.StatusOK || status >= 500 && s.expectedToFail(id)
 }
 
 // expectedToFail reports whether most targets fail a request by its id.
@@ -420,5 +464,6 @@
 			s.t.Errorf("request %s ran and no caller sent it", id)
 		}
 	}
+	s.checkPlanned(runs)
 	s.t.Logf("%d requests, by status: %v", len(s.outcomes), told)
 }
