--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -47,13 +47,16 @@
 	metrics  *gauges
 	origin   time.Time
 
-	table   atomic.Pointer[pimentoroute.Table]
-	fleet   *fleet
-	flow    flow
-	client  pimentohttp.Client
-	node    pimentolink.Node
-	workers *ants.Pool
-	conns   connSet
+	table atomic.Pointer[pimentoroute.Table]
+	// configured is closed when the first configuration is in force.
+	configured     chan struct{}
+	onceConfigured sync.Once
+	fleet          *fleet
+	flow           flow
+	client         pimentohttp.Client
+	node           pimentolink.Node
+	workers        *ants.Pool
+	conns          connSet
 
 	fleetSize  atomic.Int64 // Entries that share limits; 0 while not known.
 	domainSize atomic.Int64 // Entries of the own domain; 0 while not known.
@@ -83,16 +86,17 @@
 		return nil, nil, fmt.Errorf("create pool of %d workers: %w", maxWorkers, err)
 	}
 	g := &Gate{
-		settings: s,
-		region:   s.Region(),
-		dialect:  p.Dialect,
-		decode:   p.Decode,
-		source:   p.Source,
-		reload:   p.Reload,
-		log:      logger,
-		metrics:  newGauges(),
-		origin:   time.Now(),
-		workers:  workers,
+		settings:   s,
+		region:     s.Region(),
+		dialect:    p.Dialect,
+		decode:     p.Decode,
+		source:     p.Source,
+		reload:     p.Reload,
+		log:        logger,
+		metrics:    newGauges(),
+		origin:     time.Now(),
+		configured: make(chan struct{}),
+		workers:    workers,
 	}
 	g.budget.lines = s.Lines
 	g.fleet = newFleet(pimentopeer.Member{
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -77,6 +77,9 @@
 	old := g.table.Load()
 	t := pimentoroute.Build(records, g.settings.Regions)
 	g.table.Store(t)
+	if t.Config != nil {
+		g.onceConfigured.Do(func() { close(g.configured) })
+	}
 	g.noteTargets(old, t)
 	g.flow.forget(t)
 	if t.Config != nil && (old == nil || old.Config == nil || old.Config.Version != t.Config.Version) {
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentoroute"
 )
 
 // serve answers one request.
@@ -63,8 +65,8 @@
 
 // answer routes a request and sends it on.
 func (g *Gate) answer(c *call) *answer {
-	t := g.table.Load()
-	if t == nil || t.Config == nil {
+	t := g.firstTable(c)
+	if t == nil {
 		return g.refusal(c, reasonUnconfigured, comeBackStart)
 	}
 	c.table = t
@@ -91,6 +93,26 @@
 	return g.attempts(c)
 }
 
+// startWait is the time for which a request waits for the first configuration
+// of an entry that has just started.
+const startWait = 200 * time.Millisecond
+
+// firstTable returns the table in force. An entry that has just started waits a
+// little for its first one, which takes callers less time than coming back. It
+// returns nil if there is none.
+func (g *Gate) firstTable(c *call) *pimentoroute.Table {
+	if t := g.table.Load(); t != nil && t.Config != nil {
+		return t
+	}
+	select {
+	case <-g.configured:
+		return g.table.Load()
+	case <-c.left:
+	case <-time.After(startWait):
+	}
+	return nil
+}
+
 // comeBackStart is when a caller may come back to an entry that has just
 // started.
 const comeBackStart = 150 * time.Millisecond
--- a/pimentogate/talk.go
+++ b/pimentogate/talk.go
@@ -237,7 +237,8 @@
 }
 
 // newNote returns a note without an update for a peer whose roster has a hash
-// and, where they are known, checksums.
+// and, where they are known, checksums. One that knows the same members is only
+// told that this entry is there.
 func (g *Gate) newNote(peerHash uint64, peer *pimentopeer.Sums) *note {
 	now := g.now()
 	f := g.fleet
@@ -248,11 +249,13 @@
 	if age, known := f.age(now); known {
 		n.age = age.Milliseconds()
 	}
-	if peerHash != n.hash {
-		n.sums = &sums
-		if peer != nil {
-			n.members = f.roster.Differing(peer)
-		}
+	if peerHash == n.hash {
+		n.self = n.self.Short()
+		return n
+	}
+	n.sums = &sums
+	if peer != nil {
+		n.members = f.roster.Differing(peer)
 	}
 	return n
 }
--- a/pimentopeer/roster.go
+++ b/pimentopeer/roster.go
@@ -112,9 +112,19 @@
 	e.Member = *m
 }
 
-// Heard takes a word from a member itself.
+// Short returns a record that only tells those who know the member already that
+// it is there.
+func (m *Member) Short() Member { return Member{Name: m.Name, Run: m.Run, Version: m.Version} }
+
+// isShort reports whether a record is one that Short has made.
+func (m *Member) isShort() bool { return m.Address == "" }
+
+// Heard takes a word from a member itself. A short record of an unknown run is
+// no news: the rosters differ, so that the whole record follows.
 func (r *Roster) Heard(now time.Duration, m Member) {
-	r.merge(now, &m)
+	if !m.isShort() {
+		r.merge(now, &m)
+	}
 	if e := r.members[m.Name]; e != nil && e.Run == m.Run {
 		e.heardAt = now
 	}
--- a/pimentopeer/roster_test.go
+++ b/pimentopeer/roster_test.go
@@ -35,6 +35,25 @@
 	is.Equal(a.DomainSize(), 2)
 }
 
+// A short record keeps a known member from counting as gone, and adds none.
+func TestShortRecords(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster(member("a", "d", 1))
+	b := member("b", "d", 1)
+	r.Heard(0, b.Short())
+	is.Equal(r.Size(), 1)
+	r.Heard(0, b)
+	r.Expire(0)
+	r.Heard(goneTerm, b.Short())
+	r.Expire(goneTerm + 1)
+	is.Equal(r.Size(), 2)
+	is.Equal(r.All()[0].Address, "b")
+	other := member("b", "d", 7)
+	r.Heard(2*goneTerm, other.Short()) // Of another run.
+	r.Expire(2*goneTerm + 1)
+	is.Equal(r.Size(), 1)
+}
+
 func TestRestartGoesBeforeTheOldRun(t *testing.T) {
 	is := is.New(t)
 	peer := NewRoster(member("p", "d", 1))
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -29,7 +29,7 @@
 	watchWait = 4 * time.Second
 	// batchPause is the pause after changes, so that changes in quick
 	// succession are one read.
-	batchPause = 150 * time.Millisecond
+	batchPause = 300 * time.Millisecond
 	// retryPause is the pause after a first failure, which doubles up to
 	// maxRetryPause.
 	retryPause    = 250 * time.Millisecond
