pimentoplatform: a watch that goes silent is noticed in time; short watches after a failure

A watch waited for 4 s and 1.5 s more for its answer, and its reader told the others for 5.5 s that it was up to date. Where a connection to the store goes silent for good just after a watch began, a change was in force after 5.65 s (TestSilentWatch, failed; the limit is 4 s, after which an entry counts as in touch). Watches wait for 2 s now and a reader's word holds 0.7 s longer, so that others of its region take over.

After a failure a watch waits 0.2 s and pauses are 1 s at most.

--- a/pimentogate/fleet.go
+++ b/pimentogate/fleet.go
@@ -9,6 +9,7 @@
 
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoroute"
 )
 
@@ -96,8 +97,9 @@
 }
 
 // readTrust is the time since the last answer of the platform for which a
-// waiting watch counts as up to date.
-const readTrust = 5500 * time.Millisecond
+// waiting watch counts as up to date: as long as it waits, and the time for a
+// slow answer. After it, other entries of the region take over.
+const readTrust = pimentoplatform.WatchWait + 700*time.Millisecond
 
 // take merges an update and puts what follows from it in force.
 func (g *Gate) take(u pimentofeed.Update, from string) {
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -24,16 +24,19 @@
 }
 
 const (
-	// watchWait is the time for which one watch waits. A watch that has gone
+	// WatchWait is the time for which one watch waits. A watch that has gone
 	// silent is noticed soon after it.
-	watchWait = 4 * time.Second
+	WatchWait = 2 * time.Second
+	// retryWait is the time for which a watch waits after a failure, so that a
+	// source that is back is noticed soon.
+	retryWait = 200 * time.Millisecond
 	// batchPause is the pause after changes, so that changes in quick
 	// succession are one read.
 	batchPause = 300 * time.Millisecond
 	// retryPause is the pause after a first failure, which doubles up to
 	// maxRetryPause.
 	retryPause    = 250 * time.Millisecond
-	maxRetryPause = 1500 * time.Millisecond
+	maxRetryPause = 1000 * time.Millisecond
 )
 
 // Follow reads a Source as long as it is asked to. Its exported fields are set
@@ -81,7 +84,11 @@
 	if after == 0 || f.compacted {
 		u, err = f.Source.Read(!f.compacted)
 	} else {
-		u, err = f.Source.Watch(after, watchWait)
+		wait := WatchWait
+		if f.failures > 0 {
+			wait = retryWait
+		}
+		u, err = f.Source.Watch(after, wait)
 	}
 	if err != nil {
 		return f.failed(after, err)
