--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -14,7 +14,12 @@
 	f := g.fleet
 	old, had := f.records[it.Key]
 	delete(f.lapsed, it.Key)
+	inForce := had && old.Config != nil // Stays until another one replaces it.
 	if it.Removed {
+		if inForce {
+			g.note(level.WarnValue(), "msg", "removal of the configuration ignored", "revision", it.Revision, "in_force", old.Config.Version)
+			return
+		}
 		delete(f.records, it.Key)
 		if had && old.Target != nil && outage {
 			f.lapsed[it.Key] = lapse{record: old, until: now + lapseTerm}
@@ -24,12 +29,14 @@
 	}
 	r, err := g.decode(it.Key, it.Value)
 	if err != nil {
-		delete(f.records, it.Key)
+		if !inForce {
+			delete(f.records, it.Key)
+		}
 		g.metrics.count("pimento_undecodable_total")
 		g.note(level.WarnValue(), "msg", "published item ignored", "key", it.Key, "revision", it.Revision, "err", err)
 		return
 	}
-	if r.Config != nil && had && old.Config != nil && r.Config.Version < old.Config.Version {
+	if r.Config != nil && inForce && r.Config.Version < old.Config.Version {
 		g.note(level.WarnValue(), "msg", "older configuration ignored", "version", r.Config.Version, "in_force", old.Config.Version)
 		return
 	}
@@ -77,7 +84,7 @@
 	old := g.table.Load()
 	t := pimentoroute.Build(records, g.settings.Regions)
 	g.table.Store(t)
-	if t.Config != nil {
+	if t.Config != nil { // From then on there is always one.
 		g.onceConfigured.Do(func() { close(g.configured) })
 	}
 	g.noteTargets(old, t)
