--- a/Makefile
+++ b/Makefile
@@ -62,3 +62,8 @@
 	$(GO) test ./pimentolink -run '^$$' -fuzz '^FuzzHandover$$' -fuzztime 30s
 	$(GO) test ./pimentolink -run '^$$' -fuzz '^FuzzRequest$$' -fuzztime 30s
 	$(GO) test ./pimentolink -run '^$$' -fuzz '^FuzzChunks$$' -fuzztime 30s
+	$(GO) test ./pimentofeed -run '^$$' -fuzz '^FuzzUpdate$$' -fuzztime 30s
+	$(GO) test ./pimentogate -run '^$$' -fuzz '^FuzzNote$$' -fuzztime 30s
+	$(GO) test ./pimentogate -run '^$$' -fuzz '^FuzzRequest$$' -fuzztime 30s
+	$(GO) test ./pimentohttp -run '^$$' -fuzz '^FuzzAnswer$$' -fuzztime 30s
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 30s
