--- a/pimentogate/items_test.go
+++ b/pimentogate/items_test.go
@@ -89,7 +89,8 @@
 }
 
 // Whatever is published, unreadable, older or removed, in an outage or not, the
-// table in force is as the oracle says.
+// table in force is as the oracle says, and the entry is ready while it has a
+// configuration and targets.
 func TestTableAgreesWithHistory(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		history := rapid.SliceOfN(rapid.Custom(drawPublishing), 1, 40).Draw(rt, "history")
@@ -155,8 +156,12 @@
 		got = append(got, string(tg.ID))
 	}
 	slices.Sort(got)
-	if want := o.inUse(g.now()); !slices.Equal(got, want) {
+	want := o.inUse(g.now())
+	if !slices.Equal(got, want) {
 		return fmt.Sprintf("targets %v are in use, want %v", got, want)
 	}
+	if ready := o.version > 0 && len(want) > 0; g.ready() != ready {
+		return fmt.Sprintf("readiness %v, want %v", g.ready(), ready)
+	}
 	return ""
 }
