pimentogate: no timer for each request once there is a configuration

Found in reading the change again: firstTable went through a select with time.After for each request, also where the configuration has long been known, and a caller that had left could be refused as if there were none. No other behaviour changes (TestFirstConfigurationUnderWay, TestNoConfiguration, TestConfigurationStays pass with the race detector, and all of pimentogate and platform).

--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -101,14 +101,16 @@
 // little for its first one, which takes callers less time than coming back. It
 // returns nil if there is none.
 func (g *Gate) firstTable(c *call) *pimentoroute.Table {
+	if t := g.table.Load(); t != nil && t.Config != nil {
+		return t
+	}
 	select {
 	case <-g.configured:
+		return g.table.Load()
 	case <-c.left:
-		return nil
 	case <-time.After(startWait):
-		return nil
 	}
-	return g.table.Load()
+	return nil
 }
 
 // comeBackStart is when a caller may come back to an entry that has just
