pimentogate: logs say when published items are stale, and which crashes count

A request that ends without a response left no line when it wasn't counted as a crash. Now: a line and a counter when the items become stale, with age, rank basis and the last confirmation, a line when they are current again, and lines with the request's fingerprint for crashes that are counted, not counted, and reported by other entries.

--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -28,6 +28,9 @@
 	reading     bool          // This entry reads the platform successfully.
 	lastRead    time.Duration // When the last read succeeded.
 	shouldRead  bool          // This entry is to read the platform.
+	stale       bool          // The feed is older than staleAge, or of unknown age.
+	// confirmedBy is sourcePlatform or the name of the entry that last confirmed the feed.
+	confirmedBy string
 	crashes     []crashReport // Reports that are sent to peers.
 	changed     chan struct{} // Closed and replaced when peers are to be sent something.
 	// confirmed is closed and replaced when the age of the feed becomes known or drops
@@ -73,10 +76,13 @@
 // domain are informed at once.
 const confirmGain = 300 * time.Millisecond
 
-// confirm records the age of the feed. It is called with mu held.
-func (cs *clusterState) confirm(now, age time.Duration) {
+// confirm records the age of the feed as stated by an entry. It is called with mu held.
+func (cs *clusterState) confirm(now, age time.Duration, from string) {
 	before, known := cs.feed.Age(now)
 	cs.feed.Confirm(now, age)
+	if !known || age < before {
+		cs.confirmedBy = from
+	}
 	if !known || before-age > confirmGain {
 		close(cs.confirmed)
 		cs.confirmed = make(chan struct{})
@@ -105,8 +111,12 @@
 // reply. After that, other entries of the region take over reading.
 const readValidity = pimentoplatform.WatchWait + 700*time.Millisecond
 
+// sourcePlatform is the name of the platform as a source of updates, beside the names
+// of entries.
+const sourcePlatform = "platform"
+
 // applyUpdate merges an update and rebuilds the table if items have changed. from
-// is "platform" or the name of the entry that sent the update.
+// is sourcePlatform or the name of the entry that sent the update.
 func (g *Gate) applyUpdate(u pimentofeed.Update, from string) {
 	now := g.now()
 	cs := g.cluster
@@ -120,6 +130,7 @@
 	}
 	advanced := cs.feed.AsOf() != before
 	if advanced {
+		cs.confirmedBy = from
 		cs.signalChange()
 	}
 	if len(changed) > 0 {
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -4,9 +4,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
 
 	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
 )
 
 // computeFingerprint returns a hash of the caller's IP address, method, host, URI and
@@ -62,9 +64,11 @@
 	cand := &candidate{target: tg}
 	g.sendProbe(c, cand, true)
 	defer cand.release()
-	if cand.err != nil {
-		g.recordCrash(c, tg)
+	if cand.err == nil {
+		g.logLine(level.InfoValue(), "msg", "crash not counted", "id", c.id, "target", tg.ID, "reason", "target replied")
+		return
 	}
+	g.recordCrash(c, tg)
 }
 
 // recordCrash records that a request crashed a target, and reports it to the other
@@ -74,16 +78,22 @@
 	ts.mu.Lock()
 	crash, isNew := ts.quarantine.RecordCrash(g.now(), c.fingerprint, string(tg.ID))
 	ts.mu.Unlock()
-	if isNew {
-		g.logChange("msg", "request crashed a target", "id", c.id, "target", tg.ID, "count", crash.Count)
-		g.cluster.addCrash(crashReport{fingerprint: c.fingerprint, crash: crash, receivedAt: g.now()})
+	if !isNew {
+		g.logLine(level.InfoValue(), "msg", "crash not counted", "id", c.id, "target", tg.ID, "reason", "counted before, or the request was answered elsewhere")
+		return
 	}
+	g.logChange("msg", "request crashed a target", "id", c.id, "fingerprint", c.fingerprint, "target", tg.ID, "count", crash.Count)
+	g.cluster.addCrash(crashReport{fingerprint: c.fingerprint, crash: crash, receivedAt: g.now()})
 }
 
 // mergeCrash merges another entry's crash report, and reports whether it was new.
-func (g *Gate) mergeCrash(r crashReport) bool {
+func (g *Gate) mergeCrash(r crashReport, from pimentotarget.EntryName) bool {
 	ts := &g.traffic
 	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	return ts.quarantine.Merge(g.now(), r.fingerprint, r.crash)
+	isNew := ts.quarantine.Merge(g.now(), r.fingerprint, r.crash)
+	ts.mu.Unlock()
+	if isNew {
+		g.logChange("msg", "crash reported by an entry", "from", from, "fingerprint", r.fingerprint, "target", r.crash.Target, "count", r.crash.Count)
+	}
+	return isNew
 }
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -189,7 +189,7 @@
 		Log:        g.log,
 		ShouldRead: g.decideReading,
 		AsOf:       g.knownRevision,
-		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, "platform") },
+		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, sourcePlatform) },
 		OnReading:  g.setReading,
 		OnFailure:  func() { g.metrics.count("pimento_platform_failures_total") },
 	}
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/go-kit/log/level"
 )
 
 // decideReading decides whether this entry reads the platform.
@@ -18,6 +20,7 @@
 	if cs.feed.AsOf() == 0 {
 		return now > g.firstReadAt
 	}
+	g.logStale(age, known)
 	if now < joinWait {
 		return false
 	}
@@ -42,6 +45,27 @@
 	return wanted
 }
 
+// staleAge is the age of the feed above which it is logged as stale.
+const staleAge = 1500 * time.Millisecond
+
+// logStale logs when the feed becomes stale and when it is current again. It is called
+// with clusterState.mu held.
+func (g *Gate) logStale(age time.Duration, known bool) {
+	cs := g.cluster
+	stale := !known || age > staleAge
+	if stale == cs.stale {
+		return
+	}
+	cs.stale = stale
+	if !stale {
+		g.logChange("msg", "published items are current again", "age", age, "revision", cs.feed.AsOf(), "confirmed_by", cs.confirmedBy)
+		return
+	}
+	g.metrics.count("pimento_state_stale_total")
+	g.logLine(level.WarnValue(), "msg", "published items are stale", "age", age, "known", known, "revision", cs.feed.AsOf(),
+		"confirmed_by", cs.confirmedBy, "domain_entries", len(cs.members.DomainMembers(g.settings.Domain)), "region_entries", len(cs.members.RegionMembers(g.region)))
+}
+
 const (
 	// readerTTL is the time for which a member's statement that it reads the
 	// platform is valid.
@@ -69,5 +93,6 @@
 	if works {
 		cs.lastRead = g.now()
 		cs.feed.Confirm(cs.lastRead, 0)
+		cs.confirmedBy = sourcePlatform
 	}
 }
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -304,13 +304,13 @@
 		// isn't changed, so that applyUpdate can detect an outage from it when the
 		// update arrives.
 		if msg.revision == cs.feed.AsOf() {
-			cs.confirm(now, time.Duration(msg.ageMillis)*time.Millisecond)
+			cs.confirm(now, time.Duration(msg.ageMillis)*time.Millisecond, string(msg.sender.Name))
 		}
 		cs.mu.Unlock()
 	}
 	for _, c := range msg.crashes {
 		c.receivedAt = now
-		if g.mergeCrash(c) {
+		if g.mergeCrash(c, msg.sender.Name) {
 			cs.addCrash(c)
 		}
 	}
--- a/pimentoretry/quarantine.go
+++ b/pimentoretry/quarantine.go
@@ -1,6 +1,9 @@
 package pimentoretry
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Fingerprint is a hash that is equal for all copies of a request. The packages that use
 // a Quarantine compute it. It covers more than the Fingerprint of package pimentokey: in
@@ -8,6 +11,9 @@
 // address and the host.
 type Fingerprint uint64
 
+// String returns the fingerprint as hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 const (
 	// MaxCrashes is the number of crashes after which a request is refused.
 	MaxCrashes = 2
