--- /dev/null
+++ b/pimentogate/reading_test.go
@@ -0,0 +1,57 @@
+package pimentogate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"pimentoarch/pimentofeed"
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentotarget"
+)
+
+// takeoverLimit is the age of the items at which every entry must read the platform by
+// itself: changes must be active within 2.5 s, and reading and forwarding them take part
+// of that time.
+const takeoverLimit = 2 * time.Second
+
+// gateInRegion returns the last gate of a region with three domains, of which it knows
+// all entries. Its items were confirmed age ago.
+func gateInRegion(t *testing.T, entries int, age time.Duration) *Gate {
+	t.Helper()
+	member := func(i int) pimentopeer.Member {
+		return pimentopeer.Member{
+			Name: pimentotarget.EntryName(fmt.Sprintf("e%03d", i)), Address: fmt.Sprintf("10.0.%d.%d:7", i/250, i%250),
+			Region: "r", Domain: pimentoregister.DomainName(fmt.Sprint("d", 3*i/entries)), RunID: uint64(i + 1), Version: 1,
+		}
+	}
+	self := member(entries - 1)
+	g := &Gate{
+		settings: Settings{Name: self.Name, Domain: self.Domain}, region: self.Region, startedAt: time.Now().Add(-time.Minute),
+		log: log.NewNopLogger(), metrics: newGateMetrics(), cluster: newClusterState(self),
+	}
+	for i := range entries - 1 {
+		g.cluster.members.Merge(g.now(), []pimentopeer.Member{member(i)})
+	}
+	g.cluster.feed.Merge(g.now(), pimentofeed.Update{Full: true, AsOf: 5, Age: age})
+	return g
+}
+
+// A domain that is cut off from all others while it still reaches the platform: the wait
+// before an entry reads by itself doesn't grow with the number of entries that it can't
+// hear.
+func TestIsolatedDomainReadsPlatform(t *testing.T) {
+	for _, entries := range []int{3, 20, 47, 386} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			if !gateInRegion(t, entries, takeoverLimit).decideReading() {
+				t.Errorf("the last of %d entries doesn't read the platform, its items are %v old", entries, takeoverLimit)
+			}
+			if gateInRegion(t, entries, 0).decideReading() {
+				t.Error("an entry with current items reads the platform")
+			}
+		})
+	}
+}
