pimentofeed: the wait before an entry reads the platform doesn't grow with the fleet

Cause: the wait was 1 s + 150 ms for each entry of the region that precedes one by name, and entries that can't be heard stay in that list, because only neighbours of their own domain mark them as down. 47 entries a region gave 7.9 s, 386 would give 59 s. Fix: the wait depends on the place in the own domain, in groups of doubling size, and has an upper bound of 1.875 s for any size. Entries of a domain hear each other, so the place there is true. Entries of a region's other domains hear of each other twice as often, so that the first of a domain doesn't take over in calm times.

--- a/pimentofeed/reader.go
+++ b/pimentofeed/reader.go
@@ -1,20 +1,43 @@
 package pimentofeed
 
-import "time"
+import (
+	"math/bits"
+	"time"
+)
 
 const (
-	// takeoverAge is the age of the state above which an entry that isn't the first
-	// of its region reads the platform itself. It is well below the time within
-	// which a change must be active.
-	takeoverAge = 1000 * time.Millisecond
-	// takeoverStep is added to takeoverAge for each preceding entry of the region,
-	// so that the entries don't all take over at once.
-	takeoverStep = 150 * time.Millisecond
+	// minTakeoverAge is the age of the state above which the first entry of a domain
+	// reads the platform itself. It is more than the age that the state reaches while
+	// another domain's entry reads.
+	minTakeoverAge = 1250 * time.Millisecond
+	// takeoverStep is added once for each group of entries that precede an entry in its
+	// domain. The groups have 1, 1, 2, 4, 8 members and the rest, so that few entries
+	// take over if one of the first can read, and the wait of the last one doesn't
+	// depend on their number.
+	takeoverStep      = 125 * time.Millisecond
+	takeoverGroupsMax = 5
+	// MaxTakeoverAge is the age of the state above which every entry reads the platform.
+	MaxTakeoverAge = minTakeoverAge + takeoverGroupsMax*takeoverStep
 	// handBackDelay is the time for which a preceding entry must have read the
 	// platform before this one stops.
 	handBackDelay = 2 * time.Second
 )
 
+// Position is an entry's place among the members that it knows, sorted by name.
+type Position struct {
+	// RegionRank and DomainRank are the numbers of entries of its region and of its
+	// failure domain that precede it.
+	RegionRank, DomainRank int
+}
+
+// takeoverAge returns the age of the state above which an entry reads the platform. It
+// depends on the entry's own domain only, since entries of other domains may count as
+// members for long after their links were cut.
+func (p Position) takeoverAge() time.Duration {
+	group := min(bits.Len(uint(p.DomainRank)), takeoverGroupsMax)
+	return minTakeoverAge + time.Duration(group)*takeoverStep
+}
+
 // ReadPolicy decides whether an entry reads the platform. There is no election: the
 // first entry in a region's list of entries reads, and the others start to read when
 // the age of the state that they receive is too great. The zero value is ready to use.
@@ -24,21 +47,21 @@
 	precedingSince time.Duration // When a preceding entry began to read.
 }
 
-// Decide reports whether to read. rank is the number of entries of the region that
-// precede this one, precedingReads is set if one of them reads now, and age is the
-// age of the state. known is false if the state is unconfirmed.
-func (p *ReadPolicy) Decide(now time.Duration, rank int, precedingReads bool, age time.Duration, known bool) bool {
+// Decide reports whether to read. precedingReads is set if an entry of the region that
+// precedes this one reads now, and age is the age of the state. known is false if the
+// state is unconfirmed.
+func (p *ReadPolicy) Decide(now time.Duration, at Position, precedingReads bool, age time.Duration, known bool) bool {
 	if precedingReads && !p.precedingReads {
 		p.precedingSince = now
 	}
 	p.precedingReads = precedingReads
 	switch {
-	case rank == 0:
+	case at.RegionRank == 0:
 		p.reading = true
 	case p.reading:
 		p.reading = !precedingReads || now-p.precedingSince < handBackDelay
 	default:
-		p.reading = !known || age > takeoverAge+time.Duration(rank)*takeoverStep
+		p.reading = !known || age > at.takeoverAge()
 	}
 	return p.reading
 }
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentofeed"
 )
 
 // decideReading decides whether this entry reads the platform.
@@ -24,25 +26,36 @@
 	if now < joinWait {
 		return false
 	}
-	rank, precedingReads := 0, false
+	at, precedingReads := g.position(now)
+	wanted := cs.readPolicy.Decide(now, at, precedingReads, age, known)
+	if wanted != cs.shouldRead {
+		cs.shouldRead = wanted
+		g.logChange("msg", "decision to read the platform changed", "reads", wanted, "rank", at.RegionRank, "domain_rank", at.DomainRank, "age", age)
+	}
+	return wanted
+}
+
+// position returns this entry's place in its region and domain, and whether an entry of
+// the region that precedes it reads the platform. It is called with clusterState.mu held.
+func (g *Gate) position(now time.Duration) (at pimentofeed.Position, precedingReads bool) {
+	cs := g.cluster
 	for _, m := range cs.members.RegionMembers(g.region) {
 		if m.Name == g.settings.Name {
 			break
 		}
-		rank++
-		if at, ok := cs.readersSeen[string(m.Name)]; ok && now-at < readerTTL {
+		at.RegionRank++
+		if m.Domain == g.settings.Domain {
+			at.DomainRank++
+		}
+		if seen, ok := cs.readersSeen[string(m.Name)]; ok && now-seen < readerTTL {
 			precedingReads = true
 		}
 	}
 	if now < membershipWait {
-		rank += startRankOffset
-	}
-	wanted := cs.readPolicy.Decide(now, rank, precedingReads, age, known)
-	if wanted != cs.shouldRead {
-		cs.shouldRead = wanted
-		g.logChange("msg", "decision to read the platform changed", "reads", wanted, "rank", rank, "age", age)
+		at.RegionRank += startRankOffset
+		at.DomainRank += startRankOffset
 	}
-	return wanted
+	return at, precedingReads
 }
 
 // staleAge is the age of the feed above which it is logged as stale.
@@ -74,7 +87,7 @@
 	// items waits for the others before it reads the platform.
 	joinWait = 900 * time.Millisecond
 	// membershipWait is the time after the start for which an entry may not know
-	// all others of its region. Until then it adds startRankOffset to its rank.
+	// all others of its region. Until then it adds startRankOffset to its ranks.
 	membershipWait  = 3 * time.Second
 	startRankOffset = 5
 	// firstReadWait plus a random part of firstReadJitter is the time after a first
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	// domainSyncInterval is the time between two sync messages to an entry of the
-	// same domain, and crossDomainSyncInterval to one of another domain, when
-	// nothing changes. Changes reach other regions only with these periodic
+	// domainSyncInterval is the time between two sync messages to an entry of the same
+	// domain, regionSyncInterval to one of another domain of the region, and
+	// crossRegionSyncInterval to one of another region, when nothing changes. Changes reach other regions only with these periodic
 	// messages, since each region reads the platform itself.
 	domainSyncInterval      = 500 * time.Millisecond
-	crossDomainSyncInterval = 1000 * time.Millisecond
+	regionSyncInterval      = 500 * time.Millisecond
+	crossRegionSyncInterval = 1000 * time.Millisecond
 	// downSyncInterval is the time between two sync messages to an entry that
 	// counts as down.
 	downSyncInterval = 2 * time.Second
@@ -119,7 +120,7 @@
 		for _, list := range domains {
 			m := list[rank%len(list)]
 			if g.settings.Name < m.Name || rank >= len(list) {
-				wanted[m.Address] = syncPolicy{interval: crossDomainSyncInterval, onChange: m.Region == g.region}
+				wanted[m.Address] = g.linkPolicy(&m)
 			}
 		}
 	}
@@ -133,6 +134,14 @@
 	return wanted
 }
 
+// linkPolicy returns the policy for an entry of another domain.
+func (g *Gate) linkPolicy(m *pimentopeer.Member) syncPolicy {
+	if m.Region == g.region {
+		return syncPolicy{interval: regionSyncInterval, onChange: true}
+	}
+	return syncPolicy{interval: crossRegionSyncInterval}
+}
+
 // ownRank returns an entry's index among members sorted by name, or their number if
 // it isn't one of them.
 func ownRank(members []pimentopeer.Member, name pimentotarget.EntryName) int {
