pimentogate: items don't seem younger each time that entries exchange their age

Fix: an entry that reads the platform numbers its statements, they are forwarded with the age, and only a new statement confirms. Evidence: TestExchangedAgeKeepsGrowing failed (11 s old, seen as 10 s), passes. The message's field 7 is gone: entries of the version before read more often while they run beside this one, nothing else.

--- a/pimentofeed/reader.go
+++ b/pimentofeed/reader.go
@@ -44,7 +44,7 @@
 type ReadPolicy struct {
 	reading        bool
 	precedingReads bool
-	precedingSince time.Duration // When a preceding entry began to read.
+	precedingSince time.Duration // When a preceding entry, or this one, began to read.
 }
 
 // Decide reports whether to read. precedingReads is set if an entry of the region that
@@ -60,8 +60,9 @@
 		p.reading = true
 	case p.reading:
 		p.reading = !precedingReads || now-p.precedingSince < handBackDelay
-	default:
-		p.reading = !known || age > at.takeoverAge()
+	case !known || age > at.takeoverAge():
+		p.reading = true
+		p.precedingSince = now // What was heard before the takeover is out of date.
 	}
 	return p.reading
 }
--- a/pimentofeed/reader_test.go
+++ b/pimentofeed/reader_test.go
@@ -43,6 +43,18 @@
 	is.True(!r.Decide(3*time.Second+handBackDelay, Position{1, 1}, true, 0, true)) // It has read for handBackDelay.
 }
 
+// The last statement of a reader that is no longer heard doesn't stop the entry that took
+// over for it.
+func TestTakeoverOutlastsOldStatement(t *testing.T) {
+	is := is.New(t)
+	var r ReadPolicy
+	at := Position{RegionRank: 5}
+	is.True(!r.Decide(0, at, true, 0, true))
+	took := 10 * time.Second
+	is.True(r.Decide(took, at, true, minTakeoverAge+1, true))
+	is.True(r.Decide(took+time.Second, at, true, 0, true))
+}
+
 // regionModel is a region of entries, in domains of two, that receive each other's state
 // with a delay. Some can't reach the platform.
 type regionModel struct {
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -23,12 +23,11 @@
 	presentRuns memberRuns
 	members     *pimentopeer.GossipMembership
 	readPolicy  pimentofeed.ReadPolicy
-	// readersSeen has the time at which a member last stated that it reads the platform.
-	readersSeen map[string]time.Duration
-	reading     bool          // This entry reads the platform successfully.
-	lastRead    time.Duration // When the last read succeeded.
-	shouldRead  bool          // This entry is to read the platform.
-	stale       bool          // The feed is older than staleAge, or of unknown age.
+	readings    map[uint64]reading // The last reading of each entry, by its run ID.
+	reading     bool               // This entry reads the platform successfully.
+	lastRead    time.Duration      // When the last read succeeded.
+	shouldRead  bool               // This entry is to read the platform.
+	stale       bool               // The feed is older than staleAge, or of unknown age.
 	// confirmedBy is sourcePlatform or the name of the entry that last confirmed the feed.
 	confirmedBy string
 	crashes     []crashReport // Reports that are sent to peers.
@@ -60,7 +59,7 @@
 		expired:     make(map[string]expiredRecord),
 		presentRuns: make(memberRuns),
 		members:     pimentopeer.NewGossipMembership(self),
-		readersSeen: make(map[string]time.Duration),
+		readings:    make(map[uint64]reading),
 		changed:     make(chan struct{}),
 		confirmed:   make(chan struct{}),
 	}
@@ -100,12 +99,18 @@
 // age returns the age of the feed, and false if it is unknown. While this entry
 // reads the platform, the age is 0. It is called with mu held.
 func (cs *clusterState) age(now time.Duration) (time.Duration, bool) {
-	if cs.reading && now-cs.lastRead < readValidity {
+	if cs.readsNow(now) {
 		return 0, true
 	}
 	return cs.feed.Age(now)
 }
 
+// readsNow reports whether this entry reads the platform successfully. It is called with
+// mu held.
+func (cs *clusterState) readsNow(now time.Duration) bool {
+	return cs.reading && now-cs.lastRead < readValidity
+}
+
 // readValidity is the time since the platform's last reply for which a waiting
 // watch counts as up to date: the duration of a watch, and a margin for a slow
 // reply. After that, other entries of the region take over reading.
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -1,6 +1,8 @@
 package pimentogate
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -47,7 +49,7 @@
 		if m.Domain == g.settings.Domain {
 			at.DomainRank++
 		}
-		if seen, ok := cs.readersSeen[string(m.Name)]; ok && now-seen < readerTTL {
+		if r, ok := cs.readings[m.RunID]; ok && now-r.at < readingTTL {
 			precedingReads = true
 		}
 	}
@@ -80,9 +82,9 @@
 }
 
 const (
-	// readerTTL is the time for which a member's statement that it reads the
-	// platform is valid.
-	readerTTL = 2 * time.Second
+	// readingTTL is the time for which a reading counts as proof that an entry reads the
+	// platform.
+	readingTTL = 3 * time.Second
 	// joinWait is the time after the start for which an entry that has received
 	// items waits for the others before it reads the platform.
 	joinWait = 900 * time.Millisecond
@@ -109,3 +111,50 @@
 		cs.confirmedBy = sourcePlatform
 	}
 }
+
+// reading is an entry's statement that the platform confirmed its items just now. It is
+// forwarded between entries. Each statement has a number of its own, so that an entry
+// that receives one again doesn't take it for a new one: with the time that messages
+// take, the items would seem younger with each exchange.
+type reading struct {
+	run    uint64 // The run ID of the entry that reads the platform.
+	number uint64
+	at     time.Duration // When it was made, by the receiver's clock.
+}
+
+// maxReadings bounds the readings in a sync message.
+const maxReadings = 8
+
+// currentReadings returns the readings that are forwarded, newest first. While this entry
+// reads the platform, they include a new one of its own. It is called with mu held.
+func (cs *clusterState) currentReadings(now time.Duration) []reading {
+	if cs.readsNow(now) {
+		run := cs.members.Self().RunID
+		cs.readings[run] = reading{run: run, number: cs.readings[run].number + 1, at: now}
+	}
+	var list []reading
+	for run, r := range cs.readings {
+		if now-r.at < readingTTL {
+			list = append(list, r)
+		} else if now-r.at > readingRetention {
+			delete(cs.readings, run)
+		}
+	}
+	slices.SortFunc(list, func(a, b reading) int { return cmp.Or(cmp.Compare(b.at, a.at), cmp.Compare(a.run, b.run)) })
+	return list[:min(len(list), maxReadings)]
+}
+
+// readingRetention is the time for which the number of an entry's last reading is kept.
+const readingRetention = time.Minute
+
+// mergeReadings stores the readings that are new, and reports whether there were any. It
+// is called with mu held.
+func (cs *clusterState) mergeReadings(list []reading) (isNew bool) {
+	for _, r := range list {
+		if known, ok := cs.readings[r.run]; !ok || r.number > known.number {
+			cs.readings[r.run] = r
+			isNew = true
+		}
+	}
+	return isNew
+}
--- a/pimentogate/reading_test.go
+++ b/pimentogate/reading_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/matryer/is"
 
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentopeer"
@@ -55,3 +57,42 @@
 		})
 	}
 }
+
+// Two entries that hear from nobody else exchange the age of their items. The messages
+// take time, which must not make the items younger with each exchange.
+func TestExchangedAgeKeepsGrowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const transit, exchanges = 25 * time.Millisecond, 20
+		a, b := gateInRegion(t, 2, 0), gateInRegion(t, 3, 0)
+		start := time.Now()
+		for range exchanges {
+			time.Sleep(domainSyncInterval)
+			msg := a.newSyncMessage(0, nil)
+			time.Sleep(transit)
+			b.applySyncMessage(msg)
+			reply := b.newSyncMessage(0, nil)
+			time.Sleep(transit)
+			a.applySyncMessage(reply)
+		}
+		for _, g := range []*Gate{a, b} {
+			if age, _ := g.cluster.age(g.now()); age < time.Since(start)-2*transit {
+				t.Errorf("the items are %v old, but %v after %d exchanges", time.Since(start), age, exchanges)
+			}
+		}
+	})
+}
+
+// A reading reaches entries that don't hear its reader, confirms their items, and shows
+// that an entry which precedes them reads the platform.
+func TestReadingIsForwarded(t *testing.T) {
+	is := is.New(t)
+	between, last := gateInRegion(t, 2, time.Second), gateInRegion(t, 3, time.Second)
+	reader := gateInRegion(t, 1, time.Second)
+	reader.setReading(true)
+	between.applySyncMessage(reader.newSyncMessage(0, nil))
+	last.applySyncMessage(between.newSyncMessage(0, nil))
+	age, known := last.cluster.age(last.now())
+	is.True(known && age < 100*time.Millisecond)
+	_, precedingReads := last.position(last.now())
+	is.True(precedingReads)
+}
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -261,7 +261,10 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readsPlatform: cs.reading, crashes: cs.crashes}
+	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashes: cs.crashes}
+	for i := range msg.readings {
+		msg.readings[i].at -= now
+	}
 	if age, known := cs.age(now); known {
 		msg.ageMillis = age.Milliseconds()
 	}
@@ -295,11 +298,10 @@
 	cs.mu.Lock()
 	cs.members.MergeDirect(now, msg.sender)
 	cs.members.Merge(now, msg.members)
-	if msg.readsPlatform {
-		cs.readersSeen[string(msg.sender.Name)] = now
-	} else {
-		delete(cs.readersSeen, string(msg.sender.Name))
+	for i := range msg.readings {
+		msg.readings[i].at += now // They have negative times since the message was made.
 	}
+	confirms := cs.mergeReadings(msg.readings) && msg.ageMillis >= 0
 	cs.mu.Unlock()
 	if msg.update != nil {
 		msg.update.Age = time.Duration(max(0, msg.ageMillis)) * time.Millisecond
@@ -307,7 +309,7 @@
 			msg.update.Age = unknownAge
 		}
 		g.applyUpdate(*msg.update, string(msg.sender.Name))
-	} else if msg.ageMillis >= 0 {
+	} else if confirms {
 		cs.mu.Lock()
 		// The age of a newer revision doesn't hold for this entry's items. Their age
 		// isn't changed, so that applyUpdate can detect an outage from it when the
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/VictoriaMetrics/easyproto"
 
@@ -18,12 +19,13 @@
 	// sums are the checksums of the sender's membership, if the receiver's may differ.
 	sums *pimentopeer.Checksums
 	// members are the records of the parts in which the receiver's membership differs.
-	members       []pimentopeer.Member
-	revision      pimentofeed.Revision // Up to which the sender's items are complete.
-	update        *pimentofeed.Update  // Items that the receiver lacks. May be nil.
-	ageMillis     int64                // Of the sender's feed; negative if unknown.
-	readsPlatform bool                 // The sender reads the platform.
-	crashes       []crashReport
+	members   []pimentopeer.Member
+	revision  pimentofeed.Revision // Up to which the sender's items are complete.
+	update    *pimentofeed.Update  // Items that the receiver lacks. May be nil.
+	ageMillis int64                // Of the sender's feed; negative if unknown.
+	// readings are those known to the sender. Their times are relative to the message.
+	readings []reading
+	crashes  []crashReport
 }
 
 var (
@@ -36,8 +38,10 @@
 // message SyncMessage {
 //   Member sender = 1; fixed64 members_hash = 2; repeated Member members = 3;
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
-//   bool reads_platform = 7; repeated Crash crashes = 8; repeated fixed32 sums = 9;
+//   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
 // }
+//
+// Field 7 was used for another purpose.
 
 func (msg *syncMessage) marshal() []byte {
 	m := marshalers.Get()
@@ -53,13 +57,15 @@
 		msg.update.Marshal(mm.AppendMessage(5))
 	}
 	mm.AppendSint64(6, msg.ageMillis)
-	mm.AppendBool(7, msg.readsPlatform)
 	for i := range msg.crashes {
 		marshalCrash(mm.AppendMessage(8), &msg.crashes[i])
 	}
 	if msg.sums != nil {
 		mm.AppendFixed32s(9, msg.sums[:])
 	}
+	for i := range msg.readings {
+		marshalReading(mm.AppendMessage(10), &msg.readings[i])
+	}
 	return m.Marshal(nil)
 }
 
@@ -87,6 +93,35 @@
 	mm.AppendUint32(3, uint32(r.crash.Count))
 }
 
+// message Reading { fixed64 run = 1; uint64 number = 2; uint64 age_millis = 3; }
+
+func marshalReading(mm *easyproto.MessageMarshaler, r *reading) {
+	mm.AppendFixed64(1, r.run)
+	mm.AppendUint64(2, r.number)
+	mm.AppendUint64(3, uint64(-r.at.Milliseconds()))
+}
+
+func unmarshalReading(src []byte, r *reading) error {
+	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
+		switch fc.FieldNum {
+		case 1:
+			r.run, ok = fc.Fixed64()
+		case 2:
+			r.number, ok = fc.Uint64()
+		case 3:
+			var age uint64
+			age, ok = fc.Uint64()
+			r.at = -time.Duration(min(age, maxReadingAge)) * time.Millisecond
+		default:
+			ok = true
+		}
+		return ok
+	})
+}
+
+// maxReadingAge bounds the age of a received reading, in milliseconds.
+const maxReadingAge = 1 << 32
+
 func unmarshalSyncMessage(src []byte) (*syncMessage, error) {
 	msg := new(syncMessage)
 	var nested error
@@ -114,8 +149,6 @@
 			}
 		case 6:
 			msg.ageMillis, ok = fc.Sint64()
-		case 7:
-			msg.readsPlatform, ok = fc.Bool()
 		case 8:
 			var data []byte
 			if data, ok = fc.MessageData(); ok {
@@ -126,6 +159,13 @@
 		case 9:
 			msg.sums, nested = sumsField(fc)
 			ok = nested == nil
+		case 10:
+			var data []byte
+			if data, ok = fc.MessageData(); ok {
+				var r reading
+				ok = unmarshalReading(data, &r) == nil
+				msg.readings = append(msg.readings, r)
+			}
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -14,15 +14,15 @@
 
 func sampleSyncMessage() *syncMessage {
 	return &syncMessage{
-		sender:        pimentopeer.Member{Name: "a", Address: "10.0.0.1:7", Region: "r", Domain: "d", RunID: 7, Version: 9, Stopping: true},
-		membersHash:   5,
-		sums:          &pimentopeer.Checksums{1, 0, 7},
-		members:       []pimentopeer.Member{{Name: "b", Version: 3, Down: true}, {Name: "c", RunID: 1}},
-		revision:      12,
-		update:        &pimentofeed.Update{From: 3, AsOf: 12, Items: []pimentofeed.Item{{Key: "k", Value: []byte("v"), Revision: 4}, {Key: "x", Revision: 5, Removed: true}}},
-		ageMillis:     -1,
-		readsPlatform: true,
-		crashes:       []crashReport{{fingerprint: 8, crash: pimentoretry.Crash{Target: "t", Count: 2}}},
+		sender:      pimentopeer.Member{Name: "a", Address: "10.0.0.1:7", Region: "r", Domain: "d", RunID: 7, Version: 9, Stopping: true},
+		membersHash: 5,
+		sums:        &pimentopeer.Checksums{1, 0, 7},
+		members:     []pimentopeer.Member{{Name: "b", Version: 3, Down: true}, {Name: "c", RunID: 1}},
+		revision:    12,
+		update:      &pimentofeed.Update{From: 3, AsOf: 12, Items: []pimentofeed.Item{{Key: "k", Value: []byte("v"), Revision: 4}, {Key: "x", Revision: 5, Removed: true}}},
+		ageMillis:   -1,
+		readings:    []reading{{run: 7, number: 3}, {run: 8, number: 1 << 40, at: -1200 * time.Millisecond}},
+		crashes:     []crashReport{{fingerprint: 8, crash: pimentoretry.Crash{Target: "t", Count: 2}}},
 	}
 }
 
