--- a/pimentopeer/gossip_test.go
+++ b/pimentopeer/gossip_test.go
@@ -1,6 +1,8 @@
 package pimentopeer
 
 import (
+	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -138,6 +140,44 @@
 	}
 }
 
+// TestLargeRingDiameter checks that updates reach all of a large domain within few hops,
+// whatever its size: each hop takes about 35 ms, and all of them together only a part of
+// the time within which a change must be active.
+func TestLargeRingDiameter(t *testing.T) {
+	const maxHops = 9
+	for _, n := range []int{25, 43, 64, 65, 129, 257, 400} {
+		ring := make([]Member, n)
+		for i := range ring {
+			ring[i] = Member{Name: pimentotarget.EntryName(fmt.Sprint(i))}
+		}
+		neighbours := make([][]int, n)
+		for i := range ring {
+			for _, m := range ringSuccessors(ring, i) {
+				j, err := strconv.Atoi(string(m.Name))
+				if err != nil {
+					t.Fatal(err)
+				}
+				neighbours[i] = append(neighbours[i], j)
+				neighbours[j] = append(neighbours[j], i)
+			}
+		}
+		hops := map[int]int{0: 0}
+		farthest := 0
+		for queue := []int{0}; len(queue) > 0; queue = queue[1:] {
+			farthest = hops[queue[0]]
+			for _, j := range neighbours[queue[0]] {
+				if _, reached := hops[j]; !reached {
+					hops[j] = farthest + 1
+					queue = append(queue, j)
+				}
+			}
+		}
+		if len(hops) < n || farthest > maxHops {
+			t.Errorf("%d entries: %d reached, within %d hops, the limit is %d", n, len(hops), farthest, maxHops)
+		}
+	}
+}
+
 // TestMembershipsConverge checks that memberships that exchange records in any order
 // agree in the end, and that none of them then marks a live entry as down.
 func TestMembershipsConverge(t *testing.T) {
