pimentogate: crashes of targets are known to entries that start or return later

On the stand-in, an entry that started 18 s after the crashes sent the request twice more. Cause on that way: crash reports were in each sync message for 20 s and then nowhere, while the count itself holds for 10 minutes. A restart, a freeze or a cut of more than 20 s took an entry out of it, so that each one restarted crashed two more. Fix: a sync message has a digest of the crashes that its sender knows; all crashes are sent when the digests differ, and count for 10 minutes from the crash, at each entry. A response clears a request's crashes at all entries; before, the next sync message brought them back. Ruled out as too dear: the reports in each message for 10 minutes.

--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -13,8 +13,7 @@
 	"pimentoarch/pimentoroute"
 )
 
-// clusterState is the state that entries exchange: published items, members and
-// crashes.
+// clusterState is the state that entries exchange: published items and members.
 type clusterState struct {
 	mu          sync.Mutex                     // Guards the fields below.
 	feed        pimentofeed.State              // This entry's copy of the published items.
@@ -30,7 +29,6 @@
 	stale       bool               // The feed is older than staleAge, or of unknown age.
 	// confirmedBy is sourcePlatform or the name of the entry that last confirmed the feed.
 	confirmedBy string
-	crashes     []crashReport // Reports that are sent to peers.
 	changed     chan struct{} // Closed and replaced when peers are to be sent something.
 	// confirmed is closed and replaced when the age of the feed becomes known or drops
 	// by more than confirmGain.
@@ -88,10 +86,9 @@
 	}
 }
 
-// addCrash queues a crash report to be sent to the other entries.
-func (cs *clusterState) addCrash(r crashReport) {
+// notifyPeers wakes the sync loops.
+func (cs *clusterState) notifyPeers() {
 	cs.mu.Lock()
-	cs.crashes = append(cs.crashes, r)
 	cs.signalChange()
 	cs.mu.Unlock()
 }
@@ -265,13 +262,7 @@
 	defer cs.mu.Unlock()
 	cs.members.Expire(now)
 	g.logMemberChanges()
-	var kept []crashReport // A new list, since sync messages may still refer to the old one.
-	for _, r := range cs.crashes {
-		if now-r.receivedAt < crashReportTTL {
-			kept = append(kept, r)
-		}
-	}
-	cs.crashes = kept
+	g.expireCrashes(now)
 	if now < shareDelay {
 		return
 	}
@@ -285,6 +276,14 @@
 	g.domainSize.Store(int64(cs.members.PeakDomainSize() + 1))
 }
 
+// expireCrashes drops crashes that no longer count.
+func (g *Gate) expireCrashes(now time.Duration) {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.quarantine.Expire(now)
+}
+
 // shareDelay is the time after the start before which the numbers that shares of
 // limits are computed from count as unknown, because not all entries are known yet.
 const shareDelay = 1800 * time.Millisecond
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,16 +25,31 @@
 	return pimentoretry.Fingerprint(d.Sum64())
 }
 
-// crashReport says that a request crashed a target. It is forwarded to other
-// entries.
-type crashReport struct {
-	fingerprint pimentoretry.Fingerprint
-	crash       pimentoretry.Crash
-	receivedAt  time.Duration // When this entry received or made it.
+// crashDigest returns a hash of the crashes that this entry knows of.
+func (g *Gate) crashDigest() uint64 {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.quarantine.Digest()
 }
 
-// crashReportTTL is the time for which a crash report is sent to other entries.
-const crashReportTTL = 20 * time.Second
+// maxCrashReports bounds the crash reports in a sync message. If there are more, each
+// message has others.
+const maxCrashReports = 256
+
+// crashReports returns the crashes that this entry knows of, for a peer that doesn't know
+// all of them.
+func (g *Gate) crashReports() []pimentoretry.Report {
+	ts := &g.traffic
+	ts.mu.Lock()
+	list := ts.quarantine.Reports(g.now())
+	ts.mu.Unlock()
+	if len(list) > maxCrashReports {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		list = list[:maxCrashReports]
+	}
+	return list
+}
 
 // passesQuarantine sets the call's fingerprint and reports whether the request has
 // caused fewer than MaxCrashes crashes.
@@ -45,7 +61,7 @@
 	return ts.quarantine.Crashes(g.now(), c.fingerprint) < pimentoretry.MaxCrashes
 }
 
-// clearQuarantine deletes the recorded crashes of a request that was completed.
+// clearQuarantine clears the recorded crashes of a request that was completed.
 func (g *Gate) clearQuarantine(c *call) {
 	ts := &g.traffic
 	ts.mu.Lock()
@@ -83,17 +99,25 @@
 		return
 	}
 	g.logChange("msg", "request crashed a target", "id", c.id, "fingerprint", c.fingerprint, "target", tg.ID, "count", crash.Count)
-	g.cluster.addCrash(crashReport{fingerprint: c.fingerprint, crash: crash, receivedAt: g.now()})
+	g.metrics.count("pimento_crashes_total")
+	g.cluster.notifyPeers()
 }
 
-// mergeCrash merges another entry's crash report, and reports whether it was new.
-func (g *Gate) mergeCrash(r crashReport, from pimentotarget.EntryName) bool {
-	ts := &g.traffic
-	ts.mu.Lock()
-	isNew := ts.quarantine.Merge(g.now(), r.fingerprint, r.crash)
-	ts.mu.Unlock()
-	if isNew {
-		g.logChange("msg", "crash reported by an entry", "from", from, "fingerprint", r.fingerprint, "target", r.crash.Target, "count", r.crash.Count)
+// mergeCrashes merges another entry's crash reports, and passes on those that are news.
+func (g *Gate) mergeCrashes(reports []pimentoretry.Report, from pimentotarget.EntryName) {
+	news := false
+	for _, r := range reports {
+		ts := &g.traffic
+		ts.mu.Lock()
+		isNews := ts.quarantine.MergeReport(g.now(), r)
+		ts.mu.Unlock()
+		if isNews {
+			news = true
+			g.logChange("msg", "crash reported by an entry", "from", from, "fingerprint", r.Fingerprint, "target", r.Crash.Target,
+				"count", r.Crash.Count, "cleared", r.Crash.Cleared, "age", r.Age)
+		}
+	}
+	if news {
+		g.cluster.notifyPeers()
 	}
-	return isNew
 }
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -6,7 +6,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentotarget"
 )
@@ -202,13 +201,13 @@
 }
 
 // syncOnce sends what the peer lacks and merges what this entry lacks. The peer's
-// reply has the revision of its items, and the checksums of its membership if that
-// differs, so that nothing is sent that the peer has already.
+// reply has the revision of its items, a digest of its crashes, and the checksums of its
+// membership if that differs, so that nothing is sent that the peer has already.
 func (ps *peerSync) syncOnce(exchange func([]byte) ([]byte, error)) bool {
 	g := ps.gate
 	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil))
-	if ok && (msg.revision < g.knownRevision() || msg.membersHash != g.membersHash()) {
-		_, ok = ps.sendMessage(exchange, g.addUpdate(g.newSyncMessage(msg.membersHash, msg.sums), msg.revision))
+	if ok && (msg.revision < g.knownRevision() || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
+		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg))
 	}
 	return ok
 }
@@ -240,7 +239,7 @@
 		return nil, err
 	}
 	g.applySyncMessage(msg)
-	return g.addUpdate(g.newSyncMessage(msg.membersHash, msg.sums), msg.revision).marshal(), nil
+	return g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg).marshal(), nil
 }
 
 // membersHash returns a hash of all that this entry knows about members.
@@ -256,12 +255,12 @@
 // the peer's membership, and peerSums its checksums, nil if unknown. A peer with the
 // same membership gets only a short record of this entry.
 func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums) *syncMessage {
-	now := g.now()
+	now, digest := g.now(), g.crashDigest()
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashes: cs.crashes}
+	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 	}
@@ -279,13 +278,17 @@
 	return msg
 }
 
-// addUpdate adds all changes after a revision to a sync message.
-func (g *Gate) addUpdate(msg *syncMessage, after pimentofeed.Revision) *syncMessage {
+// addMissing adds what a peer lacks, by its last message, to a sync message: the changes
+// of items after its revision, and all crashes if it doesn't know the same ones.
+func (g *Gate) addMissing(msg, last *syncMessage) *syncMessage {
+	if last.crashDigest != g.crashDigest() {
+		msg.crashes = g.crashReports()
+	}
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.feed.AsOf() > after {
-		u := cs.feed.Since(g.now(), after)
+	if cs.feed.AsOf() > last.revision {
+		u := cs.feed.Since(g.now(), last.revision)
 		msg.update = &u
 	}
 	return msg
@@ -319,12 +322,7 @@
 		}
 		cs.mu.Unlock()
 	}
-	for _, c := range msg.crashes {
-		c.receivedAt = now
-		if g.mergeCrash(c, msg.sender.Name) {
-			cs.addCrash(c)
-		}
-	}
+	g.mergeCrashes(msg.crashes, msg.sender.Name)
 }
 
 // unknownAge stands for the age of a feed that no reader has confirmed.
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -25,7 +25,10 @@
 	ageMillis int64                // Of the sender's feed; negative if unknown.
 	// readings are those known to the sender. Their times are relative to the message.
 	readings []reading
-	crashes  []crashReport
+	// crashDigest is that of the crashes that the sender knows of, and crashes are those
+	// that the receiver may lack.
+	crashDigest uint64
+	crashes     []pimentoretry.Report
 }
 
 var (
@@ -39,6 +42,7 @@
 //   Member sender = 1; fixed64 members_hash = 2; repeated Member members = 3;
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
+//   fixed64 crash_digest = 11;
 // }
 //
 // Field 7 was used for another purpose.
@@ -66,6 +70,7 @@
 	for i := range msg.readings {
 		marshalReading(mm.AppendMessage(10), &msg.readings[i])
 	}
+	mm.AppendFixed64(11, msg.crashDigest)
 	return m.Marshal(nil)
 }
 
@@ -85,12 +90,17 @@
 	mm.AppendBool(8, m.Down)
 }
 
-// message Crash { fixed64 fingerprint = 1; string target = 2; uint32 count = 3; }
+// message Crash {
+//   fixed64 fingerprint = 1; string target = 2; uint32 count = 3; uint32 cleared = 4;
+//   uint64 age_millis = 5;
+// }
 
-func marshalCrash(mm *easyproto.MessageMarshaler, r *crashReport) {
-	mm.AppendFixed64(1, uint64(r.fingerprint))
-	mm.AppendString(2, r.crash.Target)
-	mm.AppendUint32(3, uint32(r.crash.Count))
+func marshalCrash(mm *easyproto.MessageMarshaler, r *pimentoretry.Report) {
+	mm.AppendFixed64(1, uint64(r.Fingerprint))
+	mm.AppendString(2, r.Crash.Target)
+	mm.AppendUint32(3, uint32(r.Crash.Count))
+	mm.AppendUint32(4, uint32(r.Crash.Cleared))
+	mm.AppendUint64(5, uint64(r.Age.Milliseconds()))
 }
 
 // message Reading { fixed64 run = 1; uint64 number = 2; uint64 age_millis = 3; }
@@ -109,9 +119,9 @@
 		case 2:
 			r.number, ok = fc.Uint64()
 		case 3:
-			var age uint64
-			age, ok = fc.Uint64()
-			r.at = -time.Duration(min(age, maxReadingAge)) * time.Millisecond
+			var age time.Duration
+			age, ok = ageField(fc)
+			r.at = -age
 		default:
 			ok = true
 		}
@@ -119,9 +129,6 @@
 	})
 }
 
-// maxReadingAge bounds the age of a received reading, in milliseconds.
-const maxReadingAge = 1 << 32
-
 func unmarshalSyncMessage(src []byte) (*syncMessage, error) {
 	msg := new(syncMessage)
 	var nested error
@@ -152,7 +159,7 @@
 		case 8:
 			var data []byte
 			if data, ok = fc.MessageData(); ok {
-				var c crashReport
+				var c pimentoretry.Report
 				ok = unmarshalCrash(data, &c) == nil
 				msg.crashes = append(msg.crashes, c)
 			}
@@ -166,6 +173,8 @@
 				ok = unmarshalReading(data, &r) == nil
 				msg.readings = append(msg.readings, r)
 			}
+		case 11:
+			msg.crashDigest, ok = fc.Fixed64()
 		default:
 			ok = true
 		}
@@ -222,22 +231,36 @@
 	return m, err
 }
 
-func unmarshalCrash(src []byte, r *crashReport) error {
+func unmarshalCrash(src []byte, r *pimentoretry.Report) error {
 	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
+		var n uint32
 		switch fc.FieldNum {
 		case 1:
 			var v uint64
 			v, ok = fc.Fixed64()
-			r.fingerprint = pimentoretry.Fingerprint(v)
+			r.Fingerprint = pimentoretry.Fingerprint(v)
 		case 2:
-			ok = pimentowire.ReadString(&r.crash.Target, fc)
+			ok = pimentowire.ReadString(&r.Crash.Target, fc)
 		case 3:
-			var v uint32
-			v, ok = fc.Uint32()
-			r.crash.Count = int(v)
+			n, ok = fc.Uint32()
+			r.Crash.Count = int(n)
+		case 4:
+			n, ok = fc.Uint32()
+			r.Crash.Cleared = int(n)
+		case 5:
+			r.Age, ok = ageField(fc)
 		default:
 			ok = true
 		}
 		return ok
 	})
 }
+
+// ageField reads an age in milliseconds.
+func ageField(fc *easyproto.FieldContext) (time.Duration, bool) {
+	ms, ok := fc.Uint64()
+	return time.Duration(min(ms, maxAgeMillis)) * time.Millisecond, ok
+}
+
+// maxAgeMillis bounds a received age, so that it fits a duration.
+const maxAgeMillis = 1 << 32
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -22,7 +22,8 @@
 		update:      &pimentofeed.Update{From: 3, AsOf: 12, Items: []pimentofeed.Item{{Key: "k", Value: []byte("v"), Revision: 4}, {Key: "x", Revision: 5, Removed: true}}},
 		ageMillis:   -1,
 		readings:    []reading{{run: 7, number: 3}, {run: 8, number: 1 << 40, at: -1200 * time.Millisecond}},
-		crashes:     []crashReport{{fingerprint: 8, crash: pimentoretry.Crash{Target: "t", Count: 2}}},
+		crashes:     []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
+		crashDigest: 99,
 	}
 }
 
--- a/pimentoretry/quarantine.go
+++ b/pimentoretry/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -36,6 +37,10 @@
 	Target string
 	// Count is the number of times that the request has crashed it.
 	Count int
+	// Cleared is the number of these crashes that no longer count, because the request
+	// got a response afterwards. Like Count it only grows, so that entries that merge
+	// each other's crashes in any order agree.
+	Cleared int
 
 	windowStart time.Duration // When the last crashWindow began.
 }
@@ -44,20 +49,32 @@
 // this entry or at a peer.
 type suspect struct {
 	crashes []Crash
-	// updatedAt is when a target last dropped the connection, or a peer last reported
-	// a crash, whether it was counted or not.
+	// updatedAt is when a target last dropped the connection, whether that was counted or
+	// not, at this entry or at a peer that has reported it.
 	updatedAt time.Duration
 }
 
-// count returns the number of crashes of all targets.
+// count returns the number of crashes of all targets that weren't cleared.
 func (s *suspect) count() int {
 	n := 0
 	for _, c := range s.crashes {
-		n += c.Count
+		n += max(0, c.Count-c.Cleared)
 	}
 	return n
 }
 
+// hasCrashes reports whether any crash was counted, cleared or not.
+func (s *suspect) hasCrashes() bool {
+	return slices.ContainsFunc(s.crashes, func(c Crash) bool { return c.Count > 0 })
+}
+
+// clear makes the crashes not count.
+func (s *suspect) clear() {
+	for i := range s.crashes {
+		s.crashes[i].Cleared = max(s.crashes[i].Cleared, s.crashes[i].Count)
+	}
+}
+
 // findOrAdd returns the crash of a target, and adds it if there is none.
 func (s *suspect) findOrAdd(target string) *Crash {
 	for i := range s.crashes {
@@ -79,6 +96,9 @@
 	suspects  map[Fingerprint]*suspect
 	inFlight  map[Fingerprint]int
 	completed recentResponses
+
+	digest      uint64 // Of the reports, if digestKnown is set.
+	digestKnown bool
 }
 
 // Allow reports whether the request may be sent. Each exchange that it allows must
@@ -134,6 +154,7 @@
 		return *c, false
 	}
 	c.Count++
+	q.digestKnown = false
 	return *c, true
 }
 
@@ -155,23 +176,24 @@
 	return q.Crashed(now, f, target)
 }
 
-// RecordResponse does the same as Completed for an exchange without a preceding
-// Allow.
+// RecordResponse records that a request got a response. It clears the crashes of the
+// request, which are kept so that peers clear them too.
 func (q *Quarantine) RecordResponse(now time.Duration, f Fingerprint) {
-	delete(q.suspects, f)
+	switch s := q.suspects[f]; {
+	case s == nil:
+	case s.count() > 0:
+		s.clear()
+		q.digestKnown = false
+	case !s.hasCrashes():
+		delete(q.suspects, f)
+	}
 	q.completed.add(now, f)
 }
 
-// Merge applies a crash that a peer has reported. It reports whether the count has
+// Merge applies a crash that a peer has just reported. It reports whether the count has
 // changed.
 func (q *Quarantine) Merge(now time.Duration, f Fingerprint, in Crash) bool {
-	c := q.suspect(now, f).findOrAdd(in.Target)
-	if in.Count <= c.Count {
-		return false
-	}
-	c.Count = in.Count
-	c.windowStart = now
-	return true
+	return q.MergeReport(now, Report{Fingerprint: f, Crash: in})
 }
 
 // suspect returns the suspect of a fingerprint, and adds it if there is none. It sets
@@ -192,18 +214,18 @@
 	return s
 }
 
-// evict deletes the suspect that was updated least recently.
+// evict deletes the suspect with the fewest crashes, of several the one that was updated
+// least recently.
 func (q *Quarantine) evict() {
-	var oldest Fingerprint
-	var updatedAt time.Duration
-	first := true
+	var victim Fingerprint
+	var least *suspect
 	for f, s := range q.suspects {
-		if first || s.updatedAt < updatedAt {
-			oldest, updatedAt = f, s.updatedAt
-			first = false
+		if least == nil || s.count() < least.count() || (s.count() == least.count() && s.updatedAt < least.updatedAt) {
+			victim, least = f, s
 		}
 	}
-	delete(q.suspects, oldest)
+	delete(q.suspects, victim)
+	q.digestKnown = false
 }
 
 // Len returns the number of requests that are kept because of dropped connections or
