pimentogate: silent targets count as crashed, and retries stop at two crashes

Fix: after a deadline the target is probed too, and a probe that failed while the request ran counts although the target is back; a request that is known to have crashed a target gets its target probed also if the caller leaves or a hedge was cancelled; the count is read before each send, and a retry after a lost connection waits for the probe, 30 ms. A target that wasn't probed because this entry's connections are in use isn't counted. Evidence: TestSilentTargetsCountAsCrashed (4 executed of 2, silent for 1 s and 5 s) and TestRetriesStopAfterTwoCrashes (5 of 2) failed, pass; TestLostResponsesAreNoCrash holds.

--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -1,12 +1,14 @@
 package pimentogate
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
 	"pimentoarch/pimentotarget"
@@ -55,10 +57,15 @@
 // caused fewer than MaxCrashes crashes.
 func (g *Gate) passesQuarantine(c *call) bool {
 	c.fingerprint = c.computeFingerprint()
+	return g.crashCount(c) < pimentoretry.MaxCrashes
+}
+
+// crashCount returns the number of times that copies of a request have crashed targets.
+func (g *Gate) crashCount(c *call) int {
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	return ts.quarantine.Crashes(g.now(), c.fingerprint) < pimentoretry.MaxCrashes
+	return ts.quarantine.Crashes(g.now(), c.fingerprint)
 }
 
 // clearQuarantine clears the recorded crashes of a request that was completed.
@@ -73,18 +80,60 @@
 // the probe of its target.
 const crashProbeDelay = 30 * time.Millisecond
 
-// checkCrash probes a target that sent no complete, authentic response to a request.
-// If the target replies, it hasn't crashed.
-func (g *Gate) checkCrash(c *call, tg *pimentoroute.Target) {
+// checkCrash probes the target of a send without a complete, authentic response. If the
+// target replies, it hasn't crashed, unless the request had no response in time and
+// the target was unreachable meanwhile: then it has restarted.
+func (g *Gate) checkCrash(c *call, s *send) {
+	tg := s.candidate.target
 	time.Sleep(crashProbeDelay)
 	cand := &candidate{target: tg}
 	g.sendProbe(c, cand, true)
 	defer cand.release()
-	if cand.err == nil {
-		g.logLine(level.InfoValue(), "msg", "crash not counted", "id", c.id, "target", tg.ID, "reason", "target replied")
+	switch {
+	case isConnLimit(cand.err):
+		g.logNoCrash(c, tg, "not probed, all connections are in use")
+	case cand.err == nil && !(s.outcome == outcomeTimeout && g.unreachableSince(tg, s.started)):
+		g.logNoCrash(c, tg, "target replied")
+	default:
+		g.recordCrash(c, tg)
+	}
+}
+
+// checkCancelled does the same as checkCrash for a send that was cancelled. The target of
+// a request that has crashed others is probed whatever the reason, other targets only if
+// they had all the time that the request had.
+func (g *Gate) checkCancelled(c *call, s *send, why outcome) {
+	if s.exchange == nil || !s.exchange.Sent() || why == outcomeResponse {
 		return
 	}
-	g.recordCrash(c, tg)
+	if why == outcomeTimeout || g.crashCount(c) > 0 {
+		s.outcome = why
+		g.checkCrash(c, s)
+	}
+}
+
+// lostConnection reports whether a send ended because its connection failed before a
+// response, as it does when the target crashes.
+func (s *send) lostConnection() bool {
+	var e *pimentohttp.Error
+	return s.outcome == outcomeIncomplete && errors.As(s.err, &e) && e.Kind == pimentohttp.KindConnFailed
+}
+
+func isConnLimit(err error) bool {
+	var e *pimentohttp.Error
+	return errors.As(err, &e) && e.Kind == pimentohttp.KindConnLimit
+}
+
+// unreachableSince reports whether a probe of the target has failed since a time.
+func (g *Gate) unreachableSince(tg *pimentoroute.Target, since time.Time) bool {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.target(tg.ID).unreachableAt > since.Sub(g.startedAt)
+}
+
+func (g *Gate) logNoCrash(c *call, tg *pimentoroute.Target, why string) {
+	g.logLine(level.InfoValue(), "msg", "crash not counted", "id", c.id, "target", tg.ID, "reason", why)
 }
 
 // recordCrash records that a request crashed a target, and reports it to the other
@@ -95,7 +144,7 @@
 	crash, isNew := ts.quarantine.RecordCrash(g.now(), c.fingerprint, string(tg.ID))
 	ts.mu.Unlock()
 	if !isNew {
-		g.logLine(level.InfoValue(), "msg", "crash not counted", "id", c.id, "target", tg.ID, "reason", "counted before, or the request was answered elsewhere")
+		g.logNoCrash(c, tg, "counted before, or the request was answered elsewhere")
 		return
 	}
 	g.logChange("msg", "request crashed a target", "id", c.id, "fingerprint", c.fingerprint, "target", tg.ID, "count", crash.Count)
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -120,7 +120,11 @@
 		return
 	case outcomeIncomplete:
 		c.mayHaveRun = true
-		go g.checkCrash(c, tg)
+		s.crashChecked = make(chan struct{})
+		go func() {
+			defer close(s.crashChecked)
+			g.checkCrash(c, s)
+		}()
 	case outcomeFailed, outcomeTimeout:
 		c.mayHaveRun = true
 	}
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -252,7 +252,7 @@
 	deadline := time.Now().Add(probeTimeout)
 	cand.conn, cand.err = g.client.Acquire(tg.Address, newConn, deadline)
 	if cand.err != nil {
-		g.backOff(tg, failureBackoff)
+		g.recordUnreachable(tg, cand.err)
 		return
 	}
 	used := cand.conn.Used()
@@ -273,7 +273,7 @@
 			// the other idle ones as well.
 			g.client.CloseIdleTo(tg.Address)
 		}
-		g.backOff(tg, failureBackoff)
+		g.recordUnreachable(tg, cand.err)
 		return
 	}
 	cand.report = g.dialect.ParseReport(resp)
@@ -296,6 +296,18 @@
 	return err
 }
 
+// recordUnreachable records that a probe of a target failed.
+func (g *Gate) recordUnreachable(tg *pimentoroute.Target, err error) {
+	g.backOff(tg, failureBackoff)
+	if isConnLimit(err) {
+		return
+	}
+	ts := &g.traffic
+	ts.mu.Lock()
+	ts.target(tg.ID).unreachableAt = g.now()
+	ts.mu.Unlock()
+}
+
 // maxReportBytes bounds the body of a probe's reply.
 const maxReportBytes = 64 << 10
 
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentohttp"
+	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
 )
 
@@ -20,6 +21,9 @@
 	started   time.Time
 	outcome   outcome
 	err       error
+	// crashChecked is closed once it is known whether the target crashed. It is nil for
+	// outcomes after which that isn't checked.
+	crashChecked chan struct{}
 }
 
 // maxBufferedResponse is the size in bytes up to which a response is buffered until
@@ -32,6 +36,9 @@
 	var failed *send
 	for {
 		isRetry := c.sends > 0
+		if g.crashCount(c) >= pimentoretry.MaxCrashes {
+			return g.refusal(c, reasonCrash, 0)
+		}
 		if isRetry && !g.spendRetry(c) {
 			return g.failRequest(c, failed, reasonBudget)
 		}
@@ -52,6 +59,20 @@
 			return g.failRequest(c, failed, reasonAttempts)
 		}
 		g.metrics.countRetry(c.retryReason)
+		s.awaitCrashCheck(c)
+	}
+}
+
+// awaitCrashCheck waits until it is known whether a send that lost its connection crashed
+// its target, because that decides whether the request is retried.
+func (s *send) awaitCrashCheck(c *call) {
+	if !s.lostConnection() {
+		return
+	}
+	select {
+	case <-s.crashChecked:
+	case <-c.done:
+	case <-time.After(time.Until(c.deadline)):
 	}
 }
 
@@ -224,6 +245,7 @@
 		for range running {
 			s := <-ended
 			g.sendEnded(s.candidate.target)
+			g.checkCancelled(c, s, winner.outcome)
 			discardSend(s)
 		}
 	}()
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -77,6 +77,8 @@
 	// backoffUntil is set after a failure or a refusal; the target is ranked last until
 	// then.
 	backoffUntil time.Duration
+	// unreachableAt is when a probe last failed.
+	unreachableAt time.Duration
 	// failureRate is the moving average of failed sends, from 0 to 1.
 	failureRate movingRate
 	// inFlight counts this entry's requests that the target is processing.
