--- a/pimentoplatform/client.go
+++ b/pimentoplatform/client.go
@@ -30,6 +30,8 @@
 	// KindCompacted means that the changes after a revision are no longer kept, so
 	// that everything must be read again.
 	KindCompacted
+	// KindTooLarge means that the response has more than maxResponseBytes.
+	KindTooLarge
 )
 
 // Error is the error type of this package.
@@ -75,7 +77,7 @@
 	// bytes may stay unacknowledged (the TCP user timeout).
 	dialTimeout = time.Second
 	// maxResponseBytes bounds the body of a response, in bytes.
-	maxResponseBytes = 2 * pimentoregister.MaxBytes
+	maxResponseBytes = 4 * pimentoregister.MaxBytes
 )
 
 // NewClient returns a client of the service's replicas, and a function that closes its
@@ -164,7 +166,11 @@
 	c.calls.Add(1)
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		c.nextAddr.Add(1)
-		return Response{}, &Error{Op: path, Kind: KindUnreachable, Err: fmt.Errorf("%s: %w", address, err)}
+		kind := KindUnreachable
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			kind = KindTooLarge
+		}
+		return Response{}, &Error{Op: path, Kind: kind, Err: fmt.Errorf("%s: %w", address, err)}
 	}
 	result := Response{Address: address, Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
 	if result.Status >= fasthttp.StatusBadRequest {
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -19,7 +19,8 @@
 	// old.
 	Read func(stale bool) (pimentofeed.Update, error)
 	// Watch waits up to wait for changes after a revision. Its error is of
-	// KindCompacted if they are no longer kept.
+	// KindCompacted if they are no longer kept, and of KindTooLarge if they are more
+	// than a response may have.
 	Watch func(after pimentofeed.Revision, wait time.Duration) (pimentofeed.Update, error)
 }
 
@@ -45,7 +46,7 @@
 	// Source is the source to read.
 	Source Source
 	// Log receives a line at the first of consecutive failures, when reading works
-	// again, and when the source has compacted its history.
+	// again, and when the source has compacted its history or the changes are too large.
 	Log log.Logger
 	// ShouldRead returns whether to read now.
 	ShouldRead func() bool
@@ -55,14 +56,14 @@
 	// OnUpdate is called with the result of each read.
 	OnUpdate func(pimentofeed.Update)
 	// OnReading is called with true after each successful read, and with false after a
-	// failure or while ShouldRead returns false. An error of KindCompacted isn't a
-	// failure: all items are read at once instead.
+	// failure or while ShouldRead returns false. A watch's error of KindCompacted or
+	// KindTooLarge isn't a failure: all items are read at once instead.
 	OnReading func(bool)
 	// OnFailure is called after each failure of a read.
 	OnFailure func()
 
-	failures  int  // Since the last success.
-	compacted bool // All items must be read again, and not stale.
+	failures int  // Since the last success.
+	readAll  bool // All items must be read again, and not stale.
 }
 
 // pollInterval is the time between two calls of ShouldRead while it returns false.
@@ -85,8 +86,8 @@
 	after := f.AsOf()
 	var u pimentofeed.Update
 	var err error
-	if after == 0 || f.compacted {
-		u, err = f.Source.Read(!f.compacted)
+	if after == 0 || f.readAll {
+		u, err = f.Source.Read(!f.readAll)
 	} else {
 		wait := WatchWait
 		if f.failures > 0 {
@@ -97,7 +98,7 @@
 	if err != nil {
 		return f.handleError(after, err)
 	}
-	f.compacted = false
+	f.readAll = false
 	if f.failures > 0 {
 		_ = level.Info(f.Log).Log("msg", "platform regained", "failures", f.failures, "revision", u.AsOf)
 		f.failures = 0
@@ -113,9 +114,9 @@
 // handleError handles a failed read, and returns the pause until the next one.
 func (f *Follower) handleError(after pimentofeed.Revision, err error) time.Duration {
 	var e *Error
-	if errors.As(err, &e) && e.Kind == KindCompacted {
-		_ = level.Info(f.Log).Log("msg", "platform history compacted, reading all items", "after", after)
-		f.compacted = true
+	if errors.As(err, &e) && !f.readAll && (e.Kind == KindCompacted || e.Kind == KindTooLarge) {
+		_ = level.Info(f.Log).Log("msg", "reading all items", "after", after, "err", err)
+		f.readAll = true
 		return 0
 	}
 	f.OnReading(false)
