--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -44,6 +44,9 @@
 	done      chan struct{} // Closed when the call is abandoned.
 }
 
+// maxCallerDeadline bounds the time that a caller may state to wait.
+const maxCallerDeadline = time.Hour
+
 // newCall returns a call for a request that was read completely.
 func newCall(req *fasthttp.Request, d *Dialect, callerIP string, received time.Time) *call {
 	c := &call{
@@ -54,6 +57,7 @@
 		done:     make(chan struct{}),
 	}
 	if ms, err := strconv.ParseFloat(string(req.Header.Peek(d.Deadline)), 64); err == nil && ms >= 0 {
+		ms = min(ms, float64(maxCallerDeadline.Milliseconds()))
 		c.callerDeadline = received.Add(time.Duration(ms * float64(time.Millisecond)))
 	}
 	return c
