pimentogate: a refusal without the request's id is no proof for a non-idempotent request

From the users' reports: a target wrote an earlier refusal once more on a kept connection. Fix: a refusal proves that a non-idempotent request hasn't run only with that request's id, and a connection isn't kept after a response without one. A refusal with another request's id was skipped before already. Evidence: TestRepeatedRefusalIsNoProof failed, passes; TestAnswersUnderFaults holds.

--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -38,11 +38,11 @@
 	}
 	resp := s.exchange.Resp
 	switch {
-	case g.dialect.NotExecuted(resp):
+	case g.dialect.NotExecuted(resp) && (c.retryable() || g.echoesID(c, resp)):
 		return outcomeNotExecuted
 	case impliesNotExecuted(resp.StatusCode()) && !c.retryable():
-		// The status implies that the request wasn't executed, but the target gives
-		// no proof.
+		// The status implies that a request wasn't executed, but the target gives no
+		// proof that it was this one.
 		s.err = errNotAuthentic
 		return outcomeIncomplete
 	case resp.StatusCode() >= 500:
@@ -85,7 +85,13 @@
 func (g *Gate) isAuthentic(c *call, resp *fasthttp.Response) bool {
 	return len(resp.Header.Peek(g.dialect.Signature)) > 0 &&
 		len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) == 0 &&
-		string(resp.Header.Peek(g.dialect.RequestID)) == c.id
+		g.echoesID(c, resp)
+}
+
+// echoesID reports whether a response carries the request's ID. One without it may be
+// that to an earlier request on the connection.
+func (g *Gate) echoesID(c *call, resp *fasthttp.Response) bool {
+	return string(resp.Header.Peek(g.dialect.RequestID)) == c.id
 }
 
 // recordOutcome updates the statistics, backoff and quarantine with the outcome of
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -304,11 +304,16 @@
 		s.candidate.release()
 		return
 	}
-	s.err = g.client.Do(s.exchange)
-	if s.err == nil && s.candidate.conn.Reusable() && !s.exchange.Resp.IsBodyStream() {
+	exchangeErr := g.client.Do(s.exchange)
+	s.err = exchangeErr
+	s.outcome = g.classify(c, s)
+	switch {
+	case exchangeErr != nil || s.exchange.Resp.IsBodyStream() || !s.candidate.conn.Reusable():
+	case g.echoesID(c, s.exchange.Resp):
 		s.candidate.conn.Release()
+	default: // The response may be that to another request, and this one's still come.
+		s.candidate.conn.Discard()
 	}
-	s.outcome = g.classify(c, s)
 }
 
 // sendEnded counts a send to a target as ended.
