pimentohttp: chunked responses end soon in tiny chunks or with an endless trailer

Seven kinds are played on the stand-in: head, body without a length, chunks, a chunk's extension, trailer, interim responses, no protocol. Five ended at once before. Not: one-byte chunks, up to 57 MB for two responses, after which a booking got 504 at its deadline (with the race detector) instead of 502; and an endless trailer, whose response was passed on as complete. Fix: chunked bodies are read chunk by chunk, with a limit on small ones and the trailer read to its end. The mean size may be under 16 bytes for 4,096 chunks. A limit on all bytes of a response was tried instead and still took 1.1 s. Evidence: TestEndlessResponses failed for chunks and trailer, passes.

--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -303,7 +304,13 @@
 		x.finish(cn)
 		return nil
 	}
-	if err := x.Resp.ReadBody(cn.r, x.MaxBuffered); err != nil {
+	var err error
+	if size == -1 {
+		err = x.readChunks(cn)
+	} else {
+		err = x.Resp.ReadBody(cn.r, x.MaxBuffered)
+	}
+	if err != nil {
 		cn.destroy()
 		return x.newError("body", err)
 	}
@@ -311,6 +318,43 @@
 	return nil
 }
 
+const (
+	// maxSmallChunks is the number of chunks of a body after which their mean size must
+	// be at least minMeanChunk bytes. Without a limit, a body in tiny chunks costs much
+	// processor time before it is too long.
+	maxSmallChunks = 4096
+	minMeanChunk   = 16
+	// chunkReadSize is the size of the buffer for the first chunks, in bytes.
+	chunkReadSize = 4 << 10
+)
+
+var errSmallChunks = errors.New("the body has too many small chunks")
+
+// readChunks buffers a chunked body of up to MaxBuffered bytes, and reads its trailer.
+func (x *Exchange) readChunks(cn *Conn) error {
+	b := x.newBodyStream(cn, -1)
+	defer fasthttp.ReleaseResponse(b.decoder)
+	body := make([]byte, 0, chunkReadSize)
+	for reads := 0; ; reads++ {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, len(body))
+		}
+		n, err := b.r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			x.Resp.SetBodyRaw(body)
+			return nil
+		case err != nil:
+			return err
+		case len(body) > x.MaxBuffered:
+			return fasthttp.ErrBodyTooLarge
+		case reads > maxSmallChunks && len(body) < reads*minMeanChunk:
+			return errSmallChunks
+		}
+	}
+}
+
 func (x *Exchange) hasNoBody() bool {
 	code := x.Resp.StatusCode()
 	return x.Req.Header.IsHead() || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
