pimentoplatform: an entry that begins to read says so within a moment

Fix: the first watch after a pause in reading waits 50 ms only. Evidence: TestFirstWatchConfirmsSoon failed, passes.

--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -31,6 +31,9 @@
 	// retryWatchWait is the time for which a watch after a failure waits. It is short,
 	// so that the recovery of the source is detected soon.
 	retryWatchWait = 200 * time.Millisecond
+	// firstWatchWait is the time for which the first watch after ShouldRead returned false
+	// waits. Its response shows other entries soon that this one reads now.
+	firstWatchWait = 50 * time.Millisecond
 	// batchPause is the pause after changes, so that one read returns several changes
 	// in quick succession.
 	batchPause = 300 * time.Millisecond
@@ -63,6 +66,7 @@
 	OnFailure func()
 
 	failures int  // Since the last success.
+	watching bool // A read has succeeded since ShouldRead last returned false.
 	readAll  bool // All items must be read again, and not stale.
 }
 
@@ -74,6 +78,7 @@
 	for ctx.Err() == nil {
 		if !f.ShouldRead() {
 			f.OnReading(false)
+			f.watching = false
 			sleep(ctx, pollInterval)
 			continue
 		}
@@ -90,8 +95,11 @@
 		u, err = f.Source.Read(!f.readAll)
 	} else {
 		wait := WatchWait
-		if f.failures > 0 {
+		switch {
+		case f.failures > 0:
 			wait = retryWatchWait
+		case !f.watching:
+			wait = firstWatchWait
 		}
 		u, err = f.Source.Watch(after, wait)
 	}
@@ -99,6 +107,7 @@
 		return f.handleError(after, err)
 	}
 	f.readAll = false
+	f.watching = true
 	if f.failures > 0 {
 		_ = level.Info(f.Log).Log("msg", "platform regained", "failures", f.failures, "revision", u.AsOf)
 		f.failures = 0
--- /dev/null
+++ b/pimentoplatform/follow_test.go
@@ -0,0 +1,61 @@
+package pimentoplatform
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"pimentoarch/pimentofeed"
+)
+
+// An entry that begins to read while nothing changes knows within a moment that its items
+// are current, and doesn't wait for the end of a whole watch.
+func TestFirstWatchConfirmsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const limit = 100 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		var confirmed []time.Duration
+		reads := func() bool {
+			s := time.Since(start)
+			return s >= time.Second && s < 6*time.Second || s >= 10*time.Second
+		}
+		f := &Follower{
+			Source: Source{Watch: func(after pimentofeed.Revision, wait time.Duration) (pimentofeed.Update, error) {
+				time.Sleep(wait)
+				return pimentofeed.Update{From: after, AsOf: after}, nil
+			}},
+			Log:        log.NewNopLogger(),
+			ShouldRead: reads,
+			AsOf:       func() pimentofeed.Revision { return 7 },
+			OnUpdate:   func(pimentofeed.Update) {},
+			OnReading: func(works bool) {
+				if works {
+					confirmed = append(confirmed, time.Since(start))
+				}
+			},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(11 * time.Second)
+		cancel()
+		<-done
+		is.True(confirmed[0] <= time.Second+limit)
+		again := 0
+		for _, at := range confirmed {
+			if at >= 10*time.Second && at <= 10*time.Second+limit+pollInterval {
+				again++
+			}
+		}
+		is.Equal(again, 1)
+		is.True(len(confirmed) < 8) // Later watches wait for WatchWait.
+	})
+}
