pimentogate: targets that leave or pause get no more requests

Server-Leaving on any answer of a target, probes included: it gets only requests that no other target can serve, for the drain time (settings: drain), then none; its idle connections are closed. 503 or 429 with Retry-After: it gets nothing for so long, probes included. A longer pause extends it, none shortens it; above 10 minutes it is cut, an invalid one is ignored, counted and logged. Both hold for one run (id and born); the published state, older copies and lapses don't end them. When all targets pause, requests are refused at once with the time until the first is back, later for lower priorities. After a pause a target is ranked last for the time of a back-off. Each entry learns by itself: a probe at most 8 ms old precedes each send and carries the mark, so that telling others would save one probe an entry and target. Evidence: without the rule in the gate TestLeavingTarget, TestLeavingTargetStartsAgain, TestPausedTarget and TestAllTargetsPaused fail; without the order of runs TestWithdrawalAgainstOracle does. Without the check in sendProbe alone no test fails, since choices leave out paused targets already.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -83,6 +83,10 @@
 	FailureRate float64 `json:"failing"`
 	// InFlight counts this entry's requests that the target is processing.
 	InFlight int `json:"sending"`
+	// LeavingMillis is the time since the target said that it is leaving, and
+	// PausedMillis how much longer it wants no requests, both 0 if it didn't.
+	LeavingMillis int64 `json:"leaving"`
+	PausedMillis  int64 `json:"paused"`
 }
 
 func (g *Gate) status() Status {
@@ -113,10 +117,15 @@
 	for name, list := range t.Targets {
 		for _, tg := range list {
 			s := g.traffic.target(tg.ID)
-			v.Targets[name] = append(v.Targets[name], TargetStatus{
+			ts := TargetStatus{
 				ID: tg.ID, Address: tg.Address, Domain: tg.Domain, Cold: s.coldUntil > now,
 				InBackoff: s.backoffUntil > now, FailureRate: float64(s.failureRate), InFlight: s.inFlight,
-			})
+				PausedMillis: s.withdrawal.PauseLeft(now).Milliseconds(),
+			}
+			if age, leaving := s.withdrawal.LeavingFor(now); leaving {
+				ts.LeavingMillis = max(1, age.Milliseconds())
+			}
+			v.Targets[name] = append(v.Targets[name], ts)
 		}
 	}
 	return v
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -94,10 +94,23 @@
 // or nil and the reason. It stops when another round is unlikely to find a better
 // one in time.
 func (g *Gate) probeNearest(c *call, tried []pimentoroute.TargetID) (*candidate, reason) {
-	targets := g.rankTargets(c, tried)
-	if len(targets) == 0 {
+	targets, lastResort := g.rankTargets(c, tried)
+	if len(targets)+len(lastResort) == 0 {
 		return nil, reasonTargets
 	}
+	best := g.probeInRounds(c, targets)
+	if best == nil {
+		best = g.probeInRounds(c, lastResort)
+	}
+	if best = g.reprobe(c, best); best == nil {
+		return nil, reasonBusy
+	}
+	return best, reasonNone
+}
+
+// probeInRounds probes targets in rounds, in their order, and returns the best one, or
+// nil.
+func (g *Gate) probeInRounds(c *call, targets []*pimentoroute.Target) *candidate {
 	var best *candidate
 	for range maxProbeRounds {
 		group := g.nextGroup(targets)
@@ -111,10 +124,7 @@
 		targets = targets[len(group):]
 		best = g.keepBest(c, best, probed)
 	}
-	if best = g.reprobe(c, best); best == nil {
-		return nil, reasonBusy
-	}
-	return best, reasonNone
+	return best
 }
 
 // reprobeAge is the age of a near target's load report above which the target is
@@ -210,10 +220,11 @@
 }
 
 // rankTargets returns the targets that a request may go to: nearest first, at
-// random among equally near ones, targets in backoff last. Cold targets of other
-// domains are left out: the limit of a cold target is shared by the entries of its
-// own domain only.
-func (g *Gate) rankTargets(c *call, tried []pimentoroute.TargetID) []*pimentoroute.Target {
+// random among equally near ones, targets in backoff last. lastResort has the targets
+// that are leaving, which only get requests that no other target can serve. Targets that
+// have withdrawn are left out, and cold targets of other domains: the limit of a cold
+// target is shared by the entries of its own domain only.
+func (g *Gate) rankTargets(c *call, tried []pimentoroute.TargetID) (targets, lastResort []*pimentoroute.Target) {
 	type ranked struct {
 		target *pimentoroute.Target
 		rank   int
@@ -231,6 +242,13 @@
 		if s.coldUntil > now && dist != sameDomain {
 			continue
 		}
+		if a := g.admission(s); a != pimentotarget.AdmitAll {
+			g.countPassedOver(a)
+			if a == pimentotarget.AdmitLastResort {
+				lastResort = append(lastResort, tg)
+			}
+			continue
+		}
 		rank := int(dist)
 		if s.backoffUntil > now {
 			rank += backoffRank
@@ -240,11 +258,11 @@
 	ts.mu.Unlock()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	targets := make([]*pimentoroute.Target, len(list))
+	targets = make([]*pimentoroute.Target, len(list))
 	for i := range list {
 		targets[i] = list[i].target
 	}
-	return targets
+	return targets, lastResort
 }
 
 // backoffRank is added to the rank of targets in backoff, which puts them behind
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -90,8 +90,8 @@
 	g.sendProbe(c, cand, true)
 	defer cand.release()
 	switch {
-	case isConnLimit(cand.err):
-		g.logNoCrash(c, tg, "not probed, all connections are in use")
+	case isConnLimit(cand.err), errors.Is(cand.err, errWithdrawn):
+		g.logNoCrash(c, tg, "not probed: "+cand.err.Error())
 	case cand.err == nil && !(s.outcome == outcomeTimeout && g.unreachableSince(tg, s.started)):
 		g.logNoCrash(c, tg, "target replied")
 	default:
--- a/pimentogate/dialect.go
+++ b/pimentogate/dialect.go
@@ -29,6 +29,18 @@
 	NotExecuted func(*fasthttp.Response) bool
 	// ParseReport returns the load report in a target's response.
 	ParseReport func(*fasthttp.Response) LoadReport
+	// ParseNotice returns what a target's response says about new requests.
+	ParseNotice func(*fasthttp.Response) Notice
+}
+
+// Notice is what a target says about new requests.
+type Notice struct {
+	// Leaving is set if the target is about to stop.
+	Leaving bool
+	// Pause is the time for which the target wants no requests, 0 if it states none.
+	Pause time.Duration
+	// InvalidPause is the text of a pause that isn't valid.
+	InvalidPause string
 }
 
 // LoadReport is a target's state as it reports it.
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -90,7 +90,8 @@
 		g.onceConfigured.Do(func() { close(g.configured) })
 	}
 	g.logTargetChanges(old, t)
-	g.traffic.prune(t)
+	g.traffic.prune(now, t)
+	g.traffic.setRuns(t)
 	if t.Config != nil && (old == nil || old.Config == nil || old.Config.Version != t.Config.Version) {
 		g.logChange("msg", "configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes))
 	}
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -133,6 +133,9 @@
 		}()
 	case outcomeFailed, outcomeTimeout:
 		c.mayHaveRun = true
+		if s.asksForPause(&g.dialect) {
+			return // The target's own wish, not a failure.
+		}
 	}
 	ts := &g.traffic
 	ts.mu.Lock()
@@ -140,6 +143,11 @@
 	ts.mu.Unlock()
 }
 
+// asksForPause reports whether the response asks for a pause.
+func (s *send) asksForPause(d *Dialect) bool {
+	return s.err == nil && s.exchange != nil && d.ParseNotice(s.exchange.Resp).Pause > 0
+}
+
 func (s *send) status() string {
 	if s.err != nil || s.exchange == nil {
 		return ""
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -249,6 +249,10 @@
 // set. The candidate keeps the connection.
 func (g *Gate) sendProbe(c *call, cand *candidate, newConn bool) {
 	tg := cand.target
+	if !g.admitsProbes(tg) {
+		cand.err = errWithdrawn
+		return
+	}
 	deadline := time.Now().Add(probeTimeout)
 	cand.conn, cand.err = g.client.Acquire(tg.Address, newConn, deadline)
 	if cand.err != nil {
@@ -281,6 +285,21 @@
 		cand.err = errOtherTarget
 		cand.release()
 		g.backOff(tg, failureBackoff)
+		return
+	}
+	g.recordProbeNotice(cand, resp)
+}
+
+// recordProbeNotice records what the reply to a probe says about new requests. The
+// connection to a leaving target is only kept for the request that may follow.
+func (g *Gate) recordProbeNotice(cand *candidate, resp *fasthttp.Response) {
+	if cand.report.Target != cand.target.ID {
+		return
+	}
+	g.recordNotice(cand.target, "", resp)
+	if !g.admitsProbes(cand.target) {
+		cand.err = errWithdrawn
+		cand.release()
 	}
 }
 
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -18,6 +18,7 @@
 	reasonInvalid      reason = "invalid"      // The request isn't valid or is too large.
 	reasonLarge        reason = "large"        // Unused: see reasonInvalid.
 	reasonTargets      reason = "targets"      // No target may be used.
+	reasonPaused       reason = "paused"       // All targets asked for a pause.
 	reasonBusy         reason = "busy"         // No target or worker can take it now.
 	reasonBudget       reason = "budget"       // The retry allowance is spent.
 	reasonAttempts     reason = "attempts"     // The route's attempts are used up.
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -134,6 +134,9 @@
 	if failed != nil && why != reasonCallerGone {
 		return g.forwardResponse(c, failed)
 	}
+	if after, paused := g.returnAfterPause(c); paused && why == reasonTargets {
+		return g.refusal(c, reasonPaused, after)
+	}
 	retryAfter := retryAfterBusy
 	if g.traffic.overloaded(c.serviceName()) {
 		retryAfter = retryAfterOverload
@@ -288,12 +291,11 @@
 
 // runSend sends the request, reads the response and sets the outcome.
 func (g *Gate) runSend(c *call, s *send) {
-	ts := &g.traffic
-	ts.mu.Lock()
-	t := ts.target(s.candidate.target.ID)
-	t.inFlight++
-	t.sentSinceReport++
-	ts.mu.Unlock()
+	if !g.beginSend(s.candidate.target) {
+		s.err, s.outcome = errWithdrawn, outcomeUnsent
+		s.candidate.release()
+		return
+	}
 	if s.err = g.ensureConn(c, s.candidate); s.err != nil {
 		s.outcome = outcomeUnsent
 		return
@@ -307,11 +309,15 @@
 	exchangeErr := g.client.Do(s.exchange)
 	s.err = exchangeErr
 	s.outcome = g.classify(c, s)
+	tg := s.candidate.target
+	if exchangeErr == nil && g.echoesID(c, s.exchange.Resp) && s.exchange.Resp.StatusCode() != fasthttp.StatusMisdirectedRequest {
+		g.recordNotice(tg, c.id, s.exchange.Resp)
+	}
 	switch {
 	case exchangeErr != nil || s.exchange.Resp.IsBodyStream() || !s.candidate.conn.Reusable():
-	case g.echoesID(c, s.exchange.Resp):
+	case g.echoesID(c, s.exchange.Resp) && !g.isLeaving(tg):
 		s.candidate.conn.Release()
-	default: // The response may be that to another request, and this one's still come.
+	default: // The response may be that to another request, and this one's still to come.
 		s.candidate.conn.Discard()
 	}
 }
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -49,6 +49,9 @@
 	FirstStart bool `json:"first"`
 	// GracePeriod is the time from a stop signal until the process is killed.
 	GracePeriod Duration `json:"grace"`
+	// Drain is the time for which a target that says that it is leaving may still get
+	// requests that no other target can serve.
+	Drain Duration `json:"drain"`
 	// RetryRatio and RetryBase bound the retries to a service in each RetryWindow,
 	// by all entries together: RetryRatio times its requests, plus RetryBase.
 	RetryRatio  float64  `json:"ratio"`
@@ -74,6 +77,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		GracePeriod:    Duration(6 * time.Second),
+		Drain:          Duration(2500 * time.Millisecond),
 		RetryRatio:     0.2,
 		RetryWindow:    Duration(10 * time.Second),
 		ColdRateFactor: 1,
@@ -129,6 +133,7 @@
 	return cmp.Or(
 		pimentosettings.LogLevel(s.LogLevel),
 		pimentosettings.AtLeast("grace", time.Duration(s.GracePeriod).Seconds(), 0),
+		pimentosettings.AtLeast("drain", time.Duration(s.Drain).Seconds(), 0),
 		pimentosettings.AtLeast("ratio", s.RetryRatio, 0),
 		pimentosettings.AtLeast("repeats", s.RetryBase, 0),
 		pimentosettings.AtLeast("window", time.Duration(s.RetryWindow).Seconds(), 0.1),
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -77,6 +77,8 @@
 	// backoffUntil is set after a failure or a refusal; the target is ranked last until
 	// then.
 	backoffUntil time.Duration
+	// withdrawal is what the target said about new requests.
+	withdrawal pimentotarget.Withdrawal
 	// unreachableAt is when a probe last failed.
 	unreachableAt time.Duration
 	// failureRate is the moving average of failed sends, from 0 to 1.
@@ -123,8 +125,9 @@
 }
 
 // prune drops the statistics of targets, services and routes that are no longer
-// published. Targets with requests in flight and retry allowances are kept.
-func (ts *trafficStats) prune(t *pimentoroute.Table) {
+// published. Targets with requests in flight, targets that have withdrawn and retry
+// allowances are kept.
+func (ts *trafficStats) prune(now time.Duration, t *pimentoroute.Table) {
 	known := make(map[pimentoroute.TargetID]bool)
 	for _, list := range t.Targets {
 		for _, tg := range list {
@@ -134,7 +137,7 @@
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	for id, s := range ts.targets {
-		if !known[id] && s.inFlight == 0 {
+		if !known[id] && s.inFlight == 0 && !s.withdrawal.Keep(now) {
 			delete(ts.targets, id)
 		}
 	}
--- /dev/null
+++ b/pimentogate/withdrawal.go
@@ -0,0 +1,146 @@
+package pimentogate
+
+import (
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
+)
+
+// errWithdrawn is the error of a send or probe that wasn't made, because its target has
+// said since it was chosen that it wants none.
+var errWithdrawn = errors.New("the target wants no requests now")
+
+// setRuns records which runs of the targets are published.
+func (ts *trafficStats) setRuns(t *pimentoroute.Table) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	for _, list := range t.Targets {
+		for _, tg := range list {
+			if tg.Run != 0 {
+				ts.target(tg.ID).withdrawal.SetRun(tg.Run)
+			}
+		}
+	}
+}
+
+// admission returns whether a target may get requests now. It
+// is called with trafficStats.mu held.
+func (g *Gate) admission(s *targetState) pimentotarget.Admission {
+	return s.withdrawal.Admission(g.now(), time.Duration(g.settings.Drain))
+}
+
+// admitsProbes reports whether a target may be probed.
+func (g *Gate) admitsProbes(tg *pimentoroute.Target) bool {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return g.admission(ts.target(tg.ID)) != pimentotarget.AdmitPaused
+}
+
+// recordNotice records what a target's response says about new requests. id is that of
+// the request, "" for a probe. The response must be the target's own and to this request.
+func (g *Gate) recordNotice(tg *pimentoroute.Target, id string, resp *fasthttp.Response) {
+	n := g.dialect.ParseNotice(resp)
+	if n.InvalidPause != "" {
+		g.metrics.count("pimento_pauses_ignored_total")
+		g.logLine(level.WarnValue(), "msg", "invalid pause ignored", "id", id, "target", tg.ID, "value", n.InvalidPause)
+	}
+	if !n.Leaving && n.Pause <= 0 {
+		return
+	}
+	now := g.now()
+	ts := &g.traffic
+	ts.mu.Lock()
+	s := ts.target(tg.ID)
+	leaves := n.Leaving && s.withdrawal.Leave(now)
+	pauses := n.Pause > 0 && s.withdrawal.Pause(now, n.Pause)
+	left := s.withdrawal.PauseLeft(now)
+	// After the pause, the target is ranked behind others for a moment, as after a
+	// failure.
+	s.backoffUntil = max(s.backoffUntil, now+left+failureBackoff)
+	ts.mu.Unlock()
+	if n.Leaving {
+		g.client.CloseIdleTo(tg.Address)
+	}
+	if leaves {
+		g.metrics.count("pimento_target_leaves_total")
+		g.logChange("msg", "target is leaving", "id", id, "target", tg.ID, "status", resp.StatusCode())
+	}
+	if pauses {
+		g.metrics.count("pimento_target_pauses_total")
+		g.logChange("msg", "target paused", "id", id, "target", tg.ID, "asked", n.Pause, "for", left, "cut", n.Pause > pimentotarget.MaxPause)
+		time.AfterFunc(left, func() { g.logReturn(tg) })
+	}
+}
+
+// logReturn logs that a target's pause has ended, unless it was extended.
+func (g *Gate) logReturn(tg *pimentoroute.Target) {
+	ts := &g.traffic
+	ts.mu.Lock()
+	left := ts.target(tg.ID).withdrawal.PauseLeft(g.now())
+	ts.mu.Unlock()
+	if left > 0 {
+		time.AfterFunc(left, func() { g.logReturn(tg) })
+		return
+	}
+	g.logChange("msg", "target's pause has ended", "target", tg.ID)
+}
+
+// isLeaving reports whether a target has said that it is leaving.
+func (g *Gate) isLeaving(tg *pimentoroute.Target) bool {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	_, leaving := ts.target(tg.ID).withdrawal.LeavingFor(g.now())
+	return leaving
+}
+
+// beginSend counts a send to a target as in flight. It reports false, and counts nothing,
+// if the target wants no requests any more.
+func (g *Gate) beginSend(tg *pimentoroute.Target) bool {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	t := ts.target(tg.ID)
+	t.inFlight++ // The end of the send is counted in any case.
+	if a := g.admission(t); a == pimentotarget.AdmitPaused || a == pimentotarget.AdmitNone {
+		return false
+	}
+	t.sentSinceReport++
+	return true
+}
+
+// countPassedOver counts a target that was left out of a choice.
+func (g *Gate) countPassedOver(a pimentotarget.Admission) {
+	if a == pimentotarget.AdmitPaused {
+		g.metrics.count(`pimento_targets_passed_over_total{reason="paused"}`)
+		return
+	}
+	g.metrics.count(`pimento_targets_passed_over_total{reason="leaving"}`)
+}
+
+// pauseSpread is the time over which callers return after the pause of all targets of a
+// service, for each level of priority.
+const pauseSpread = 300 * time.Millisecond
+
+// returnAfterPause returns after what time a request may be tried again: when the first of
+// its targets returns from a pause, later for lower priorities. It returns false if no
+// target is paused.
+func (g *Gate) returnAfterPause(c *call) (time.Duration, bool) {
+	now, first, paused := g.now(), time.Duration(0), false
+	ts := &g.traffic
+	ts.mu.Lock()
+	for _, tg := range g.serviceTargets(c) {
+		left := ts.target(tg.ID).withdrawal.PauseLeft(now)
+		if left > 0 && (!paused || left < first) && c.route.Allows(tg.Region) {
+			first, paused = left, true
+		}
+	}
+	ts.mu.Unlock()
+	return first + time.Duration(max(0, c.route.Priority))*pauseSpread + randomUpTo(pauseSpread), paused
+}
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentotarget"
 )
 
 type (
@@ -119,6 +120,8 @@
 	// ColdLeft is the remaining time that the target stays cold, as of when the
 	// target reported it.
 	ColdLeft time.Duration
+	// Run identifies this start of the target, 0 if it isn't published.
+	Run pimentotarget.Run
 }
 
 // Record is one decoded published item. Exactly one of its fields is set.
