--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -55,7 +55,6 @@
 	}
 	if now < membershipWait {
 		at.RegionRank += startRankOffset
-		at.DomainRank += startRankOffset
 	}
 	return at, precedingReads
 }
@@ -89,7 +88,7 @@
 	// items waits for the others before it reads the platform.
 	joinWait = 900 * time.Millisecond
 	// membershipWait is the time after the start for which an entry may not know
-	// all others of its region. Until then it adds startRankOffset to its ranks.
+	// all others of its region. Until then it adds startRankOffset to its rank there.
 	membershipWait  = 3 * time.Second
 	startRankOffset = 5
 	// firstReadWait plus a random part of firstReadJitter is the time after a first
