pimentogate: a target returns from its pause behind the others, also after a refusal

Now the rank follows from the end of the pause itself. Names and comments of the change are put right besides.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -117,15 +117,15 @@
 	for name, list := range t.Targets {
 		for _, tg := range list {
 			s := g.traffic.target(tg.ID)
-			ts := TargetStatus{
+			status := TargetStatus{
 				ID: tg.ID, Address: tg.Address, Domain: tg.Domain, Cold: s.coldUntil > now,
 				InBackoff: s.backoffUntil > now, FailureRate: float64(s.failureRate), InFlight: s.inFlight,
 				PausedMillis: s.withdrawal.PauseLeft(now).Milliseconds(),
 			}
 			if age, leaving := s.withdrawal.LeavingFor(now); leaving {
-				ts.LeavingMillis = max(1, age.Milliseconds())
+				status.LeavingMillis = max(1, age.Milliseconds())
 			}
-			v.Targets[name] = append(v.Targets[name], ts)
+			v.Targets[name] = append(v.Targets[name], status)
 		}
 	}
 	return v
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -250,7 +250,7 @@
 			continue
 		}
 		rank := int(dist)
-		if s.backoffUntil > now {
+		if s.backoffUntil > now || s.withdrawal.PausedWithin(now, failureBackoff) {
 			rank += backoffRank
 		}
 		list = append(list, ranked{tg, rank})
@@ -265,8 +265,8 @@
 	return targets, lastResort
 }
 
-// backoffRank is added to the rank of targets in backoff, which puts them behind
-// all others.
+// backoffRank is added to the rank of targets in backoff, and of those whose pause has
+// just ended, which puts them behind all others.
 const backoffRank = int(otherRegion) + 1
 
 // serviceTargets returns the published targets of the request's service.
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -13,8 +13,9 @@
 const (
 	// domainSyncInterval is the time between two sync messages to an entry of the same
 	// domain, regionSyncInterval to one of another domain of the region, and
-	// crossRegionSyncInterval to one of another region, when nothing changes. Changes reach other regions only with these periodic
-	// messages, since each region reads the platform itself.
+	// crossRegionSyncInterval to one of another region, when nothing changes. Changes
+	// reach other regions only with these periodic messages, since each region reads the
+	// platform itself.
 	domainSyncInterval      = 500 * time.Millisecond
 	regionSyncInterval      = 500 * time.Millisecond
 	crossRegionSyncInterval = 1000 * time.Millisecond
--- a/pimentogate/withdrawal.go
+++ b/pimentogate/withdrawal.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// admission returns whether a target may get requests now. It
-// is called with trafficStats.mu held.
+// admission returns whether a target may get requests now. It is called with
+// trafficStats.mu held.
 func (g *Gate) admission(s *targetState) pimentotarget.Admission {
 	return s.withdrawal.Admission(g.now(), time.Duration(g.settings.Drain))
 }
@@ -60,9 +60,6 @@
 	leaves := n.Leaving && s.withdrawal.Leave(now)
 	pauses := n.Pause > 0 && s.withdrawal.Pause(now, n.Pause)
 	left := s.withdrawal.PauseLeft(now)
-	// After the pause, the target is ranked behind others for a moment, as after a
-	// failure.
-	s.backoffUntil = max(s.backoffUntil, now+left+failureBackoff)
 	ts.mu.Unlock()
 	if n.Leaving {
 		g.client.CloseIdleTo(tg.Address)
--- a/pimentotarget/withdrawal.go
+++ b/pimentotarget/withdrawal.go
@@ -89,6 +89,12 @@
 // PauseLeft returns how long the target wants no requests, 0 if it isn't paused.
 func (w *Withdrawal) PauseLeft(now time.Duration) time.Duration { return max(0, w.pausedUntil-now) }
 
+// PausedWithin reports whether the target's last pause ended within the last d, or hasn't
+// ended.
+func (w *Withdrawal) PausedWithin(now, d time.Duration) bool {
+	return w.pausedUntil > 0 && now-w.pausedUntil < d
+}
+
 // LeavingFor returns the time since the target said that it is leaving, and false if it
 // hasn't.
 func (w *Withdrawal) LeavingFor(now time.Duration) (time.Duration, bool) {
--- a/pimentotarget/withdrawal_test.go
+++ b/pimentotarget/withdrawal_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -71,6 +72,19 @@
 	})
 }
 
+// After a pause the target counts as just returned for a while, also if a refusal with a
+// shorter time came in between.
+func TestTargetReturnsSlowly(t *testing.T) {
+	is := is.New(t)
+	var w Withdrawal
+	is.True(!w.PausedWithin(0, time.Second))
+	w.Pause(0, 2*time.Second)
+	w.Pause(time.Second, 100*time.Millisecond)
+	is.Equal(w.PauseLeft(time.Second), time.Second)
+	is.True(w.PausedWithin(2500*time.Millisecond, time.Second))
+	is.True(!w.PausedWithin(3*time.Second, time.Second))
+}
+
 func BenchmarkAdmission(b *testing.B) {
 	for _, n := range []int{20, 700} {
 		list := make([]Withdrawal, n)
