pimentogate: the comment of beginSend says what it counts

It said that a send that isn't made counts nothing, but it counts as in flight until sendEnded, as the code needs.

--- a/pimentogate/withdrawal.go
+++ b/pimentogate/withdrawal.go
@@ -97,14 +97,14 @@
 	return leaving
 }
 
-// beginSend counts a send to a target as in flight. It reports false, and counts nothing,
-// if the target wants no requests any more.
+// beginSend counts a send to a target as in flight, which sendEnded ends. It reports
+// false if the target wants no requests any more, so that the send isn't made.
 func (g *Gate) beginSend(tg *pimentoroute.Target) bool {
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	t := ts.target(tg.ID)
-	t.inFlight++ // The end of the send is counted in any case.
+	t.inFlight++
 	if a := g.admission(t); a == pimentotarget.AdmitPaused || a == pimentotarget.AdmitNone {
 		return false
 	}
