pimentoentry: a planned stop closes connections whose request doesn't arrive

Callers saw nothing; operators saw a planned stop that ended with "0 requests still ran after 5000 ms" and the process cut off what was left.

Cause: the HTTP server closes a new connection without a whole head only 5 s after it was accepted, in whole seconds, and a kept connection with a part of a head after the read timeout of a minute; both at least as long as the drain time of 5 s in the tests.

Evidence: TestStopClosesUnreadConnections failed in all three cases before (7.3 s, 8.0 s and 8.0 s for a stop; the limit is 2 s), with that very line for the silent connection.

Why it works: the entry knows from the server's connection states which connections await a head. While it drains, it closes those that have waited for 500 ms. The head of a request and the close of its connection exclude each other under one mutex, so a request whose connection was closed is never served.

Ruled out: closing such connections by a read deadline, since the server sets deadlines of its own at the same moments.

--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -36,6 +36,7 @@
 	quarantine  quarantine
 	client      pimentohttp.Client
 	connWatcher pimentohttp.ConnWatcher
+	callerConns callerConns
 	linkShare   linkShare
 	node        pimentolink.Node
 	platform    *pimentoplatform.Client
--- a/pimentoentry/serve.go
+++ b/pimentoentry/serve.go
@@ -85,6 +85,10 @@
 
 // serveCaller handles requests on the callers' port.
 func (e *Entry) serveCaller(ctx *fasthttp.RequestCtx) {
+	if !e.callerConns.begin(ctx.Conn()) {
+		ctx.SetConnectionClose()
+		return
+	}
 	callCtx, cancel := context.WithCancel(e.ctx)
 	defer cancel()
 	watched := e.connWatcher.Add(ctx.Conn(), cancel)
@@ -130,6 +134,7 @@
 	return &fasthttp.Server{
 		Handler:                      e.serveCaller,
 		ErrorHandler:                 e.refuseInvalidHead,
+		ConnState:                    e.callerConns.track,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		ReadBufferSize:               maxHead,
--- a/pimentoentry/stop.go
+++ b/pimentoentry/stop.go
@@ -25,6 +25,9 @@
 	handoverPause    = 100 * time.Millisecond
 	// drainPoll is the time between two checks for running requests.
 	drainPoll = 20 * time.Millisecond
+	// unreadTimeout is the time within which the head of a request must arrive while
+	// running requests have the drain time to end.
+	unreadTimeout = 500 * time.Millisecond
 )
 
 // stop performs a planned stop: the health check fails, keys are handed over, new
@@ -40,7 +43,7 @@
 	e.closing.Store(true)
 	ctx, cancel := context.WithTimeout(e.ctx, millis(e.settings.Drain))
 	defer cancel()
-	err := server.ShutdownWithContext(ctx)
+	err := e.shutDown(ctx, server)
 	e.awaitIdle(ctx)
 	if left := e.running.Load(); err != nil || left > 0 {
 		return &Error{Op: "stop", Kind: KindStop, Err: fmt.Errorf("%d requests still ran after %d ms", left, e.settings.Drain)}
@@ -49,6 +52,24 @@
 	return nil
 }
 
+// shutDown shuts down the callers' server. Until that has ended it closes connections whose
+// next request doesn't arrive within unreadTimeout.
+func (e *Entry) shutDown(ctx context.Context, server *fasthttp.Server) error {
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			e.callerConns.closeUnread(time.Now(), unreadTimeout)
+			select {
+			case <-done:
+				return
+			case <-time.After(drainPoll):
+			}
+		}
+	}()
+	return server.ShutdownWithContext(ctx)
+}
+
 // awaitIdle waits until no request of a caller or peer runs, or ctx ends.
 func (e *Entry) awaitIdle(ctx context.Context) {
 	for e.running.Load() > 0 && ctx.Err() == nil {
