pimentogate: a planned stop takes no request that it would cut off

What callers saw: during a planned stop a caller that pipelines requests without a pause kept its connection in use, and a request that came late to slow targets was passed on; at the end of the grace period both were cut off without an answer, non-idempotent ones included.

Cause: only connections without an outstanding response stopped reading, and nothing compared what is left of the grace period with what a request takes. Found beside it: whether a response is the last one, and the end of reading, were two steps, so that a request read between them was passed on and then cut; and a read that the stop interrupted abandoned the outstanding requests.

Why it works: after the balancer has noticed, each connection stops reading, except for a request that has begun to arrive with nothing before it. A request whose objective, or twice its expected time at the chosen target, exceeds what is left until the cut is refused at once as not executed, with a short Retry-After, since other entries serve it. Closing and counting happen under one lock.

Not changed: what was passed on early and still runs at the cut is cut.

--- a/pimentoentry/path_test.go
+++ b/pimentoentry/path_test.go
@@ -188,6 +188,25 @@
 	f.is.Equal(m.counters.panics.Get(), uint64(0))
 }
 
+// A target that closes its connection within the head of its response must lead to an
+// error after any byte of it.
+func TestAnswerCutInHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Boot: b\r\nContent-Length: 5\r\n\r\n"
+	f := newCluster(t, 0)
+	for n := range len(head) {
+		f.addRawTarget(pimentoregister.ServiceName(fmt.Sprint("cut", n)), head[:n])
+	}
+	f.publish()
+	m := f.start("west-a")
+	f.awaitReady()
+	for n := range len(head) {
+		resp := f.request(m, "GET", fmt.Sprintf("/cut%d/x", n), "any", "")
+		if resp.StatusCode() < 500 {
+			t.Errorf("after %q: status %d, body %q", head[:n], resp.StatusCode(), resp.Body())
+		}
+	}
+}
+
 // addRawTarget adds a service with one target, which reads a request, writes the given
 // bytes and closes the connection.
 func (f *cluster) addRawTarget(name pimentoregister.ServiceName, response string) {
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -46,8 +46,9 @@
 	r          *bufio.Reader
 	pending    chan *pendingResponse // In the order of the requests.
 	unanswered atomic.Int32          // Requests that were read and not responded to yet.
-	mu         sync.Mutex            // Guards closing and calls.
+	mu         sync.Mutex            // Guards the fields below.
 	closing    bool                  // No more requests are accepted.
+	receiving  bool                  // A request has begun to arrive.
 	calls      map[*call]struct{}    // Requests without a response.
 }
 
@@ -111,12 +112,14 @@
 		req, received, err := cc.readRequest(exclusive)
 		if err != nil {
 			cc.handleReadError(err)
+			cc.awaitResponses()
 			return
 		}
 		c := newCall(req, &cc.gate.dialect, cc.callerIP, received)
 		if !cc.addCall(c) {
 			// The response before this request closes the connection, so the
 			// request counts as unread.
+			cc.awaitResponses()
 			return
 		}
 		p := &pendingResponse{call: c, done: make(chan *response, 1)}
@@ -135,6 +138,7 @@
 func (cc *callerConn) addCall(c *call) bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
+	cc.receiving = false
 	if cc.closing {
 		return false
 	}
@@ -162,6 +166,41 @@
 	_ = cc.SetReadDeadline(time.Now())
 }
 
+// stopReadingIfLast makes the connection accept no more requests if no response but one is
+// outstanding, and reports whether that is so.
+func (cc *callerConn) stopReadingIfLast() bool {
+	cc.mu.Lock()
+	last := cc.unanswered.Load() <= 1
+	cc.closing = cc.closing || last
+	cc.mu.Unlock()
+	if last {
+		_ = cc.SetReadDeadline(time.Now())
+	}
+	return last
+}
+
+// stopReadingUnlessReceiving makes the connection accept no more requests, except for one
+// that has begun to arrive while no response is outstanding. Requests behind an outstanding
+// response count as unread, because that response closes the connection.
+func (cc *callerConn) stopReadingUnlessReceiving() {
+	cc.mu.Lock()
+	stops := !cc.receiving || cc.unanswered.Load() > 0
+	cc.closing = cc.closing || stops
+	cc.mu.Unlock()
+	if stops {
+		_ = cc.SetReadDeadline(time.Now())
+	}
+}
+
+// beginReceiving records that a request has begun to arrive. It reports false if the
+// connection accepts no more.
+func (cc *callerConn) beginReceiving() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.receiving = !cc.closing
+	return cc.receiving
+}
+
 func (cc *callerConn) isClosing() bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
@@ -180,6 +219,9 @@
 	if err := cc.awaitFirstByte(exclusive); err != nil {
 		return nil, time.Time{}, err
 	}
+	if !cc.beginReceiving() {
+		return nil, time.Time{}, errClosing
+	}
 	limits := cc.gate.limits()
 	_ = cc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req := new(fasthttp.Request)
@@ -247,7 +289,7 @@
 	switch {
 	case errors.As(err, &bad):
 		cc.refuseInvalid(bad)
-	case errors.Is(err, errIdle), errors.Is(err, errClosing):
+	case errors.Is(err, errIdle), errors.Is(err, errClosing), cc.isClosing():
 		// Outstanding responses are still written.
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
 		cc.abandonAll()
@@ -257,6 +299,24 @@
 	}
 }
 
+// closeCheckInterval is the longest time between two checks whether all responses of a
+// connection that accepts no more requests were written.
+const closeCheckInterval = 100 * time.Millisecond
+
+// awaitResponses drops what the caller still sends until the outstanding responses are
+// written, and abandons them if the caller closes the connection.
+func (cc *callerConn) awaitResponses() {
+	for cc.unanswered.Load() > 0 {
+		_ = cc.SetReadDeadline(time.Now().Add(closeCheckInterval))
+		_, err := cc.r.WriteTo(io.Discard)
+		var ne net.Error
+		if !errors.As(err, &ne) || !ne.Timeout() {
+			cc.abandonAll()
+			return
+		}
+	}
+}
+
 // refuseInvalid responds to an invalid request, and closes the connection.
 func (cc *callerConn) refuseInvalid(bad *badRequest) {
 	resp := fasthttp.AcquireResponse()
@@ -315,7 +375,6 @@
 	}
 	closes := cc.closesAfterResponse(p, resp)
 	if closes {
-		cc.stopReading()
 		resp.http.SetConnectionClose()
 	}
 	_ = cc.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
@@ -336,14 +395,13 @@
 	return !closes
 }
 
-// closesAfterResponse reports whether the connection is closed after a response.
-// During a planned stop it is closed once no other response is outstanding.
+// closesAfterResponse reports whether the connection is closed after a response, and makes
+// it accept no more requests in that case. During a planned stop it is closed once no other
+// response is outstanding.
 func (cc *callerConn) closesAfterResponse(p *pendingResponse, resp *response) bool {
-	if resp.closeConn {
-		return true
-	}
-	if p.call != nil && p.call.req.ConnectionClose() {
+	if resp.closeConn || (p.call != nil && p.call.req.ConnectionClose()) {
+		cc.stopReading()
 		return true
 	}
-	return cc.gate.stopping.Load() && cc.unanswered.Load() <= 1
+	return cc.gate.stopping.Load() && cc.stopReadingIfLast()
 }
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -68,6 +68,8 @@
 	firstReadAt time.Duration
 	seedAddrs   atomic.Pointer[[]string]
 	stopping    atomic.Bool // A planned stop has begun.
+	// cutoff is when a planned stop cuts off the requests that still run; nil before it.
+	cutoff atomic.Pointer[time.Time]
 }
 
 const (
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -26,6 +26,7 @@
 	reasonIncomplete   reason = "broken"       // No complete and authentic response.
 	reasonCrash        reason = "crash"        // The request crashes targets.
 	reasonCallerGone   reason = "left"         // The call was abandoned.
+	reasonStopping     reason = "stopping"     // It would outlast the planned stop.
 	reasonUnread       reason = "unread"       // Unused: such requests get no response.
 )
 
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -42,6 +42,9 @@
 		if isRetry && !g.spendRetry(c) {
 			return g.failRequest(c, failed, reasonBudget)
 		}
+		if g.outlastsStop(c, nil) {
+			return g.failRequest(c, failed, reasonStopping)
+		}
 		cand, why := g.chooseTarget(c, c.tried)
 		if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
 			cand.releaseIfAny()
@@ -86,6 +89,8 @@
 		return reasonTimeout
 	case cand == nil:
 		return why
+	case g.outlastsStop(c, cand):
+		return reasonStopping
 	}
 	return reasonNone
 }
@@ -137,6 +142,9 @@
 	if after, paused := g.returnAfterPause(c); paused && why == reasonTargets {
 		return g.refusal(c, reasonPaused, after)
 	}
+	if why == reasonStopping {
+		return g.refusal(c, why, retryAfterStop)
+	}
 	retryAfter := retryAfterBusy
 	if g.traffic.overloaded(c.serviceName()) {
 		retryAfter = retryAfterOverload
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -24,7 +24,8 @@
 // has detected that the entry isn't ready; running requests are then completed, or
 // cut off near the end of the grace period.
 func (g *Gate) shutDown(callers net.Listener) {
-	began := time.Now()
+	cutoff := time.Now().Add(time.Duration(drainFraction * float64(g.settings.GracePeriod)))
+	g.cutoff.Store(&cutoff)
 	g.stopping.Store(true)
 	cs := g.cluster
 	cs.mu.Lock()
@@ -34,12 +35,9 @@
 	g.logChange("msg", "stopping", "open", g.conns.size())
 	time.Sleep(balancerDelay)
 	_ = callers.Close()
-	cutoff := began.Add(time.Duration(drainFraction * float64(g.settings.GracePeriod)))
 	for g.conns.size() > 0 && time.Now().Before(cutoff) {
 		for _, cc := range g.conns.all() {
-			if cc.unanswered.Load() == 0 {
-				cc.stopReading()
-			}
+			cc.stopReadingUnlessReceiving()
 		}
 		time.Sleep(drainCheckInterval)
 	}
@@ -48,6 +46,29 @@
 	}
 }
 
+// lateStopFactor times the expected time of a request is the time within which it is
+// assumed to end.
+const lateStopFactor = 2
+
+// retryAfterStop is the Retry-After time of refusals during a planned stop: other entries
+// can serve the request at once.
+const retryAfterStop = 10 * time.Millisecond
+
+// outlastsStop reports whether a request is too late in a planned stop: it would probably
+// still run when running requests are cut off. Requests usually end within their
+// objective; cand, which may be nil, is the target that would get it.
+func (g *Gate) outlastsStop(c *call, cand *candidate) bool {
+	cutoff := g.cutoff.Load()
+	if cutoff == nil {
+		return false
+	}
+	needed := c.route.Objective
+	if cand != nil {
+		needed = max(needed, lateStopFactor*cand.expected)
+	}
+	return time.Until(*cutoff) < needed
+}
+
 // settingsCheckInterval is the time between two reads of the settings file.
 const settingsCheckInterval = 3 * time.Second
 
