pimentopeer: what follows from the members is made once per change

Cause, by a benchmark of what an idle entry does: each sync message, each tick and each decision whether to read sorted and hashed all members, several times.

Why it works: checksums and the size of the own domain are kept up to date with each record; sorted lists are made when they are needed after a change; a counter of changes tells the sync loops and the log that there is nothing to do. The neighbours follow from the own place in the ring. The decision still counts the entries of the own domain that precede it, which is its rest of growth.

The decisions are the same: the tests of memberships, rings and readings hold.

--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -20,13 +20,16 @@
 	records     map[string]pimentoroute.Record // Decoded items that exist.
 	expired     map[string]expiredRecord
 	presentRuns memberRuns
-	members     *pimentopeer.GossipMembership
-	readPolicy  pimentofeed.ReadPolicy
-	readings    map[uint64]reading // The last reading of each entry, by its run ID.
-	reading     bool               // This entry reads the platform successfully.
-	lastRead    time.Duration      // When the last read succeeded.
-	shouldRead  bool               // This entry is to read the platform.
-	stale       bool               // The feed is older than staleAge, or of unknown age.
+	// loggedChanges is the number of changes of members' records up to which
+	// presentRuns is complete.
+	loggedChanges uint64
+	members       *pimentopeer.GossipMembership
+	readPolicy    pimentofeed.ReadPolicy
+	readings      map[uint64]reading // The last reading of each entry, by its run ID.
+	reading       bool               // This entry reads the platform successfully.
+	lastRead      time.Duration      // When the last read succeeded.
+	shouldRead    bool               // This entry is to read the platform.
+	stale         bool               // The feed is older than staleAge, or of unknown age.
 	// confirmedBy is sourcePlatform or the name of the entry that last confirmed the feed.
 	confirmedBy string
 	changed     chan struct{} // Closed and replaced when peers are to be sent something.
@@ -267,11 +270,8 @@
 		return
 	}
 	g.clusterSize.Store(int64(max(cs.members.LiveCount(), int(g.clusterSize.Load()))))
-	domain := cs.members.DomainMembers(g.settings.Domain)
-	for i, m := range domain {
-		if m.Name == g.settings.Name {
-			g.domainRank.Store(int64(i))
-		}
+	if rank, ok := pimentopeer.Rank(cs.members.DomainMembers(g.settings.Domain), g.settings.Name); ok {
+		g.domainRank.Store(int64(rank))
 	}
 	g.domainSize.Store(int64(cs.members.PeakDomainSize() + 1))
 }
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -8,6 +8,8 @@
 	"github.com/go-kit/log/level"
 
 	"pimentoarch/pimentofeed"
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoregister"
 )
 
 // decideReading decides whether this entry reads the platform.
@@ -41,15 +43,15 @@
 // the region that precedes it reads the platform. It is called with clusterState.mu held.
 func (g *Gate) position(now time.Duration) (at pimentofeed.Position, precedingReads bool) {
 	cs := g.cluster
-	for _, m := range cs.members.RegionMembers(g.region) {
-		if m.Name == g.settings.Name {
-			break
-		}
-		at.RegionRank++
-		if m.Domain == g.settings.Domain {
-			at.DomainRank++
+	region := cs.members.RegionMembers(g.region)
+	at.RegionRank, _ = pimentopeer.Rank(region, g.settings.Name)
+	at.DomainRank = countInDomain(region[:at.RegionRank], g.settings.Domain)
+	for run, r := range cs.readings {
+		if now-r.at >= readingTTL {
+			continue
 		}
-		if r, ok := cs.readings[m.RunID]; ok && now-r.at < readingTTL {
+		reader, ok := cs.members.ByRun(run)
+		if ok && reader.Region == g.region && !reader.Down && !reader.Stopping && reader.Name < g.settings.Name {
 			precedingReads = true
 		}
 	}
@@ -59,6 +61,17 @@
 	return at, precedingReads
 }
 
+// countInDomain returns how many of some members are in a domain.
+func countInDomain(list []pimentopeer.Member, domain pimentoregister.DomainName) int {
+	n := 0
+	for i := range list {
+		if list[i].Domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
 // staleAge is the age of the feed above which it is logged as stale.
 const staleAge = 1500 * time.Millisecond
 
--- a/pimentogate/statelog.go
+++ b/pimentogate/statelog.go
@@ -55,6 +55,10 @@
 // call. It is called with clusterState.mu held.
 func (g *Gate) logMemberChanges() {
 	cs := g.cluster
+	if cs.members.Changes() == cs.loggedChanges {
+		return
+	}
+	cs.loggedChanges = cs.members.Changes()
 	for _, m := range cs.members.OtherRecords() {
 		run, here := cs.presentRuns[m.Name]
 		switch {
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -7,7 +7,6 @@
 	"github.com/go-kit/log/level"
 
 	"pimentoarch/pimentopeer"
-	"pimentoarch/pimentotarget"
 )
 
 const (
@@ -62,23 +61,11 @@
 	running := make(map[string]*peerSync)
 	t := time.NewTicker(peerCheckInterval)
 	defer t.Stop()
+	var known syncInputs
 	for {
-		wanted := g.syncPolicies()
-		for address, ps := range running {
-			if _, ok := wanted[address]; !ok {
-				ps.cancel()
-				delete(running, address)
-			}
-		}
-		for address, p := range wanted {
-			if running[address] != nil {
-				continue
-			}
-			ps := &peerSync{gate: g, address: address, syncPolicy: p}
-			var loopCtx context.Context
-			loopCtx, ps.cancel = context.WithCancel(ctx)
-			running[address] = ps
-			go ps.run(loopCtx)
+		if in := g.syncInputs(); in != known {
+			known = in
+			g.updatePeerSyncs(ctx, running)
 		}
 		select {
 		case <-ctx.Done():
@@ -88,6 +75,41 @@
 	}
 }
 
+// syncInputs is what the list of peers to sync with depends on.
+type syncInputs struct {
+	memberChanges uint64
+	seeds         *[]string
+}
+
+func (g *Gate) syncInputs() syncInputs {
+	cs := g.cluster
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return syncInputs{memberChanges: cs.members.Changes(), seeds: g.seedAddrs.Load()}
+}
+
+// updatePeerSyncs ends the sync loops with peers that are no longer to be synced with, and
+// starts those that are missing.
+func (g *Gate) updatePeerSyncs(ctx context.Context, running map[string]*peerSync) {
+	wanted := g.syncPolicies()
+	for address, ps := range running {
+		if _, ok := wanted[address]; !ok {
+			ps.cancel()
+			delete(running, address)
+		}
+	}
+	for address, p := range wanted {
+		if running[address] != nil {
+			continue
+		}
+		ps := &peerSync{gate: g, address: address, syncPolicy: p}
+		var loopCtx context.Context
+		loopCtx, ps.cancel = context.WithCancel(ctx)
+		running[address] = ps
+		go ps.run(loopCtx)
+	}
+}
+
 // syncPolicies returns the policy for each address to sync with: the sync peers in this
 // entry's domain, one entry of each other domain, and seeds that aren't known members.
 // Only the first linksPerDomain entries of a domain, by name, sync with other domains,
@@ -115,7 +137,7 @@
 			wanted[m.Address] = syncPolicy{interval: downSyncInterval}
 		}
 	}
-	rank := ownRank(cs.members.DomainMembers(g.settings.Domain), g.settings.Name)
+	rank, _ := pimentopeer.Rank(cs.members.DomainMembers(g.settings.Domain), g.settings.Name)
 	if rank < linksPerDomain {
 		for _, list := range domains {
 			m := list[rank%len(list)]
@@ -142,17 +164,6 @@
 	return syncPolicy{interval: crossRegionSyncInterval}
 }
 
-// ownRank returns an entry's index among members sorted by name, or their number if
-// it isn't one of them.
-func ownRank(members []pimentopeer.Member, name pimentotarget.EntryName) int {
-	for i, m := range members {
-		if m.Name == name {
-			return i
-		}
-	}
-	return len(members)
-}
-
 func (ps *peerSync) run(ctx context.Context) {
 	client, closeClient := ps.gate.node.SyncClient(ps.address)
 	client.Timeout = syncTimeout
--- a/pimentopeer/checksums.go
+++ b/pimentopeer/checksums.go
@@ -24,22 +24,18 @@
 }
 
 // Checksums returns the checksums of all records, this entry's included.
-func (g *GossipMembership) Checksums() Checksums {
-	var s Checksums
-	for _, m := range g.filter(func(*Member) bool { return true }) {
-		s[bucketOf(&m)] += m.checksum()
-	}
-	return s
-}
+func (g *GossipMembership) Checksums() Checksums { return g.checksums }
 
 // DifferingRecords returns all records but this entry's in the buckets whose checksums
 // differ from those of another membership.
 func (g *GossipMembership) DifferingRecords(other *Checksums) []Member {
-	own := g.Checksums()
-	return g.filter(func(m *Member) bool {
-		i := bucketOf(m)
-		return m.Name != g.self.Name && own[i] != other[i]
-	})
+	var list []Member
+	for _, m := range g.OtherRecords() {
+		if i := bucketOf(&m); g.checksums[i] != other[i] {
+			list = append(list, m)
+		}
+	}
+	return list
 }
 
 // bucketOf returns the index of a member's bucket.
--- a/pimentopeer/gossip.go
+++ b/pimentopeer/gossip.go
@@ -1,8 +1,6 @@
 package pimentopeer
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"pimentoarch/pimentoregister"
@@ -53,6 +51,11 @@
 	self        Member
 	members     map[pimentotarget.EntryName]*memberState
 	domainSizes []sizeSample
+	// checksums, domainSize and changes are kept by include and exclude.
+	checksums  Checksums // Of all records, this entry's included.
+	domainSize int       // Members of this entry's domain that aren't down.
+	changes    uint64    // Number of changes of records.
+	derived    *derived  // Nil after a record has changed.
 }
 
 type memberState struct {
@@ -75,7 +78,9 @@
 
 // NewGossipMembership returns a membership that contains only the entry itself.
 func NewGossipMembership(self Member) *GossipMembership {
-	return &GossipMembership{self: self, members: make(map[pimentotarget.EntryName]*memberState)}
+	g := &GossipMembership{self: self, members: make(map[pimentotarget.EntryName]*memberState)}
+	g.include(&self)
+	return g
 }
 
 // Self returns the entry's own record.
@@ -84,9 +89,43 @@
 // Stop marks this entry as stopping and increments its version.
 func (g *GossipMembership) Stop() {
 	g.self.Stopping = true
-	g.self.Version++
+	g.setOwnVersion(g.self.Version + 1)
 }
 
+// setOwnVersion changes the version of the entry's own record.
+func (g *GossipMembership) setOwnVersion(v uint64) {
+	g.exclude(&g.self)
+	g.self.Version = v
+	g.include(&g.self)
+}
+
+// include updates what is kept about all records when one is added, and exclude when one
+// is removed.
+func (g *GossipMembership) include(m *Member) {
+	g.checksums[bucketOf(m)] += m.checksum()
+	if m.Domain == g.self.Domain && !m.Down {
+		g.domainSize++
+	}
+	g.recordChanged()
+}
+
+func (g *GossipMembership) exclude(m *Member) {
+	g.checksums[bucketOf(m)] -= m.checksum()
+	if m.Domain == g.self.Domain && !m.Down {
+		g.domainSize--
+	}
+	g.recordChanged()
+}
+
+func (g *GossipMembership) recordChanged() {
+	g.changes++
+	g.derived = nil
+}
+
+// Changes returns the number of changes of records. As long as it stays the same, so do
+// the lists of members.
+func (g *GossipMembership) Changes() uint64 { return g.changes }
+
 // Merge merges the records received from another entry.
 func (g *GossipMembership) Merge(now time.Duration, list []Member) {
 	for i := range list {
@@ -101,13 +140,14 @@
 		// down, is overridden by a higher version.
 		stale := m.RunID != g.self.RunID || m.Down
 		if m.Version > g.self.Version || (stale && m.Version == g.self.Version) {
-			g.self.Version = m.Version + 1
+			g.setOwnVersion(m.Version + 1)
 		}
 		return
 	}
 	state := g.members[m.Name]
 	if state == nil {
 		g.members[m.Name] = &memberState{Member: *m, confirmedAt: now, downAt: now}
+		g.include(m)
 		return
 	}
 	if !m.supersedes(&state.Member) {
@@ -118,7 +158,14 @@
 	} else {
 		state.confirmedAt = now
 	}
-	state.Member = *m
+	g.setRecord(state, *m)
+}
+
+// setRecord replaces the record of another member.
+func (g *GossipMembership) setRecord(state *memberState, m Member) {
+	g.exclude(&state.Member)
+	state.Member = m
+	g.include(&state.Member)
 }
 
 // LivenessRecord returns a short record without address, region and domain, for entries
@@ -147,13 +194,18 @@
 // removes members that have been down for memberRetention.
 func (g *GossipMembership) Expire(now time.Duration) {
 	g.updateNeighbours(now)
-	for name, state := range g.members {
-		switch {
-		case state.Down && now-state.downAt > memberRetention:
-			delete(g.members, name)
-		case !state.Down && state.isNeighbour && now-max(state.confirmedAt, state.neighbourSince) > downTimeout:
-			state.Down = true
+	for _, state := range g.derive().neighbours {
+		if !state.Down && now-max(state.confirmedAt, state.neighbourSince) > downTimeout {
+			m := state.Member
+			m.Down = true
 			state.downAt = now
+			g.setRecord(state, m)
+		}
+	}
+	for _, state := range g.derive().down {
+		if now-state.downAt > memberRetention {
+			delete(g.members, state.Name)
+			g.exclude(&state.Member)
 		}
 	}
 	g.recordDomainSize(now)
@@ -170,95 +222,32 @@
 // updateNeighbours determines the neighbours: the members of this entry's domain that
 // send sync messages to it or receive them from it.
 func (g *GossipMembership) updateNeighbours(now time.Duration) {
-	ring := g.DomainMembers(g.self.Domain)
+	d := g.derive()
+	if d.neighboursSet {
+		return
+	}
+	d.neighboursSet = true
 	neighbours := make(map[pimentotarget.EntryName]bool)
-	for i, m := range ring {
-		for _, next := range ringSuccessors(ring, i) {
-			switch g.self.Name {
-			case m.Name:
-				neighbours[next.Name] = true
-			case next.Name:
-				neighbours[m.Name] = true
-			}
+	ring := g.DomainMembers(g.self.Domain)
+	if i, ok := Rank(ring, g.self.Name); ok {
+		for _, m := range ringNeighbours(ring, i) {
+			neighbours[m.Name] = true
 		}
 	}
 	for name, state := range g.members {
 		if neighbours[name] && !state.isNeighbour {
 			state.neighbourSince = now
 		}
-		state.isNeighbour = neighbours[name]
-	}
-}
-
-// A ring is a list of members of one domain, sorted by name, in which the first member
-// follows the last.
-
-const (
-	// smallRingSize is the size of the largest ring in which the second successor of a
-	// member is two steps away. In medium rings it is a third of the ring away.
-	smallRingSize = 8
-	// mediumRingSize is the size of the largest ring in which a member has two successors.
-	// In larger ones they are 1, stepRatio, stepRatio^2 and so on steps away, up to half
-	// of the ring, so that the hops and the successors grow with the logarithm of its size.
-	mediumRingSize = 24
-	stepRatio      = 4
-)
-
-// ringSteps returns how far away the successors of each member of a ring are.
-func ringSteps(size int) []int {
-	switch {
-	case size <= smallRingSize:
-		return []int{1, 2}
-	case size <= mediumRingSize:
-		return []int{1, size / 3}
-	}
-	var steps []int
-	for step := 1; step <= size/2; step *= stepRatio {
-		steps = append(steps, step)
-	}
-	return steps
-}
-
-// ringSuccessors returns the members to which the one at an index of a ring sends sync
-// messages: the next one, and others farther away (see ringSteps), so that updates need
-// few hops.
-func ringSuccessors(ring []Member, index int) []Member {
-	n := len(ring)
-	var list []Member
-	for _, step := range ringSteps(n) {
-		if step%n != 0 {
-			list = append(list, ring[(index+step)%n])
+		if state.isNeighbour = neighbours[name]; state.isNeighbour {
+			d.neighbours = append(d.neighbours, state)
 		}
 	}
-	return list
-}
-
-// SyncPeers returns the members of this entry's domain to which this entry sends sync
-// messages. Down members are included, so that they are found when they return.
-func (g *GossipMembership) SyncPeers() []Member {
-	list := g.ownSuccessors(g.DomainMembers(g.self.Domain))
-	all := g.filter(func(m *Member) bool { return m.Domain == g.self.Domain })
-	for _, m := range g.ownSuccessors(all) {
-		if m.Down {
-			list = append(list, m)
-		}
-	}
-	return list
-}
-
-func (g *GossipMembership) ownSuccessors(ring []Member) []Member {
-	for i, m := range ring {
-		if m.Name == g.self.Name {
-			return ringSuccessors(ring, i)
-		}
-	}
-	return nil
 }
 
 // recordDomainSize adds the current size of this entry's domain. It drops samples that
 // are outside the time window or not larger, so that the first one left is the peak.
 func (g *GossipMembership) recordDomainSize(now time.Duration) {
-	size := len(g.DomainMembers(g.self.Domain))
+	size := g.domainSize
 	kept := g.domainSizes[:0]
 	for _, s := range g.domainSizes {
 		if now-s.at < memberRetention && s.size > size {
@@ -276,41 +265,3 @@
 	}
 	return g.domainSizes[0].size
 }
-
-// DomainMembers returns the members of a domain that aren't down, sorted by name,
-// including this entry if it is in that domain.
-func (g *GossipMembership) DomainMembers(domain pimentoregister.DomainName) []Member {
-	return g.filter(func(m *Member) bool { return m.Domain == domain && !m.Down })
-}
-
-// RegionMembers returns the members of a region that are neither down nor stopping,
-// sorted by name, including this entry if it is in that region and isn't stopping.
-func (g *GossipMembership) RegionMembers(region pimentoregister.RegionName) []Member {
-	return g.filter(func(m *Member) bool { return m.Region == region && !m.Down && !m.Stopping })
-}
-
-// OtherRecords returns all records but this entry's, sorted by name. Down members are
-// included.
-func (g *GossipMembership) OtherRecords() []Member {
-	return g.filter(func(m *Member) bool { return m.Name != g.self.Name })
-}
-
-// LiveCount returns the number of members that aren't down, this entry included.
-func (g *GossipMembership) LiveCount() int {
-	return len(g.filter(func(m *Member) bool { return !m.Down }))
-}
-
-// filter returns the records for which keep is true, sorted by name.
-func (g *GossipMembership) filter(keep func(*Member) bool) []Member {
-	var list []Member
-	if keep(&g.self) {
-		list = append(list, g.self)
-	}
-	for _, state := range g.members {
-		if keep(&state.Member) {
-			list = append(list, state.Member)
-		}
-	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return list
-}
