pimentoroute: a changed target changes the table without building it anew

Why it works: a change of a target replaces one element in a copied list. Changes of the configuration and of domains out of service still build the table. What is known of targets that are gone is dropped every ten seconds.

Found beside it: limits of connections followed the number of entries only at the next change of an item; an entry that received its items before it knew the others kept the limit for one entry until then. They follow now.

--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -15,11 +15,13 @@
 
 // clusterState is the state that entries exchange: published items and members.
 type clusterState struct {
-	mu          sync.Mutex                     // Guards the fields below.
-	feed        pimentofeed.State              // This entry's copy of the published items.
-	records     map[string]pimentoroute.Record // Decoded items that exist.
-	expired     map[string]expiredRecord
-	presentRuns memberRuns
+	mu      sync.Mutex                     // Guards the fields below.
+	feed    pimentofeed.State              // This entry's copy of the published items.
+	records map[string]pimentoroute.Record // Decoded items that exist.
+	expired map[string]expiredRecord
+	// tableChanges are the changes of records that the active table lacks.
+	tableChanges tableChanges
+	presentRuns  memberRuns
 	// loggedChanges is the number of changes of members' records up to which
 	// presentRuns is complete.
 	loggedChanges uint64
@@ -139,7 +141,7 @@
 		cs.signalChange()
 	}
 	if len(changed) > 0 {
-		g.rebuildTable(now)
+		g.updateTable()
 	}
 	cs.mu.Unlock()
 	if len(changed) > 0 {
@@ -155,20 +157,24 @@
 // small its share is.
 const minConns = 4
 
+// connLimit returns this entry's share of the connections to a target of a service.
+func (g *Gate) connLimit(s *pimentoroute.Service) int {
+	return max(minConns, int(connLimitFraction*float64(s.MaxConns))/max(1, int(g.clusterSize.Load())))
+}
+
 // limitConns limits the connections to each target to this entry's share, and
 // removes the pools of targets that are no longer published.
 func (g *Gate) limitConns(t *pimentoroute.Table) {
-	if t.Config == nil {
+	if t == nil || t.Config == nil {
 		return
 	}
-	n := max(1, int(g.clusterSize.Load()))
 	known := make(map[string]bool)
 	for name, list := range t.Targets {
 		s := t.Config.Services[name]
 		if s == nil {
 			continue
 		}
-		limit := max(minConns, int(connLimitFraction*float64(s.MaxConns))/n)
+		limit := g.connLimit(s)
 		for _, tg := range list {
 			known[tg.Address] = true
 			g.client.SetLimit(tg.Address, limit)
@@ -181,6 +187,21 @@
 	}
 }
 
+// updateConns does the same as limitConns for one changed target.
+func (g *Gate) updateConns(t *pimentoroute.Table, c pimentoroute.Change) {
+	inService := c.New != nil && t.Has(c.New)
+	moved := c.Old != nil && !(inService && c.New.Address == c.Old.Address)
+	if moved && !t.HasAddress(c.Old.Address) {
+		g.client.Remove(c.Old.Address)
+	}
+	if !inService || t.Config == nil {
+		return
+	}
+	if s := t.Config.Services[c.New.Service]; s != nil {
+		g.client.SetLimit(c.New.Address, g.connLimit(s))
+	}
+}
+
 // knownRevision returns the revision up to which this entry's items are complete.
 func (g *Gate) knownRevision() pimentofeed.Revision {
 	cs := g.cluster
@@ -213,6 +234,9 @@
 		if ticks++; ticks%sweepTicks == 0 {
 			g.client.Prune(time.Now())
 		}
+		if ticks%pruneTicks == 0 {
+			g.traffic.prune(g.now(), g.table.Load())
+		}
 	}
 }
 
@@ -222,6 +246,9 @@
 	// sweepTicks is the number of ticks between two sweeps that close idle
 	// connections.
 	sweepTicks = 8
+	// pruneTicks is the number of ticks between two removals of the statistics of what is
+	// no longer published.
+	pruneTicks = 40
 	// stallLimit is the time between two ticks above which this process counts as
 	// stalled.
 	stallLimit = time.Second
@@ -269,7 +296,10 @@
 	if now < shareDelay {
 		return
 	}
-	g.clusterSize.Store(int64(max(cs.members.LiveCount(), int(g.clusterSize.Load()))))
+	if live := int64(cs.members.LiveCount()); live > g.clusterSize.Load() {
+		g.clusterSize.Store(live)
+		g.limitConns(g.table.Load())
+	}
 	if rank, ok := pimentopeer.Rank(cs.members.DomainMembers(g.settings.Domain), g.settings.Name); ok {
 		g.domainRank.Store(int64(rank))
 	}
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -14,7 +14,11 @@
 func (g *Gate) applyItem(now time.Duration, it pimentofeed.Item, outage bool) {
 	cs := g.cluster
 	old, had := cs.records[it.Key]
-	delete(cs.expired, it.Key)
+	inUse := old
+	if e, ok := cs.expired[it.Key]; ok {
+		inUse = e.record
+		delete(cs.expired, it.Key)
+	}
 	hasActiveConfig := had && old.Config != nil // Stays until it is replaced.
 	if it.Removed {
 		if hasActiveConfig {
@@ -25,13 +29,16 @@
 		if had && old.Target != nil && outage {
 			cs.expired[it.Key] = expiredRecord{record: old, until: now + expiredGrace}
 			time.AfterFunc(expiredGrace, g.dropExpired)
+			return
 		}
+		cs.tableChanges.add(inUse, pimentoroute.Record{})
 		return
 	}
 	r, err := g.decode(it.Key, it.Value)
 	if err != nil {
 		if !hasActiveConfig {
 			delete(cs.records, it.Key)
+			cs.tableChanges.add(inUse, pimentoroute.Record{})
 		}
 		g.metrics.count("pimento_undecodable_total")
 		g.logLine(level.WarnValue(), "msg", "published item ignored", "key", it.Key, "revision", it.Revision, "err", err)
@@ -42,6 +49,7 @@
 		return
 	}
 	cs.records[it.Key] = r
+	cs.tableChanges.add(inUse, r)
 	if r.Target != nil && r.Target.ColdLeft > 0 {
 		g.recordCold(now, r.Target)
 	}
@@ -65,33 +73,73 @@
 	for key, e := range cs.expired {
 		if e.until <= now {
 			delete(cs.expired, key)
+			cs.tableChanges.add(e.record, pimentoroute.Record{})
 		}
 	}
-	g.rebuildTable(now)
+	g.updateTable()
+}
+
+// tableChanges are the changes of records since the active table was made.
+type tableChanges struct {
+	targets []pimentoroute.Change
+	// other is set if not only targets have changed, so that the table must be built from
+	// all records.
+	other bool
 }
 
-// rebuildTable builds a new table and makes it the active one. It is called with
-// clusterState.mu held.
-func (g *Gate) rebuildTable(now time.Duration) {
+// add adds the replacement of a record. The zero record stands for none.
+func (tc *tableChanges) add(old, r pimentoroute.Record) {
+	if old.Config != nil || r.Config != nil || old.Out != "" || r.Out != "" {
+		tc.other = true
+		return
+	}
+	if old.Target != nil || r.Target != nil {
+		tc.targets = append(tc.targets, pimentoroute.Change{Old: old.Target, New: r.Target})
+	}
+}
+
+// updateTable makes a table with the changes since the last one, and makes it the active
+// one. It is called with clusterState.mu held.
+func (g *Gate) updateTable() {
+	cs := g.cluster
+	changes := cs.tableChanges
+	cs.tableChanges = tableChanges{}
+	old := g.table.Load()
+	if old == nil || changes.other {
+		g.rebuildTable(old)
+		return
+	}
+	t := old.With(changes.targets, g.settings.Regions)
+	g.table.Store(t)
+	for _, c := range changes.targets {
+		g.logTargetChange(old, t, c)
+		g.updateConns(t, c)
+		g.traffic.setRun(c.New)
+	}
+}
+
+// rebuildTable builds a new table from all records, and makes it the active one. It is
+// called with clusterState.mu held.
+func (g *Gate) rebuildTable(old *pimentoroute.Table) {
 	cs := g.cluster
 	records := make([]pimentoroute.Record, 0, len(cs.records)+len(cs.expired))
 	for _, r := range cs.records {
 		records = append(records, r)
 	}
 	for _, e := range cs.expired {
-		if e.until > now {
-			records = append(records, e.record)
-		}
+		records = append(records, e.record)
 	}
-	old := g.table.Load()
 	t := pimentoroute.Build(records, g.settings.Regions)
 	g.table.Store(t)
 	if t.Config != nil { // From now on there is always a configuration.
 		g.onceConfigured.Do(func() { close(g.configured) })
 	}
 	g.logTargetChanges(old, t)
-	g.traffic.prune(now, t)
-	g.traffic.setRuns(t)
+	for _, list := range t.Targets {
+		for _, tg := range list {
+			g.traffic.setRun(tg)
+		}
+	}
 	if t.Config != nil && (old == nil || old.Config == nil || old.Config.Version != t.Config.Version) {
 		g.logChange("msg", "configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes))
 	}
--- a/pimentogate/items_test.go
+++ b/pimentogate/items_test.go
@@ -128,7 +128,7 @@
 		}
 		g.cluster.mu.Lock()
 		g.applyItem(g.now(), it, p.Outage)
-		g.rebuildTable(g.now())
+		g.updateTable()
 		g.cluster.mu.Unlock()
 		for range 2 { // At once, and after the time of the step.
 			if wrong := g.compareToOracle(o); wrong != "" {
--- a/pimentogate/statelog.go
+++ b/pimentogate/statelog.go
@@ -15,12 +15,12 @@
 	}
 	for id, tg := range after {
 		if before[id] == nil {
-			g.logChange("msg", "target in service", "target", id, "service", tg.Service, "domain", tg.Domain, "address", tg.Address)
+			g.logInService(tg)
 		}
 	}
 	for id, tg := range before {
 		if after[id] == nil {
-			g.logChange("msg", "target out of service", "target", id, "service", tg.Service, "domain", tg.Domain, "domain_out", t.OutDomains[tg.Domain])
+			g.logOutOfService(t, tg)
 		}
 	}
 	for domain := range t.OutDomains {
@@ -35,6 +35,24 @@
 	}
 }
 
+// logTargetChange logs whether a changed target came into service or went out of service.
+func (g *Gate) logTargetChange(old, t *pimentoroute.Table, c pimentoroute.Change) {
+	if c.New != nil && t.Has(c.New) && !old.Has(c.New) {
+		g.logInService(c.New)
+	}
+	if c.Old != nil && old.Has(c.Old) && !t.Has(c.Old) {
+		g.logOutOfService(t, c.Old)
+	}
+}
+
+func (g *Gate) logInService(tg *pimentoroute.Target) {
+	g.logChange("msg", "target in service", "target", tg.ID, "service", tg.Service, "domain", tg.Domain, "address", tg.Address)
+}
+
+func (g *Gate) logOutOfService(t *pimentoroute.Table, tg *pimentoroute.Target) {
+	g.logChange("msg", "target out of service", "target", tg.ID, "service", tg.Service, "domain", tg.Domain, "domain_out", t.OutDomains[tg.Domain])
+}
+
 func targetsByID(t *pimentoroute.Table) map[pimentoroute.TargetID]*pimentoroute.Target {
 	all := make(map[pimentoroute.TargetID]*pimentoroute.Target)
 	if t == nil {
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -128,6 +128,9 @@
 // published. Targets with requests in flight, targets that have withdrawn and retry
 // allowances are kept.
 func (ts *trafficStats) prune(now time.Duration, t *pimentoroute.Table) {
+	if t == nil {
+		return
+	}
 	known := make(map[pimentoroute.TargetID]bool)
 	for _, list := range t.Targets {
 		for _, tg := range list {
--- a/pimentogate/withdrawal.go
+++ b/pimentogate/withdrawal.go
@@ -15,17 +15,14 @@
 // said since it was chosen that it wants none.
 var errWithdrawn = errors.New("the target wants no requests now")
 
-// setRuns records which runs of the targets are published.
-func (ts *trafficStats) setRuns(t *pimentoroute.Table) {
+// setRun records which run of a target is published. The target may be nil.
+func (ts *trafficStats) setRun(tg *pimentoroute.Target) {
+	if tg == nil || tg.Run == 0 {
+		return
+	}
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	for _, list := range t.Targets {
-		for _, tg := range list {
-			if tg.Run != 0 {
-				ts.target(tg.ID).withdrawal.SetRun(tg.Run)
-			}
-		}
-	}
+	ts.target(tg.ID).withdrawal.SetRun(tg.Run)
 }
 
 // admission returns whether a target may get requests now. It is called with
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -178,17 +178,24 @@
 	return t
 }
 
-// addTarget adds a target with its region, unless it is leaving, its domain is out of
-// service, or the region of its domain is unknown.
+// addTarget adds a target if it is in service.
 func (t *Table) addTarget(tg *Target, regions map[pimentoregister.DomainName]pimentoregister.RegionName) {
+	if placed := t.place(tg, regions); placed != nil {
+		t.Targets[tg.Service] = append(t.Targets[tg.Service], placed)
+		t.targetCount++
+	}
+}
+
+// place returns a target with its region. It returns nil if the target isn't in service: it
+// is leaving, its domain is out of service, or the region of its domain is unknown.
+func (t *Table) place(tg *Target, regions map[pimentoregister.DomainName]pimentoregister.RegionName) *Target {
 	region, known := regions[tg.Domain]
 	if tg.Leaving || t.OutDomains[tg.Domain] || !known {
-		return
+		return nil
 	}
 	placed := *tg
 	placed.Region = region
-	t.Targets[tg.Service] = append(t.Targets[tg.Service], &placed)
-	t.targetCount++
+	return &placed
 }
 
 // indexRoutes fills routesByHost.
