pimentogate: an entry asks a part of each domain's targets first

Cause: entries chose at random among all targets of their domain, 70 of a service at 472 entries, so that a target closed a connection before the entry came back to it. And probe rounds went through up to twelve targets of the own domain before any other domain was asked; with more targets than that, load never left a domain.

Now: each entry prefers a window of 12 targets of its domain (4 of each other domain of the region, 3 elsewhere), at its own place in the ring of entries, as in a deterministic aperture. Others of the same domain follow if those may not be used, and two rounds near by leave rounds for the region and for other regions. Only the targets needed for a choice are looked at, not all of a service.

Ruled out for now: larger windows were not tried.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -219,56 +218,6 @@
 	return pimentotarget.ColdShare(limit, entries, rank)
 }
 
-// rankTargets returns the targets that a request may go to: nearest first, at
-// random among equally near ones, targets in backoff last. lastResort has the targets
-// that are leaving, which only get requests that no other target can serve. Targets that
-// have withdrawn are left out, and cold targets of other domains: the limit of a cold
-// target is shared by the entries of its own domain only.
-func (g *Gate) rankTargets(c *call, tried []pimentoroute.TargetID) (targets, lastResort []*pimentoroute.Target) {
-	type ranked struct {
-		target *pimentoroute.Target
-		rank   int
-	}
-	now := g.now()
-	var list []ranked
-	ts := &g.traffic
-	ts.mu.Lock()
-	for _, tg := range g.serviceTargets(c) {
-		if slices.Contains(tried, tg.ID) || !c.route.Allows(tg.Region) {
-			continue
-		}
-		s := ts.target(tg.ID)
-		dist := g.distance(tg)
-		if s.coldUntil > now && dist != sameDomain {
-			continue
-		}
-		if a := g.admission(s); a != pimentotarget.AdmitAll {
-			g.countPassedOver(a)
-			if a == pimentotarget.AdmitLastResort {
-				lastResort = append(lastResort, tg)
-			}
-			continue
-		}
-		rank := int(dist)
-		if s.backoffUntil > now || s.withdrawal.PausedWithin(now, failureBackoff) {
-			rank += backoffRank
-		}
-		list = append(list, ranked{tg, rank})
-	}
-	ts.mu.Unlock()
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	targets = make([]*pimentoroute.Target, len(list))
-	for i := range list {
-		targets[i] = list[i].target
-	}
-	return targets, lastResort
-}
-
-// backoffRank is added to the rank of targets in backoff, and of those whose pause has
-// just ended, which puts them behind all others.
-const backoffRank = int(otherRegion) + 1
-
 // serviceTargets returns the published targets of the request's service.
 func (g *Gate) serviceTargets(c *call) []*pimentoroute.Target {
 	return g.table.Load().Targets[c.serviceName()]
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -300,8 +300,10 @@
 		g.clusterSize.Store(live)
 		g.limitConns(g.table.Load())
 	}
-	if rank, ok := pimentopeer.Rank(cs.members.DomainMembers(g.settings.Domain), g.settings.Name); ok {
+	domain := cs.members.DomainMembers(g.settings.Domain)
+	if rank, ok := pimentopeer.Rank(domain, g.settings.Name); ok {
 		g.domainRank.Store(int64(rank))
+		g.domainLive.Store(int64(len(domain)))
 	}
 	g.domainSize.Store(int64(cs.members.PeakDomainSize() + 1))
 }
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -63,6 +63,9 @@
 	// domain; 0 while unknown.
 	domainSize atomic.Int64
 	domainRank atomic.Int64 // This entry's index in its domain, sorted by name.
+	domainLive atomic.Int64 // Entries of its domain that aren't down; 0 while unknown.
+	// domains are the domains at each distance.
+	domains [otherRegion + 1][]pimentoregister.DomainName
 	// firstReadAt is the time since startedAt after which the platform is read if no
 	// items were received.
 	firstReadAt time.Duration
@@ -95,6 +98,7 @@
 	g := &Gate{
 		settings:   s,
 		region:     s.Region(),
+		domains:    domainsByDistance(s.Regions, s.Domain),
 		dialect:    p.Dialect,
 		decode:     p.Decode,
 		source:     p.Source,
--- a/pimentoroute/change.go
+++ b/pimentoroute/change.go
@@ -13,7 +13,7 @@
 type Change struct{ Old, New *Target }
 
 // With returns a table with changed targets, which is otherwise the same as t. Its cost is
-// that of copying the lists of the services concerned, without their targets.
+// that of copying the lists of the services concerned, but not their targets.
 func (t *Table) With(changes []Change, regions map[pimentoregister.DomainName]pimentoregister.RegionName) *Table {
 	next := *t
 	next.Targets = maps.Clone(t.Targets)
@@ -36,6 +36,13 @@
 			next.setList(c.New.Service, withTarget(list(c.New.Service), placed))
 		}
 	}
+	next.domains = maps.Clone(t.domains)
+	for name := range copied {
+		delete(next.domains, name)
+		if targets := next.Targets[name]; len(targets) > 0 {
+			next.domains[name] = splitByDomain(targets)
+		}
+	}
 	next.targetCount = 0
 	for _, targets := range next.Targets {
 		next.targetCount += len(targets)
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -141,10 +141,29 @@
 	// OutDomains are the failure domains that are out of service.
 	OutDomains map[pimentoregister.DomainName]bool
 
+	// domains has the lists of Targets split by domain.
+	domains      map[pimentoregister.ServiceName]domainLists
 	routesByHost map[string][]*Route // Longest prefix first.
 	targetCount  int
 }
 
+// domainLists has the targets of one service by domain, sorted by ID.
+type domainLists map[pimentoregister.DomainName][]*Target
+
+// InDomain returns the targets of a service in a domain, sorted by ID.
+func (t *Table) InDomain(service pimentoregister.ServiceName, domain pimentoregister.DomainName) []*Target {
+	return t.domains[service][domain]
+}
+
+// splitByDomain returns the lists by domain of targets sorted by ID.
+func splitByDomain(list []*Target) domainLists {
+	lists := make(domainLists)
+	for _, tg := range list {
+		lists[tg.Domain] = append(lists[tg.Domain], tg)
+	}
+	return lists
+}
+
 // TargetCount returns the number of targets in service.
 func (t *Table) TargetCount() int { return t.targetCount }
 
@@ -154,6 +173,7 @@
 	t := &Table{
 		Targets:      make(map[pimentoregister.ServiceName][]*Target),
 		OutDomains:   make(map[pimentoregister.DomainName]bool),
+		domains:      make(map[pimentoregister.ServiceName]domainLists),
 		routesByHost: make(map[string][]*Route),
 	}
 	for _, r := range records {
@@ -169,8 +189,9 @@
 			t.addTarget(r.Target, regions)
 		}
 	}
-	for _, list := range t.Targets {
+	for name, list := range t.Targets {
 		slices.SortFunc(list, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+		t.domains[name] = splitByDomain(list)
 	}
 	if t.Config != nil {
 		t.indexRoutes()
