pimentoload: urgent requests and new ones first where targets are crowded

Priority decided nothing, and of three attempts of a refused caller the late ones took the places of new requests.

Now decisions stand in a package without I/O, clock or random numbers: a Curve learns how much longer requests take beside others, and from which number on a target serves no more; Decide lets urgent requests crowd a target, makes others wait for room, and leaves room to requests that are still new; Repeats recognises what was sent before by the caller's remaining time; ReturnAfter spreads callers over the time in which they follow a Retry-After, and lets them return at once where targets with room refused.

--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -29,6 +29,8 @@
 	table    *pimentoroute.Table
 	route    *pimentoroute.Route
 	service  *pimentoroute.Service
+	urgent   bool      // Requests to the service with a lower priority came lately.
+	repeat   bool      // Its caller has probably sent it before.
 	deadline time.Time // When the final response is due.
 
 	tried         []pimentoroute.TargetID
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pimentoarch/pimentoload"
 	"pimentoarch/pimentoroute"
 	"pimentoarch/pimentotarget"
 )
@@ -22,9 +23,9 @@
 			return nil, why
 		}
 		switch g.decide(c, best) {
-		case decisionSend:
+		case pimentoload.Send:
 			return best, reasonNone
-		case decisionRefuse:
+		case pimentoload.Refuse:
 			best.releaseIfAny()
 			return nil, reasonBusy
 		}
@@ -42,51 +43,23 @@
 	// enough. It doubles up to maxWait.
 	firstWait = 25 * time.Millisecond
 	maxWait   = 100 * time.Millisecond
-	// refuseFraction is the fraction of the objective after which a request is
-	// refused if queueing at its target would make it late: its caller gets a quick
-	// refusal, and requests that can still be in time don't queue behind it.
-	refuseFraction = 0.125
-	// waitFraction is the fraction of the objective for which a request waits for a
-	// target that responds in time, and slowWaitFraction for one that isn't slow.
-	waitFraction     = 0.5
-	slowWaitFraction = 0.7
-	// slowFactor times the result of usualWork is the expected time above which a
-	// target counts as slow.
-	slowFactor = 3
 )
 
-// decision is what to do with a request, given its best target at the moment.
-type decision uint8
-
-const (
-	decisionSend decision = iota
-	decisionWait
-	decisionRefuse
-)
-
-// decide compares the time that the request has left with the expected time of its
-// best target. cand is nil if no target reported its load in time, or none that did
-// may be used at the moment.
-func (g *Gate) decide(c *call, cand *candidate) decision {
-	elapsed := time.Since(c.received)
-	within := func(fraction float64) bool { return elapsed < time.Duration(fraction*float64(c.route.Objective)) }
-	switch {
-	case (cand == nil || elapsed+cand.expected > c.route.Objective) && g.traffic.overloaded(c.serviceName()):
-		return decisionRefuse
-	case cand == nil && within(waitFraction):
-		return decisionWait
-	case cand == nil:
-		return decisionRefuse
-	case elapsed+cand.expected <= c.route.Objective:
-		return decisionSend
-	case cand.queued && !within(refuseFraction):
-		return decisionRefuse
-	case within(waitFraction):
-		return decisionWait
-	case cand.expected > slowFactor*g.usualWork(c) && within(slowWaitFraction):
-		return decisionWait
+// decide returns what to do with a request, given its best target at the moment. cand is nil
+// if no target reported its load in time, or none that did may be used at the moment.
+func (g *Gate) decide(c *call, cand *candidate) pimentoload.Decision {
+	r := pimentoload.Request{
+		Waited:     time.Since(c.received),
+		Objective:  c.route.Objective,
+		Usual:      g.usualWork(c),
+		Urgent:     c.urgent,
+		Repeat:     c.repeat,
+		Overloaded: g.traffic.overloaded(c.serviceName()),
+	}
+	if cand == nil {
+		return pimentoload.Decide(r, nil)
 	}
-	return decisionSend
+	return pimentoload.Decide(r, &pimentoload.Offer{Expected: cand.expected, Queued: cand.queued, Idle: cand.idle, Room: cand.room})
 }
 
 // probeNearest probes targets in rounds, nearest first, and returns the best one,
--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -6,8 +6,7 @@
 	"pimentoarch/pimentoroute"
 )
 
-// estimate sets expected, byteCost, queued and cold of a candidate from its report,
-// and updates the target's cold state.
+// estimate sets what follows from a candidate's report, and updates the target's cold state.
 func (g *Gate) estimate(c *call, cand *candidate) {
 	now := g.now()
 	ts := &g.traffic
@@ -28,14 +27,11 @@
 	if cand.report.Slots == 0 {
 		slots = max(1, cand.target.Slots)
 	}
-	w := ts.routeWork(c.route)
+	w, curve := ts.routeWork(c.route), ts.curve(c.serviceName())
 	expected := g.roundTrip(cand.target)
 	cand.byteCost = g.byteCostOf(w, cand.target)
-	workTime := w.alone
-	if running > 0 {
-		workTime = w.concurrent
-	}
-	workTime = workTime * time.Duration(max(1, cand.report.Slowdown)) / 100
+	alone := float64(w.alone) * float64(max(1, cand.report.Slowdown)) / 100
+	workTime := time.Duration(alone * curve.Ratio(min(running, slots-1)))
 	expected += workTime
 	if limit := ts.fullQueues[c.serviceName()]; limit > 0 && cand.report.Waiting+s.sentSinceReport >= limit {
 		expected += fullQueuePenalty
@@ -43,6 +39,11 @@
 	if cand.queued = running >= slots; cand.queued {
 		expected += workTime * time.Duration(cand.report.Waiting+running-slots+1) / time.Duration(slots)
 	}
+	cand.idle, cand.room = running == 0, curve.Knee(slots)-running
+	cand.crowdCost = 0
+	if cand.room <= 0 {
+		cand.crowdCost = time.Duration(alone * float64(min(running, slots)) * (curve.Ratio(slots-1) - 1) / 2)
+	}
 	expected += time.Duration(float64(s.failureRate) * float64(failurePenalty))
 	if !cand.report.Healthy {
 		expected += unhealthyPenalty
@@ -50,6 +51,23 @@
 	cand.expected = expected
 }
 
+// recordReport updates a target's last load report with the one in its response to a
+// request, which doesn't say whether the target is healthy or cold.
+func (g *Gate) recordReport(tg *pimentoroute.Target, r LoadReport) {
+	if r.Slots == 0 {
+		return
+	}
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	s := ts.target(tg.ID)
+	if !s.hasReport {
+		return
+	}
+	s.report.Running, s.report.Waiting, s.report.Slots, s.report.Slowdown = r.Running, r.Waiting, r.Slots, r.Slowdown
+	s.reportedAt, s.sentSinceReport = g.now()-g.roundTrip(tg)/2, 0
+}
+
 // distance says how far away a target is.
 type distance uint8
 
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -111,8 +111,9 @@
 	switch s.outcome {
 	case outcomeResponse:
 		if r := &s.candidate.report; r.Slowdown <= calmSlowdown && r.Running < r.Slots {
-			g.traffic.recordLatency(c.route, time.Since(s.started)-g.roundTrip(tg), r.Running, len(s.exchange.Resp.Body()))
+			g.traffic.recordLatency(c.route, c.serviceName(), time.Since(s.started)-g.roundTrip(tg), r.Running, len(s.exchange.Resp.Body()))
 		}
+		g.recordReport(tg, g.dialect.ParseReport(s.exchange.Resp))
 		g.clearQuarantine(c)
 	case outcomeNotExecuted:
 		g.traffic.recordFullQueue(c.serviceName(), g.dialect.ParseReport(s.exchange.Resp))
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -38,14 +38,17 @@
 	reportedAt time.Time // When the report arrived.
 	cold       bool
 	queued     bool // All its slots are taken.
-	// expected is the time until the response, and byteCost the transfer cost of
-	// the response, expressed as a time.
-	expected, byteCost time.Duration
-	err                error
+	idle       bool // It runs nothing.
+	room       int  // See pimentoload.Offer.
+	// expected is the time until the response, byteCost the transfer cost of the
+	// response, expressed as a time, and crowdCost the delay of the requests that run at a
+	// crowded target.
+	expected, byteCost, crowdCost time.Duration
+	err                           error
 }
 
 // score is what candidates are compared by; lower is better.
-func (cand *candidate) score() time.Duration { return cand.expected + cand.byteCost }
+func (cand *candidate) score() time.Duration { return cand.expected + cand.byteCost + cand.crowdCost }
 
 // release gives the connection of an unused candidate back to the pool, or discards it
 // if it isn't reusable.
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -30,6 +30,10 @@
 	reasonUnread       reason = "unread"       // Unused: such requests get no response.
 )
 
+// retryNotExecuted is the reason of a retry after a target's statement that it didn't
+// execute the request.
+const retryNotExecuted reason = "notrun"
+
 // response is what a caller receives: a target's response, or one of this entry's own.
 type response struct {
 	http *fasthttp.Response
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentohttp"
+	"pimentoarch/pimentoload"
 	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
 )
@@ -116,7 +118,7 @@
 		*failed = s
 		return nil, true
 	case outcomeNotExecuted:
-		c.retryReason = "notrun"
+		c.retryReason = retryNotExecuted
 		return nil, true
 	case outcomeUnsent:
 		c.retryReason = "unsent"
@@ -145,11 +147,22 @@
 	if why == reasonStopping {
 		return g.refusal(c, why, retryAfterStop)
 	}
-	retryAfter := retryAfterBusy
-	if g.traffic.overloaded(c.serviceName()) {
-		retryAfter = retryAfterOverload
+	return g.refusal(c, why, g.returnAfter(c, why))
+}
+
+// returnAfter returns the time after which the caller of a refused request is to return.
+func (g *Gate) returnAfter(c *call, why reason) time.Duration {
+	left := time.Until(c.callerDeadline)
+	if c.callerDeadline.IsZero() {
+		left = c.route.Timeout
 	}
-	return g.refusal(c, why, retryAfter/2+randomUpTo(retryAfter))
+	shed := (why == reasonBudget || why == reasonAttempts) && c.retryReason == retryNotExecuted && c.lastCandidate.room > 0
+	ts := &g.traffic
+	ts.mu.Lock()
+	pressure := ts.pressure(c.serviceName())
+	ts.mu.Unlock()
+	r := pimentoload.Refusal{Left: left, Pressure: pressure, Urgent: c.urgent, Shed: shed}
+	return r.ReturnAfter(rand.Float64())
 }
 
 // forwardResponse returns a target's response for the caller.
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -42,6 +42,9 @@
 		fields = append(fields, "service", c.serviceName(), "config", c.table.Config.Version)
 	}
 	fields = append(fields, "sends", c.sends, "ms", took.Milliseconds())
+	if c.sends > 0 {
+		fields = append(fields, "waited_ms", c.lastSentAt.Sub(c.received).Milliseconds())
+	}
 	g.logLine(severity, append(fields, c.candidateFields()...)...)
 }
 
@@ -91,7 +94,9 @@
 		return g.refusal(c, reasonCrash, 0)
 	}
 	g.countRequest(c)
-	return g.sendWithRetries(c)
+	resp := g.sendWithRetries(c)
+	g.traffic.recordEnd(c.serviceName(), resp.reason != reasonNone && !c.mayHaveRun)
+	return resp
 }
 
 // configWait is the time for which a request waits for the first configuration of
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"pimentoarch/pimentoload"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
@@ -17,9 +18,14 @@
 	mu          sync.Mutex // Guards the fields below.
 	splits      map[pimentoroute.RouteName]*pimentoroute.Splitter
 	workByRoute map[pimentoroute.RouteName]*workStats
-	targets     map[pimentoroute.TargetID]*targetState
-	retries     map[pimentoregister.ServiceName]*pimentoretry.Allowance
-	quarantine  pimentoretry.Quarantine
+	repeats     map[pimentoroute.RouteName]*pimentoload.Repeats
+	// refused has the moving average of requests to each service that this entry refused.
+	refused    map[pimentoregister.ServiceName]*movingRate
+	curves     map[pimentoregister.ServiceName]*pimentoload.Curve
+	urgency    map[pimentoregister.ServiceName]*pimentoload.Urgency
+	targets    map[pimentoroute.TargetID]*targetState
+	retries    map[pimentoregister.ServiceName]*pimentoretry.Allowance
+	quarantine pimentoretry.Quarantine
 	// probes is this entry's share of the probe budget for all targets.
 	probes pimentoretry.Allowance
 	// fullQueues has the longest queue of each service at which a target refused a
@@ -30,20 +36,20 @@
 	refusalRates map[pimentoregister.ServiceName]*movingRate
 }
 
-// workStats has the usual time that a target works on a route's requests, alone or
-// with others running beside them. The times are running medians, which a few very
-// slow responses don't move.
+// workStats has the usual time that a target works on a route's requests if nothing runs
+// beside them. It is a running median, which a few very slow responses don't move.
 type workStats struct {
-	alone, concurrent time.Duration
-	meanBytes         float64 // Mean response size.
+	alone     time.Duration
+	meanBytes float64 // Mean response size.
 }
 
 const (
 	// initialWorkFraction is the fraction of the objective that the work is assumed to
-	// take until it was measured, and concurrentFactor how many times longer it
-	// takes beside other requests.
+	// take until it was measured.
 	initialWorkFraction = 0.38
-	concurrentFactor    = 1.25
+	// maxAloneRatio is the ratio of a service's curve up to which requests count as running
+	// alone.
+	maxAloneRatio = 1.15
 	// medianStep is the fraction by which a median moves with each measurement.
 	medianStep = 0.04
 	// bytesWeight is the weight of one response's size in the mean.
@@ -63,8 +69,7 @@
 	}
 	w := ts.workByRoute[r.Name]
 	if w == nil {
-		first := time.Duration(initialWorkFraction * float64(r.Objective))
-		w = &workStats{alone: first, concurrent: time.Duration(concurrentFactor * float64(first))}
+		w = &workStats{alone: time.Duration(initialWorkFraction * float64(r.Objective))}
 		ts.workByRoute[r.Name] = w
 	}
 	return w
@@ -103,13 +108,9 @@
 	failureWeight = 0.25
 )
 
-const (
-	// retryAfterBusy is the Retry-After time of refusals, and retryAfterOverload
-	// that while the service is overloaded. failRequest varies them at random, by a
-	// factor from 0.5 to 1.5.
-	retryAfterBusy     = 120 * time.Millisecond
-	retryAfterOverload = 400 * time.Millisecond
-)
+// retryAfterBusy is the Retry-After time of requests that didn't get as far as a choice of
+// target.
+const retryAfterBusy = 120 * time.Millisecond
 
 // target returns the state of a target. It is called with mu held.
 func (ts *trafficStats) target(id pimentoroute.TargetID) *targetState {
@@ -149,6 +150,21 @@
 			delete(ts.refusalRates, name)
 		}
 	}
+	for name := range ts.curves {
+		if t.Targets[name] == nil {
+			delete(ts.curves, name)
+		}
+	}
+	for name := range ts.refused {
+		if t.Targets[name] == nil {
+			delete(ts.refused, name)
+		}
+	}
+	for name := range ts.urgency {
+		if t.Targets[name] == nil {
+			delete(ts.urgency, name)
+		}
+	}
 	for name := range ts.fullQueues {
 		if t.Targets[name] == nil {
 			delete(ts.fullQueues, name)
@@ -166,6 +182,11 @@
 			delete(ts.splits, name)
 		}
 	}
+	for name := range ts.repeats {
+		if !routes[name] {
+			delete(ts.repeats, name)
+		}
+	}
 	for name := range ts.workByRoute {
 		if !routes[name] {
 			delete(ts.workByRoute, name)
@@ -190,27 +211,98 @@
 	return s.Next(r.Parts)
 }
 
-// recordLatency updates a route's work statistics with one response. concurrent is
-// the number of other requests that ran at the target when it was chosen.
+// recordLatency updates a route's work statistics and the service's curve with one response.
+// others is the number of other requests that ran at the target when it was chosen.
 // recordOutcome leaves out targets that were slowed down or full at that time.
-func (ts *trafficStats) recordLatency(r *pimentoroute.Route, took time.Duration, concurrent, bytes int) {
+func (ts *trafficStats) recordLatency(r *pimentoroute.Route, s pimentoregister.ServiceName, took time.Duration, others, bytes int) {
 	if took < minWork {
 		return
 	}
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	w := ts.routeWork(r)
+	w, curve := ts.routeWork(r), ts.curve(s)
 	w.meanBytes += bytesWeight * (float64(bytes) - w.meanBytes)
-	median := &w.alone
-	if concurrent > 0 {
-		median = &w.concurrent
+	curve.Observe(others, float64(took)/float64(w.alone))
+	if others > 0 && curve.Ratio(others) > maxAloneRatio {
+		return
 	}
-	step := time.Duration(medianStep * float64(*median))
-	if took < *median {
+	step := time.Duration(medianStep * float64(w.alone))
+	if took < w.alone {
 		step = -step
 	}
-	*median += step
-	w.concurrent = max(w.concurrent, w.alone)
+	w.alone += step
+}
+
+// urgencyOf returns the urgency of a service's requests. It is called with mu held.
+func (ts *trafficStats) urgencyOf(s pimentoregister.ServiceName) *pimentoload.Urgency {
+	if ts.urgency == nil {
+		ts.urgency = make(map[pimentoregister.ServiceName]*pimentoload.Urgency)
+	}
+	u := ts.urgency[s]
+	if u == nil {
+		u = new(pimentoload.Urgency)
+		ts.urgency[s] = u
+	}
+	return u
+}
+
+// repeatsOf returns what is known about a route's requests that are sent again. It is
+// called with mu held.
+func (ts *trafficStats) repeatsOf(r pimentoroute.RouteName) *pimentoload.Repeats {
+	if ts.repeats == nil {
+		ts.repeats = make(map[pimentoroute.RouteName]*pimentoload.Repeats)
+	}
+	p := ts.repeats[r]
+	if p == nil {
+		p = new(pimentoload.Repeats)
+		ts.repeats[r] = p
+	}
+	return p
+}
+
+const (
+	// pressureWeight is the weight of one request in a service's refusal rate by this
+	// entry.
+	pressureWeight = 0.04
+	// calmPressure is that rate below which hardly any requests are refused.
+	calmPressure = 0.02
+)
+
+// recordEnd records whether this entry refused a request to a service.
+func (ts *trafficStats) recordEnd(s pimentoregister.ServiceName, refused bool) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if ts.refused == nil {
+		ts.refused = make(map[pimentoregister.ServiceName]*movingRate)
+	}
+	r := ts.refused[s]
+	if r == nil {
+		r = new(movingRate)
+		ts.refused[s] = r
+	}
+	r.observe(refused, pressureWeight)
+}
+
+// pressure returns the fraction of the last requests to a service that this entry refused.
+// It is called with mu held.
+func (ts *trafficStats) pressure(s pimentoregister.ServiceName) float64 {
+	if r := ts.refused[s]; r != nil {
+		return float64(*r)
+	}
+	return 0
+}
+
+// curve returns the curve of a service. It is called with mu held.
+func (ts *trafficStats) curve(s pimentoregister.ServiceName) *pimentoload.Curve {
+	if ts.curves == nil {
+		ts.curves = make(map[pimentoregister.ServiceName]*pimentoload.Curve)
+	}
+	c := ts.curves[s]
+	if c == nil {
+		c = new(pimentoload.Curve)
+		ts.curves[s] = c
+	}
+	return c
 }
 
 // spendRetry takes one retry from this entry's share for a service.
@@ -229,12 +321,19 @@
 	g.retryAllowance(c.serviceName()).Refund()
 }
 
-// countRequest counts a request towards the retry allowance, before its first send.
+// countRequest counts a request towards the retry allowance, before its first send, and
+// determines whether it is urgent and
+// whether it was sent before.
 func (g *Gate) countRequest(c *call) {
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	g.retryAllowance(c.serviceName()).Earn(g.now())
+	c.urgent = ts.urgencyOf(c.serviceName()).IsUrgent(g.now(), c.route.Priority)
+	if !c.callerDeadline.IsZero() {
+		calm := ts.pressure(c.serviceName()) < calmPressure
+		c.repeat = ts.repeatsOf(c.route.Name).IsRepeat(c.callerDeadline.Sub(c.received), calm)
+	}
 }
 
 // retryLimitFraction is the fraction of the retry limit that is used, because member
--- /dev/null
+++ b/pimentoload/decide.go
@@ -0,0 +1,111 @@
+package pimentoload
+
+import "time"
+
+// Decision is what to do with a request.
+type Decision uint8
+
+const (
+	Send   Decision = iota // To the best target.
+	Wait                   // And look for a better target.
+	Refuse                 // As not executed.
+)
+
+// Request is what is known about a request that is to be sent.
+type Request struct {
+	Waited    time.Duration // Since it was received.
+	Objective time.Duration // Within which a response has its full value.
+	Usual     time.Duration // The usual work time of such requests at an idle target.
+	// Urgent is set if requests with a lower priority came to the service lately.
+	Urgent bool
+	// Repeat is set if its caller has probably sent it before, so that it is late.
+	Repeat bool
+	// Overloaded is set while the service's targets refuse many requests.
+	Overloaded bool
+}
+
+// Offer is what the best target found offers.
+type Offer struct {
+	Expected time.Duration // Until the response.
+	Queued   bool          // The request would wait at the target: all its slots are taken.
+	Idle     bool          // The target runs nothing.
+	// Room is the number of requests that the target can run besides those that it runs,
+	// without serving fewer in all. It may be negative.
+	Room int
+}
+
+const (
+	// refuseFraction is the fraction of the objective after which a request is
+	// refused if queueing at its target would make it late: its caller gets a quick
+	// refusal, and requests that can still be in time don't queue behind it.
+	refuseFraction = 0.125
+	// waitFraction is the fraction of the objective for which a request waits for a
+	// target that responds in time, and slowWaitFraction for one that isn't slow.
+	waitFraction     = 0.5
+	slowWaitFraction = 0.7
+	// crowdWaitFraction is the fraction of the objective for which a request waits for a
+	// target that has room for it.
+	crowdWaitFraction = 0.4
+	// slowFactor times the usual work time is the expected time above which a target
+	// counts as slow.
+	slowFactor = 3
+)
+
+// Decide compares the time that a request has left with what its best target offers. offer
+// is nil if no target reported its load in time, or none that did may be used at the
+// moment.
+//
+// A request that would crowd a target waits, although it would be in time itself, because
+// it would delay those that run there. After a while it is refused, so that a load above
+// what the targets can serve makes some requests fail and not all of them late. Urgent
+// requests crowd targets, and requests that will be late leave room for those that can be
+// in time.
+func Decide(r Request, offer *Offer) Decision {
+	within := func(fraction float64) bool { return r.Waited < time.Duration(fraction*float64(r.Objective)) }
+	if offer == nil {
+		if r.Overloaded || !within(waitFraction) {
+			return Refuse
+		}
+		return Wait
+	}
+	inTime := !r.Repeat && r.Waited+offer.Expected <= r.Objective
+	hasRoom := offer.Idle || offer.Room >= r.neededRoom(inTime)
+	switch {
+	case inTime && hasRoom:
+		return Send
+	case !inTime && r.Overloaded:
+		return Refuse
+	case !hasRoom && within(crowdWaitFraction):
+		return Wait
+	case !hasRoom:
+		return Refuse
+	case offer.Queued && !within(refuseFraction):
+		return Refuse
+	case within(waitFraction):
+		return Wait
+	case offer.Expected > slowFactor*r.Usual && within(slowWaitFraction):
+		return Wait
+	}
+	return Send
+}
+
+// Numbers of requests for which a target must have room.
+const (
+	urgentRoom  = -1 << 30 // None: urgent requests crowd targets.
+	inTimeRoom  = 1
+	lateRoom    = 2
+	urgentsLate = 1
+)
+
+// neededRoom returns the number of requests for which a target must have room.
+func (r *Request) neededRoom(inTime bool) int {
+	switch {
+	case inTime && r.Urgent:
+		return urgentRoom
+	case inTime:
+		return inTimeRoom
+	case r.Urgent:
+		return urgentsLate
+	}
+	return lateRoom
+}
