--- a/pimentoretry/allowance_test.go
+++ b/pimentoretry/allowance_test.go
@@ -66,3 +66,47 @@
 		}
 	})
 }
+
+// In a large fleet, whose entries have less than one request of the fixed number each, all
+// retries together stay within the limit from the start on, and most of it can be used.
+func TestSmallAllowances(t *testing.T) {
+	const (
+		ratio    = 0.2
+		fixed    = 630.0
+		window   = 10 * time.Second
+		length   = 3 * window
+		interval = 250 * time.Millisecond // Between two requests at one entry.
+	)
+	for _, entries := range []int{472, 1546} {
+		shares := make([]Allowance, entries)
+		for i := range shares {
+			shares[i] = Allowance{Ratio: ratio, Fixed: fixed / float64(entries), Window: window}
+		}
+		retries := make([]int, length/interval)
+		for step := range retries {
+			now := time.Duration(step) * interval
+			for i := range shares {
+				shares[i].Earn(now)
+				if shares[i].Spend(now) {
+					retries[step]++
+				}
+			}
+		}
+		perWindow := int(window / interval)
+		limit := ratio*float64(entries*perWindow) + fixed
+		for end := perWindow; end <= len(retries); end++ {
+			n := 0
+			for _, k := range retries[end-perWindow : end] {
+				n += k
+			}
+			if float64(n) > limit || float64(n) < limit/2 {
+				t.Errorf("%d entries: %d retries in a window, the limit is %.0f", entries, n, limit)
+			}
+		}
+		for step, n := range retries[:4] { // Before first requests have earned any.
+			if total := ratio*float64((step+1)*entries) + fixed; float64(n) > total {
+				t.Errorf("%d entries: %d retries in step %d, the limit is %.0f", entries, n, step, total)
+			}
+		}
+	}
+}
