pimentotarget: which entries may warm a target up differs by target

Cause: with more entries in a domain than requests that a cold target bears in a second, the first entries by name had one request each of every cold target, the others none of any. At 52 entries a domain and a limit of 16, 36 entries could send to no cold target of theirs, and with apertures those 16 don't prefer most of them, so that targets that had just started got hardly any requests.

Now each entry ranks itself among the entries of its domain anew for each target, by a hash of both names. The sum stays within the limit as before, also while lists of members differ by as many entries as before.

Test: TestColdSharesAreSpread, 13 to 172 entries; by the old rank 166 of 172 had a share of no target at a limit of 6 (the limit is a quarter). The test of the limit itself holds with the new rank.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -168,7 +168,7 @@
 // admitCold counts one request against this entry's share of a cold target's limit.
 // It reports false if the share is used up.
 func (g *Gate) admitCold(c *call, cand *candidate) bool {
-	share := g.coldShare(c.service)
+	share := g.coldShare(c.service, cand.target)
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
@@ -182,13 +182,13 @@
 
 // coldShare returns the requests per second that this entry may send to a cold target
 // of its domain. It is 0 while the size of the domain is unknown.
-func (g *Gate) coldShare(s *pimentoroute.Service) int {
-	entries, rank := int(g.domainSize.Load()), int(g.domainRank.Load())
+func (g *Gate) coldShare(s *pimentoroute.Service, tg *pimentoroute.Target) int {
+	entries := int(g.domainSize.Load())
 	if entries == 0 {
 		return 0
 	}
 	limit := (s.ColdRate*g.settings.ColdRateFactor + g.settings.ColdRateExtra) * coldLimitFraction
-	return pimentotarget.ColdShare(limit, entries, rank)
+	return pimentotarget.ColdShare(limit, entries, pimentotarget.ColdRank(string(tg.ID), *g.domainNames.Load(), g.settings.Name))
 }
 
 // serviceTargets returns the published targets of the request's service.
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -11,6 +11,7 @@
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
 )
 
 // clusterState is the state that entries exchange: published items and members.
@@ -25,6 +26,8 @@
 	// loggedChanges is the number of changes of members' records up to which
 	// presentRuns is complete.
 	loggedChanges uint64
+	// sharedChanges is the number of changes that this entry's shares of limits follow.
+	sharedChanges uint64
 	members       *pimentopeer.GossipMembership
 	readPolicy    pimentofeed.ReadPolicy
 	readings      map[uint64]reading // The last reading of each entry, by its run ID.
@@ -300,14 +303,26 @@
 		g.clusterSize.Store(live)
 		g.limitConns(g.table.Load())
 	}
-	domain := cs.members.DomainMembers(g.settings.Domain)
-	if rank, ok := pimentopeer.Rank(domain, g.settings.Name); ok {
-		g.domainRank.Store(int64(rank))
-		g.domainLive.Store(int64(len(domain)))
+	if cs.members.Changes() != cs.sharedChanges || g.domainNames.Load() == nil {
+		cs.sharedChanges = cs.members.Changes()
+		g.updateDomain(cs.members.DomainMembers(g.settings.Domain))
 	}
 	g.domainSize.Store(int64(cs.members.PeakDomainSize() + 1))
 }
 
+// updateDomain updates what is known about the entries of this entry's domain.
+func (g *Gate) updateDomain(members []pimentopeer.Member) {
+	names := make([]pimentotarget.EntryName, len(members))
+	for i := range members {
+		names[i] = members[i].Name
+	}
+	g.domainNames.Store(&names)
+	if rank, ok := pimentopeer.Rank(members, g.settings.Name); ok {
+		g.domainRank.Store(int64(rank))
+		g.domainLive.Store(int64(len(members)))
+	}
+}
+
 // expireCrashes drops crashes that no longer count.
 func (g *Gate) expireCrashes(now time.Duration) {
 	ts := &g.traffic
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -21,6 +21,7 @@
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
 )
 
 // PlatformAdapter is what a Gate needs of its platform.
@@ -64,6 +65,8 @@
 	domainSize atomic.Int64
 	domainRank atomic.Int64 // This entry's index in its domain, sorted by name.
 	domainLive atomic.Int64 // Entries of its domain that aren't down; 0 while unknown.
+	// domainNames are the names of those entries, nil while unknown.
+	domainNames atomic.Pointer[[]pimentotarget.EntryName]
 	// domains are the domains at each distance.
 	domains [otherRegion + 1][]pimentoregister.DomainName
 	// firstReadAt is the time since startedAt after which the platform is read if no
--- a/pimentotarget/cold_test.go
+++ b/pimentotarget/cold_test.go
@@ -1,6 +1,7 @@
 package pimentotarget
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -14,6 +15,10 @@
 		limit := rapid.Float64Range(0, 30).Draw(t, "limit")
 		entries := rapid.IntRange(1, 8).Draw(t, "entries")
 		limiters := make([]ColdLimiter, entries)
+		names := make([]EntryName, entries)
+		for i := range names {
+			names[i] = EntryName(fmt.Sprint("e", i))
+		}
 		counted := make([]int, entries)
 		for i := range counted {
 			counted[i] = entries + rapid.IntRange(0, 2).Draw(t, "more")
@@ -23,7 +28,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
 			i := rapid.IntRange(0, entries-1).Draw(t, "entry")
-			if limiters[i].Allow(now, ColdShare(limit, counted[i], i)) {
+			if limiters[i].Allow(now, ColdShare(limit, counted[i], ColdRank("t", names, names[i]))) {
 				sent = append(sent, now)
 			}
 		}
@@ -40,3 +45,38 @@
 		}
 	})
 }
+
+// In a domain with more entries than requests for a cold target, each target gets its whole
+// limit, and most entries have a share of some targets.
+func TestColdSharesAreSpread(t *testing.T) {
+	const targets = 70
+	for _, entries := range []int{13, 52, 172} {
+		for _, limit := range []float64{6, 12, 16} {
+			names := make([]EntryName, entries)
+			for i := range names {
+				names[i] = EntryName(fmt.Sprint("e", i))
+			}
+			shares := make([]int, entries)
+			for tg := range targets {
+				sum := 0
+				for i, name := range names {
+					share := ColdShare(limit, entries, ColdRank(fmt.Sprint("t", tg), names, name))
+					sum += share
+					shares[i] += share
+				}
+				if sum > int(limit) || sum < int(limit)-entries+1 {
+					t.Errorf("%d entries: shares of a target add up to %d, the limit is %.0f", entries, sum, limit)
+				}
+			}
+			without := 0
+			for _, n := range shares {
+				if n == 0 {
+					without++
+				}
+			}
+			if without > entries/4 {
+				t.Errorf("limit %.0f: %d of %d entries have a share of no target", limit, without, entries)
+			}
+		}
+	}
+}
