pimentoload: room at targets counts while many requests are refused

Cause: the wait for room is a pause between two rounds of probes, so that places stay free meanwhile, and with seven near targets of three slots, chance alone often leaves none with room. At such a load crowding makes hardly any request late.

Now the rule applies while more than a tenth of the requests are refused. Queues at targets, whose length the curve now shows as it is, are given up from 1.3 times the objective on, as they were in effect before.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -54,6 +54,7 @@
 		Usual:      g.usualWork(c),
 		Urgent:     c.urgent,
 		Repeat:     c.repeat,
+		Pressure:   g.traffic.pressureOn(c.serviceName()),
 		Overloaded: g.traffic.overloaded(c.serviceName()),
 	}
 	if cand == nil {
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -283,6 +283,13 @@
 	r.observe(refused, pressureWeight)
 }
 
+// pressureOn returns the same as pressure.
+func (ts *trafficStats) pressureOn(s pimentoregister.ServiceName) float64 {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.pressure(s)
+}
+
 // pressure returns the fraction of the last requests to a service that this entry refused.
 // It is called with mu held.
 func (ts *trafficStats) pressure(s pimentoregister.ServiceName) float64 {
--- a/pimentoload/decide.go
+++ b/pimentoload/decide.go
@@ -20,6 +20,8 @@
 	Urgent bool
 	// Repeat is set if its caller has probably sent it before, so that it is late.
 	Repeat bool
+	// Pressure is the fraction of requests that the entry refuses at present.
+	Pressure float64
 	// Overloaded is set while the service's targets refuse many requests.
 	Overloaded bool
 }
@@ -36,9 +38,11 @@
 
 const (
 	// refuseFraction is the fraction of the objective after which a request is
-	// refused if queueing at its target would make it late: its caller gets a quick
-	// refusal, and requests that can still be in time don't queue behind it.
+	// refused if queueing at its target would make it late by more than queueLimit
+	// objectives after it came: its caller gets a quick refusal, and requests that can
+	// still be in time don't queue behind it.
 	refuseFraction = 0.125
+	queueLimit     = 1.3
 	// waitFraction is the fraction of the objective for which a request waits for a
 	// target that responds in time, and slowWaitFraction for one that isn't slow.
 	waitFraction     = 0.5
@@ -46,6 +50,8 @@
 	// crowdWaitFraction is the fraction of the objective for which a request waits for a
 	// target that has room for it.
 	crowdWaitFraction = 0.4
+	// highPressure is the pressure above which requests wait for targets with room.
+	highPressure = 0.1
 	// slowFactor times the usual work time is the expected time above which a target
 	// counts as slow.
 	slowFactor = 3
@@ -55,11 +61,12 @@
 // is nil if no target reported its load in time, or none that did may be used at the
 // moment.
 //
-// A request that would crowd a target waits, although it would be in time itself, because
-// it would delay those that run there. After a while it is refused, so that a load above
-// what the targets can serve makes some requests fail and not all of them late. Urgent
-// requests crowd targets, and requests that will be late leave room for those that can be
-// in time.
+// While many requests are refused, one that would crowd a target waits, although it would
+// be in time itself, because it would delay those that run there. After a while it is
+// refused, so that a load above what the targets can serve makes some requests fail and not
+// all of them late. Urgent requests crowd targets, and requests that will be late leave room
+// for those that can be in time. While few are refused, a crowded target is better than a
+// wait, since its delay rarely makes a request late.
 func Decide(r Request, offer *Offer) Decision {
 	within := func(fraction float64) bool { return r.Waited < time.Duration(fraction*float64(r.Objective)) }
 	if offer == nil {
@@ -68,18 +75,23 @@
 		}
 		return Wait
 	}
-	inTime := !r.Repeat && r.Waited+offer.Expected <= r.Objective
-	hasRoom := offer.Idle || offer.Room >= r.neededRoom(inTime)
+	inTime := r.Waited+offer.Expected <= r.Objective
+	if r.Pressure > highPressure {
+		switch hasRoom := offer.Idle || offer.Room >= r.neededRoom(inTime); {
+		case hasRoom && (inTime || r.Repeat):
+			return Send
+		case !hasRoom && within(crowdWaitFraction):
+			return Wait
+		case !hasRoom:
+			return Refuse
+		}
+	}
 	switch {
-	case inTime && hasRoom:
+	case inTime:
 		return Send
-	case !inTime && r.Overloaded:
-		return Refuse
-	case !hasRoom && within(crowdWaitFraction):
-		return Wait
-	case !hasRoom:
+	case r.Overloaded:
 		return Refuse
-	case offer.Queued && !within(refuseFraction):
+	case offer.Queued && r.Waited+offer.Expected > time.Duration(queueLimit*float64(r.Objective)) && !within(refuseFraction):
 		return Refuse
 	case within(waitFraction):
 		return Wait
@@ -99,6 +111,7 @@
 
 // neededRoom returns the number of requests for which a target must have room.
 func (r *Request) neededRoom(inTime bool) int {
+	inTime = inTime && !r.Repeat
 	switch {
 	case inTime && r.Urgent:
 		return urgentRoom
--- a/pimentoload/model_test.go
+++ b/pimentoload/model_test.go
@@ -29,6 +29,9 @@
 	// long.
 	knee       int
 	kneeFactor float64
+	// noise is the fraction of the time in which a target is slowed down by its
+	// neighbours, and noiseFactor how many times longer work takes then.
+	noise, noiseFactor float64
 	// shedding is the fraction of requests that targets refuse although they have room.
 	shedding float64
 	length   time.Duration
@@ -55,8 +58,9 @@
 
 // modelTarget is one target. Requests beyond its slots wait in order.
 type modelTarget struct {
-	running int
-	queue   []*modelRequest
+	running  int
+	queue    []*modelRequest
+	slowdown float64
 }
 
 // modelRequest is one request of a caller.
@@ -70,6 +74,7 @@
 	urgent   bool
 	others   int // That ran at the target when it was sent.
 	sentAt   time.Duration
+	calm     bool // The target wasn't slowed down.
 }
 
 const (
@@ -110,7 +115,9 @@
 func play(p loadPattern, seed uint64) []kindResult {
 	m := &model{pattern: p, rnd: rand.New(rand.NewPCG(seed, 1)), repeats: make([]Repeats, len(p.kinds)), results: make([]kindResult, len(p.kinds))}
 	for range p.targets {
-		m.targets = append(m.targets, new(modelTarget))
+		tg := new(modelTarget)
+		m.targets = append(m.targets, tg)
+		m.disturb(tg)
 	}
 	for k := range p.kinds {
 		m.arrive(k)
@@ -123,6 +130,20 @@
 	return m.results
 }
 
+// noiseInterval is the time for which a target is slowed down or not.
+const noiseInterval = 300 * time.Millisecond
+
+// disturb draws again and again whether a target is slowed down.
+func (m *model) disturb(tg *modelTarget) {
+	tg.slowdown = 1
+	if m.rnd.Float64() < m.pattern.noise {
+		tg.slowdown = m.pattern.noiseFactor
+	}
+	if m.now < calmTime+m.pattern.length {
+		m.after(noiseInterval, func() { m.disturb(tg) })
+	}
+}
+
 // arrive lets a request of a kind arrive, and the next one after it.
 func (m *model) arrive(kind int) {
 	k := m.pattern.kinds[kind]
@@ -155,7 +176,7 @@
 func (m *model) decide(r *modelRequest) {
 	k := m.pattern.kinds[r.kind]
 	tg, offer := m.best(k)
-	switch Decide(Request{Waited: m.now - r.received, Objective: k.objective, Usual: k.work, Urgent: r.urgent, Repeat: r.repeat}, offer) {
+	switch Decide(Request{Waited: m.now - r.received, Objective: k.objective, Usual: k.work, Urgent: r.urgent, Repeat: r.repeat, Pressure: m.refused}, offer) {
 	case Send:
 		m.send(r, tg)
 	case Wait:
@@ -169,10 +190,11 @@
 func (m *model) best(k requestKind) (*modelTarget, *Offer) {
 	var best *modelTarget
 	var bestOffer *Offer
+	var bestCost time.Duration
 	for range modelFanout {
 		tg := m.targets[m.rnd.IntN(len(m.targets))]
 		slots := m.pattern.slots
-		work := time.Duration(float64(k.work) * m.curve.Ratio(min(tg.running, slots-1)))
+		work := time.Duration(float64(k.work) * tg.slowdown * m.curve.Ratio(min(tg.running, slots-1)))
 		o := &Offer{Expected: work, Idle: tg.running == 0, Room: m.curve.Knee(slots) - tg.running, Queued: tg.running >= slots}
 		if o.Queued {
 			o.Expected += work * time.Duration(len(tg.queue)+1) / time.Duration(slots)
@@ -181,8 +203,12 @@
 		if m.pattern.withoutRoom {
 			o.Room = 1 << 20
 		}
-		if bestOffer == nil || o.Room > bestOffer.Room || (o.Room == bestOffer.Room && o.Expected < bestOffer.Expected) {
-			best, bestOffer = tg, o
+		cost := o.Expected
+		if o.Room <= 0 {
+			cost += time.Duration(float64(k.work) * tg.slowdown * float64(min(tg.running, slots)) * (m.curve.Ratio(slots-1) - 1) / 2)
+		}
+		if bestOffer == nil || cost < bestCost {
+			best, bestOffer, bestCost = tg, o, cost
 		}
 	}
 	return best, bestOffer
@@ -194,7 +220,7 @@
 		m.refuse(r, true)
 		return
 	}
-	r.others, r.sentAt = tg.running, m.now
+	r.others, r.sentAt, r.calm = tg.running, m.now, tg.slowdown == 1
 	if tg.running >= m.pattern.slots {
 		tg.queue = append(tg.queue, r)
 		return
@@ -204,7 +230,7 @@
 
 func (m *model) run(r *modelRequest, tg *modelTarget) {
 	tg.running++
-	work := float64(m.pattern.kinds[r.kind].work) * max(0.3, 1+workSpread*m.rnd.NormFloat64())
+	work := tg.slowdown * float64(m.pattern.kinds[r.kind].work) * max(0.3, 1+workSpread*m.rnd.NormFloat64())
 	if tg.running > m.pattern.knee {
 		work *= m.pattern.kneeFactor
 	}
@@ -222,7 +248,7 @@
 // end counts a response.
 func (m *model) end(r *modelRequest) {
 	k := m.pattern.kinds[r.kind]
-	if r.others < m.pattern.slots {
+	if r.others < m.pattern.slots && r.calm {
 		m.curve.Observe(r.others, float64(m.now-r.sentAt)/float64(k.work))
 	}
 	m.refused -= pressureWeight * m.refused
