pimentoentry: targets that ask for a pause get it

Callers of pimentoentry and their targets saw: a target that refused with 503 and Retry-After got the next request as soon as its backoff of one request's time had passed; when all did so, callers waited in the queue.

Now both processes keep what a target says about new requests in the same type, pimentotarget.Withdrawal: a refusal with Retry-After holds until its time has passed or the target's boot header changes, probes included; afterwards the target gets one request at a time for half a second, as after a failure. While all targets that the entry may send to are paused, requests are refused at once as not executed, also those that wait, with a Retry-After that tells when the first one returns. The header is parsed once, in pimentohttp, for both.

The other word, Connection: close, isn't taken as a withdrawal here: targets also send it without leaving, and the platform lists VMs that leave.

--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentohttp"
@@ -68,10 +69,31 @@
 	case c.info.IsRefusal(a.Resp.StatusCode()):
 		res = pimentotarget.ResultRefused
 	}
+	e.recordPause(c, a, bootID)
 	e.recordResult(c.service, a.target, a.sentAt, res, bootID)
 	e.quarantine.completed(a.fingerprint)
 }
 
+// recordPause records the pause that a target's refusal asks for.
+func (e *Entry) recordPause(c *call, a *attempt, bootID uint64) {
+	d, invalid := pimentohttp.RetryAfter(a.Resp)
+	if invalid != "" {
+		e.counters.pausesIgnored.Inc()
+		_ = level.Warn(e.log).Log("msg", "invalid pause ignored", "target", a.target.Name, "value", invalid)
+	}
+	if d <= 0 {
+		return
+	}
+	s := c.service
+	s.mu.Lock()
+	began := s.table.Pause(e.now(), a.target, bootID, d)
+	s.mu.Unlock()
+	if began {
+		e.counters.targetPauses.Inc()
+		_ = level.Info(e.log).Log("msg", "target paused", "target", a.target.Name, "asked", d, "cut", d > pimentotarget.MaxPause)
+	}
+}
+
 // onFailure records the result of an attempt without a response.
 func (e *Entry) onFailure(c *call, a *attempt) {
 	res := pimentotarget.ResultIncomplete
--- a/pimentoentry/refusal.go
+++ b/pimentoentry/refusal.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
@@ -49,6 +51,7 @@
 	ReasonDeadline     Reason = "deadline"     // The deadline passed in the queue.
 	ReasonSlow         Reason = "slow"         // The deadline passed at the target.
 	ReasonTargets      Reason = "targets"      // No target that this entry may send to.
+	ReasonPaused       Reason = "paused"       // All targets have asked for a pause.
 	ReasonRefused      Reason = "refused"      // Targets refused to execute the request.
 	ReasonFailed       Reason = "failed"       // A target, a peer or this entry failed.
 	ReasonQuarantine   Reason = "quarantine"   // Targets drop connections on the request.
@@ -85,6 +88,7 @@
 	ReasonDeadline:     fasthttp.StatusServiceUnavailable,
 	ReasonSlow:         fasthttp.StatusGatewayTimeout,
 	ReasonTargets:      fasthttp.StatusServiceUnavailable,
+	ReasonPaused:       fasthttp.StatusServiceUnavailable,
 	ReasonRefused:      fasthttp.StatusServiceUnavailable,
 	ReasonFailed:       fasthttp.StatusBadGateway,
 	ReasonQuarantine:   fasthttp.StatusServiceUnavailable,
@@ -99,6 +103,8 @@
 	// allCopies is set if run holds for all copies of the request under its key, not
 	// for this copy only.
 	allCopies bool
+	// retryAfter is the time after which the caller may try again, 0 if it isn't known.
+	retryAfter time.Duration
 }
 
 // forAllCopies sets allCopies. It is for refusals that no other entry can contradict:
@@ -137,6 +143,9 @@
 	resp.Header.SetContentType("application/json")
 	resp.Header.Set(headerRun, string(f.run))
 	resp.Header.Set(headerReason, string(f.reason))
+	if f.retryAfter > 0 {
+		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+	}
 	body, err := json.Marshal(refusalBody{Reason: f.reason, Run: f.run, Detail: f.detail})
 	if err != nil {
 		return
@@ -178,6 +187,8 @@
 	configsRefused   *metrics.Counter
 	stalls           *metrics.Counter
 	probes           *metrics.Counter
+	targetPauses     *metrics.Counter // Pauses that targets have asked for.
+	pausesIgnored    *metrics.Counter // Invalid ones.
 	panics           *metrics.Counter
 	latency          *metrics.Histogram
 }
@@ -199,6 +210,8 @@
 		configsRefused:   set.NewCounter("pimento_config_refused_total"),
 		stalls:           set.NewCounter("pimento_pauses_total"),
 		probes:           set.NewCounter("pimento_probes_total"),
+		targetPauses:     set.NewCounter("pimento_target_pauses_total"),
+		pausesIgnored:    set.NewCounter("pimento_pauses_ignored_total"),
 		panics:           set.NewCounter("pimento_panics_total"),
 		latency:          set.NewHistogram("pimento_request_seconds"),
 	}
--- a/pimentoentry/service.go
+++ b/pimentoentry/service.go
@@ -1,6 +1,7 @@
 package pimentoentry
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,10 @@
 		s.mu.Unlock()
 		return refuse(ReasonTargets, RunNo, "service "+string(s.name)+" has no usable target")
 	}
+	if left, paused := s.table.AllPaused(e.now(), r.Regions); paused {
+		s.mu.Unlock()
+		return refusePaused(s.name, left)
+	}
 	if !s.table.Offer(r) {
 		s.mu.Unlock()
 		return refuse(ReasonQueue, RunNo, "too many requests wait for service "+string(s.name))
@@ -101,6 +106,25 @@
 	return nil
 }
 
+// pauseSpread is the time over which callers return after the pause of all targets of a
+// service.
+const pauseSpread = 300 * time.Millisecond
+
+// allPaused does the same as Table.AllPaused for the targets of a request.
+func (s *service) allPaused(now time.Duration, r *pimentotarget.Request) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.AllPaused(now, r.Regions)
+}
+
+// refusePaused refuses a request to a service all of whose targets are paused. left is the
+// time until the first one returns.
+func refusePaused(name pimentoregister.ServiceName, left time.Duration) *refusal {
+	f := refuse(ReasonPaused, RunNo, "all targets of service "+string(name)+" have asked for a pause")
+	f.retryAfter = left + time.Duration(rand.Float64()*float64(pauseSpread))
+	return f
+}
+
 // ownerCheckInterval is the time between two checks whether a waiting request must
 // be forwarded to another entry that may send to a target.
 const ownerCheckInterval = 100 * time.Millisecond
@@ -111,8 +135,8 @@
 var ownerChanged = refuse(ReasonTargets, RunNo, "another entry warms up the targets of the service")
 
 // awaitTarget waits until the queue returns the request. The request leaves the
-// queue without a target if its deadline passes, its caller disconnects or only
-// another entry may send it.
+// queue without a target if its deadline passes, its caller disconnects, all targets have
+// asked for a pause or only another entry may send it.
 func (e *Entry) awaitTarget(c *call, r *pimentotarget.Request) *refusal {
 	e.signalQueued()
 	timer := time.NewTimer(time.Until(c.deadline))
@@ -131,6 +155,9 @@
 			if e.mustForward(c) {
 				return e.cancelRequest(c, r, ownerChangedFor(c))
 			}
+			if left, paused := c.service.allPaused(e.now(), r); paused {
+				return e.cancelRequest(c, r, refusePaused(c.service.name, left))
+			}
 		}
 	}
 }
--- a/pimentofake/target.go
+++ b/pimentofake/target.go
@@ -58,6 +58,7 @@
 	warmAt        time.Time // Zero before the first request after a start.
 	slowdown      float64
 	shedding      bool
+	retryAfter    string // Of refusals.
 	misreport     bool
 	stalledBefore time.Time // Connections older than this get no responses.
 	conns         map[net.Conn]time.Time
@@ -67,6 +68,7 @@
 	coldOverloads atomic.Int64
 	crashes       atomic.Int64
 	runs          atomic.Int64
+	sheds         atomic.Int64
 	cancelled     atomic.Int64
 	watcher       pimentohttp.ConnWatcher
 }
@@ -131,6 +133,9 @@
 // Runs returns the number of executions, cancelled ones included.
 func (t *Target) Runs() int64 { return t.runs.Load() }
 
+// Sheds returns the number of requests that the target has refused.
+func (t *Target) Sheds() int64 { return t.sheds.Load() }
+
 // Cancelled returns the number of requests that were cancelled because the client closed
 // the connection, before or during their execution.
 func (t *Target) Cancelled() int64 { return t.cancelled.Load() }
@@ -153,6 +158,20 @@
 	t.shedding = shedding
 }
 
+// SetPause sets the Retry-After header of refusals, "" for none.
+func (t *Target) SetPause(text string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retryAfter = text
+}
+
+// pause returns the Retry-After header of refusals.
+func (t *Target) pause() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retryAfter
+}
+
 // StallConnections stops responses on all connections that are open now, permanently. The
 // connections stay open.
 func (t *Target) StallConnections() {
@@ -198,6 +217,11 @@
 	}
 	if !t.admit() {
 		ctx.Error("busy", fasthttp.StatusServiceUnavailable)
+		t.sheds.Add(1)
+		ctx.Response.Header.Set(BootHeader, t.currentBootID())
+		if text := t.pause(); text != "" {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, text)
+		}
 		return
 	}
 	defer t.release()
--- a/pimentotarget/choose.go
+++ b/pimentotarget/choose.go
@@ -51,7 +51,7 @@
 
 // eligible reports whether the request may be sent to the target now.
 func (t *Table) eligible(now time.Duration, r *Request, tg *Target) bool {
-	if !tg.usable() || now < tg.backoffUntil {
+	if !tg.usable() || now < tg.backoffUntil || tg.isPaused(now) {
 		return false
 	}
 	if len(r.Regions) > 0 && !slices.Contains(r.Regions, tg.Region) {
@@ -64,11 +64,11 @@
 }
 
 // sendLimit returns the number of requests that this entry may have outstanding
-// at the target. A warm target that has failed since its last valid response gets one
-// at a time.
+// at the target. A warm target that has failed since its last valid response, or returned
+// from a pause just now, gets one at a time.
 func (t *Table) sendLimit(now time.Duration, tg *Target) int {
 	if tg.Phase.Value == PhaseWarm {
-		if tg.failures > 0 {
+		if tg.failures > 0 || tg.withdrawal.PausedWithin(now, pauseReturn) {
 			return 1
 		}
 		return t.service.Slots + t.pipelineDepth(tg)
--- a/pimentotarget/done.go
+++ b/pimentotarget/done.go
@@ -76,6 +76,7 @@
 // has restarted, so it is cold.
 func (t *Table) recordBoot(now time.Duration, tg *Target, bootID uint64) {
 	if tg.bootID != 0 && tg.bootID != bootID {
+		tg.withdrawal = Withdrawal{}
 		t.setCold(now, tg)
 	}
 	tg.bootID = bootID
--- a/pimentotarget/probe.go
+++ b/pimentotarget/probe.go
@@ -18,7 +18,7 @@
 	interval := t.probeInterval()
 	var due []*Target
 	for _, tg := range t.targets {
-		if !tg.owned || !tg.usable() || now-tg.respondedAt < staleAfter || now-tg.probedAt < interval {
+		if !tg.owned || !tg.usable() || tg.isPaused(now) || now-tg.respondedAt < staleAfter || now-tg.probedAt < interval {
 			continue
 		}
 		tg.probedAt = now
@@ -55,6 +55,8 @@
 		return "out", "its failure domain is out of service"
 	case tg.Leaving:
 		return "leaving", "the platform lists it as leaving"
+	case tg.isPaused(now):
+		return "paused", "it has asked for a pause"
 	case now < tg.backoffUntil:
 		return "failing", "its last requests failed"
 	case tg.Phase.Value == PhaseCold && tg.owned:
--- a/pimentotarget/target.go
+++ b/pimentotarget/target.go
@@ -34,6 +34,7 @@
 	coldSuccesses int             // Successful responses since the target became cold.
 	respondedAt   time.Duration   // When the last response other than a refusal arrived.
 	probedAt      time.Duration
+	withdrawal    Withdrawal // Pauses that the target has asked for.
 }
 
 // usable reports whether the target may get new requests at all.
