pimentogate: a refused request's line says what its best target had reported

The line of a refused request now has the best target found, its domain, expected time, slowdown, running and waiting requests and room, and whether the request counted as urgent or as sent again. No decision changes.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -26,6 +26,7 @@
 		case pimentoload.Send:
 			return best, reasonNone
 		case pimentoload.Refuse:
+			c.rejected = best
 			best.releaseIfAny()
 			return nil, reasonBusy
 		}
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -45,7 +45,20 @@
 	if c.sends > 0 {
 		fields = append(fields, "waited_ms", c.lastSentAt.Sub(c.received).Milliseconds())
 	}
-	g.logLine(severity, append(fields, c.candidateFields()...)...)
+	fields = append(fields, c.candidateFields()...)
+	g.logLine(severity, append(fields, c.rejectedFields()...)...)
+}
+
+// rejectedFields returns log fields with the best target that a refused request could have
+// been sent to, and what spoke against it.
+func (c *call) rejectedFields() []any {
+	cand := c.rejected
+	if cand == nil {
+		return nil
+	}
+	return []any{"best", cand.target.ID, "best_domain", cand.target.Domain, "best_expected_ms", cand.expected.Milliseconds(),
+		"best_stretch", cand.report.Slowdown, "best_running", cand.report.Running, "best_waiting", cand.report.Waiting,
+		"room", cand.room, "urgent", c.urgent, "again", c.repeat}
 }
 
 // candidateFields returns log fields with the data that the last choice of a target
