--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -39,8 +39,8 @@
 	retryReason   reason     // Why the last send needed a retry.
 	lastCandidate *candidate // The last chosen target.
 	// rejected is the best target found when the request was refused, nil without one.
-	rejected *candidate
-	lastSentAt    time.Time
+	rejected   *candidate
+	lastSentAt time.Time
 
 	mu        sync.Mutex // Guards the fields below.
 	exchanges []*pimentohttp.Exchange
