--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -55,7 +55,7 @@
 		Usual:      g.usualWork(c),
 		Urgent:     c.urgent,
 		Repeat:     c.repeat,
-		Pressure:   g.traffic.pressureOn(c.serviceName()),
+		Pressure:   g.traffic.pressure(c.serviceName()),
 		Overloaded: g.traffic.overloaded(c.serviceName()),
 	}
 	if cand == nil {
--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -27,13 +27,14 @@
 	if cand.report.Slots == 0 {
 		slots = max(1, cand.target.Slots)
 	}
-	w, curve := ts.routeWork(c.route), ts.curve(c.serviceName())
+	w, service := ts.routeWork(c.route), ts.service(c.serviceName())
+	curve := &service.curve
 	expected := g.roundTrip(cand.target)
 	cand.byteCost = g.byteCostOf(w, cand.target)
 	alone := float64(w.alone) * float64(max(1, cand.report.Slowdown)) / 100
 	workTime := time.Duration(alone * curve.Ratio(min(running, slots-1)))
 	expected += workTime
-	if limit := ts.fullQueues[c.serviceName()]; limit > 0 && cand.report.Waiting+s.sentSinceReport >= limit {
+	if limit := service.fullQueue; limit > 0 && cand.report.Waiting+s.sentSinceReport >= limit {
 		expected += fullQueuePenalty
 	}
 	if cand.queued = running >= slots; cand.queued {
--- a/pimentogate/overload.go
+++ b/pimentogate/overload.go
@@ -1,6 +1,34 @@
 package pimentogate
 
-import "pimentoarch/pimentoregister"
+import (
+	"pimentoarch/pimentoload"
+	"pimentoarch/pimentoregister"
+)
+
+// serviceStats is what this entry has measured on the requests to one service.
+type serviceStats struct {
+	curve   pimentoload.Curve
+	urgency pimentoload.Urgency
+	// pressure is the moving average of requests that this entry refused.
+	pressure movingRate
+	// refusalRate is the moving average of sends that targets refused.
+	refusalRate movingRate
+	// fullQueue is the longest queue at which a target refused a request, 0 if none did.
+	fullQueue int
+}
+
+// service returns the statistics of a service. It is called with mu held.
+func (ts *trafficStats) service(name pimentoregister.ServiceName) *serviceStats {
+	if ts.services == nil {
+		ts.services = make(map[pimentoregister.ServiceName]*serviceStats)
+	}
+	s := ts.services[name]
+	if s == nil {
+		s = new(serviceStats)
+		ts.services[name] = s
+	}
+	return s
+}
 
 // movingRate is a moving average of observations, 1 for yes and 0 for no.
 type movingRate float64
@@ -26,10 +54,8 @@
 	}
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	if ts.fullQueues == nil {
-		ts.fullQueues = make(map[pimentoregister.ServiceName]int)
-	}
-	ts.fullQueues[s] = max(ts.fullQueues[s], r.Waiting)
+	full := &ts.service(s).fullQueue
+	*full = max(*full, r.Waiting)
 }
 
 const (
@@ -44,14 +70,7 @@
 func (ts *trafficStats) recordSend(s pimentoregister.ServiceName, refused bool) (overloaded, changed bool) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	if ts.refusalRates == nil {
-		ts.refusalRates = make(map[pimentoregister.ServiceName]*movingRate)
-	}
-	rate := ts.refusalRates[s]
-	if rate == nil {
-		rate = new(movingRate)
-		ts.refusalRates[s] = rate
-	}
+	rate := &ts.service(s).refusalRate
 	before := *rate > overloadLimit
 	rate.observe(refused, refusalWeight)
 	overloaded = *rate > overloadLimit
@@ -62,5 +81,26 @@
 func (ts *trafficStats) overloaded(s pimentoregister.ServiceName) bool {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	return ts.refusalRates[s] != nil && *ts.refusalRates[s] > overloadLimit
+	return ts.service(s).refusalRate > overloadLimit
+}
+
+const (
+	// pressureWeight is the weight of one request in a service's pressure.
+	pressureWeight = 0.04
+	// calmPressure is the pressure below which hardly any requests are refused.
+	calmPressure = 0.02
+)
+
+// recordEnd records whether this entry refused a request to a service.
+func (ts *trafficStats) recordEnd(s pimentoregister.ServiceName, refused bool) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.service(s).pressure.observe(refused, pressureWeight)
+}
+
+// pressure returns the fraction of the last requests to a service that this entry refused.
+func (ts *trafficStats) pressure(s pimentoregister.ServiceName) float64 {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return float64(ts.service(s).pressure)
 }
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -157,11 +157,7 @@
 		left = c.route.Timeout
 	}
 	shed := (why == reasonBudget || why == reasonAttempts) && c.retryReason == retryNotExecuted && c.lastCandidate.room > 0
-	ts := &g.traffic
-	ts.mu.Lock()
-	pressure := ts.pressure(c.serviceName())
-	ts.mu.Unlock()
-	r := pimentoload.Refusal{Left: left, Pressure: pressure, Urgent: c.urgent, Shed: shed}
+	r := pimentoload.Refusal{Left: left, Pressure: g.traffic.pressure(c.serviceName()), Urgent: c.urgent, Shed: shed}
 	return r.ReturnAfter(rand.Float64())
 }
 
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -19,21 +19,12 @@
 	splits      map[pimentoroute.RouteName]*pimentoroute.Splitter
 	workByRoute map[pimentoroute.RouteName]*workStats
 	repeats     map[pimentoroute.RouteName]*pimentoload.Repeats
-	// refused has the moving average of requests to each service that this entry refused.
-	refused    map[pimentoregister.ServiceName]*movingRate
-	curves     map[pimentoregister.ServiceName]*pimentoload.Curve
-	urgency    map[pimentoregister.ServiceName]*pimentoload.Urgency
-	targets    map[pimentoroute.TargetID]*targetState
-	retries    map[pimentoregister.ServiceName]*pimentoretry.Allowance
-	quarantine pimentoretry.Quarantine
+	targets     map[pimentoroute.TargetID]*targetState
+	retries     map[pimentoregister.ServiceName]*pimentoretry.Allowance
+	quarantine  pimentoretry.Quarantine
 	// probes is this entry's share of the probe budget for all targets.
-	probes pimentoretry.Allowance
-	// fullQueues has the longest queue of each service at which a target refused a
-	// request.
-	fullQueues map[pimentoregister.ServiceName]int
-	// refusalRates has the moving average of sends to each service that its targets
-	// refused.
-	refusalRates map[pimentoregister.ServiceName]*movingRate
+	probes   pimentoretry.Allowance
+	services map[pimentoregister.ServiceName]*serviceStats
 }
 
 // workStats has the usual time that a target works on a route's requests if nothing runs
@@ -145,29 +136,9 @@
 			delete(ts.targets, id)
 		}
 	}
-	for name := range ts.refusalRates {
+	for name := range ts.services {
 		if t.Targets[name] == nil {
-			delete(ts.refusalRates, name)
-		}
-	}
-	for name := range ts.curves {
-		if t.Targets[name] == nil {
-			delete(ts.curves, name)
-		}
-	}
-	for name := range ts.refused {
-		if t.Targets[name] == nil {
-			delete(ts.refused, name)
-		}
-	}
-	for name := range ts.urgency {
-		if t.Targets[name] == nil {
-			delete(ts.urgency, name)
-		}
-	}
-	for name := range ts.fullQueues {
-		if t.Targets[name] == nil {
-			delete(ts.fullQueues, name)
+			delete(ts.services, name)
 		}
 	}
 	if t.Config == nil {
@@ -220,7 +191,7 @@
 	}
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	w, curve := ts.routeWork(r), ts.curve(s)
+	w, curve := ts.routeWork(r), &ts.service(s).curve
 	w.meanBytes += bytesWeight * (float64(bytes) - w.meanBytes)
 	curve.Observe(others, float64(took)/float64(w.alone))
 	if others > 0 && curve.Ratio(others) > maxAloneRatio {
@@ -233,19 +204,6 @@
 	w.alone += step
 }
 
-// urgencyOf returns the urgency of a service's requests. It is called with mu held.
-func (ts *trafficStats) urgencyOf(s pimentoregister.ServiceName) *pimentoload.Urgency {
-	if ts.urgency == nil {
-		ts.urgency = make(map[pimentoregister.ServiceName]*pimentoload.Urgency)
-	}
-	u := ts.urgency[s]
-	if u == nil {
-		u = new(pimentoload.Urgency)
-		ts.urgency[s] = u
-	}
-	return u
-}
-
 // repeatsOf returns what is known about a route's requests that are sent again. It is
 // called with mu held.
 func (ts *trafficStats) repeatsOf(r pimentoroute.RouteName) *pimentoload.Repeats {
@@ -260,58 +218,6 @@
 	return p
 }
 
-const (
-	// pressureWeight is the weight of one request in a service's refusal rate by this
-	// entry.
-	pressureWeight = 0.04
-	// calmPressure is that rate below which hardly any requests are refused.
-	calmPressure = 0.02
-)
-
-// recordEnd records whether this entry refused a request to a service.
-func (ts *trafficStats) recordEnd(s pimentoregister.ServiceName, refused bool) {
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	if ts.refused == nil {
-		ts.refused = make(map[pimentoregister.ServiceName]*movingRate)
-	}
-	r := ts.refused[s]
-	if r == nil {
-		r = new(movingRate)
-		ts.refused[s] = r
-	}
-	r.observe(refused, pressureWeight)
-}
-
-// pressureOn returns the same as pressure.
-func (ts *trafficStats) pressureOn(s pimentoregister.ServiceName) float64 {
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	return ts.pressure(s)
-}
-
-// pressure returns the fraction of the last requests to a service that this entry refused.
-// It is called with mu held.
-func (ts *trafficStats) pressure(s pimentoregister.ServiceName) float64 {
-	if r := ts.refused[s]; r != nil {
-		return float64(*r)
-	}
-	return 0
-}
-
-// curve returns the curve of a service. It is called with mu held.
-func (ts *trafficStats) curve(s pimentoregister.ServiceName) *pimentoload.Curve {
-	if ts.curves == nil {
-		ts.curves = make(map[pimentoregister.ServiceName]*pimentoload.Curve)
-	}
-	c := ts.curves[s]
-	if c == nil {
-		c = new(pimentoload.Curve)
-		ts.curves[s] = c
-	}
-	return c
-}
-
 // spendRetry takes one retry from this entry's share for a service.
 func (g *Gate) spendRetry(c *call) bool {
 	ts := &g.traffic
@@ -329,16 +235,16 @@
 }
 
 // countRequest counts a request towards the retry allowance, before its first send, and
-// determines whether it is urgent and
-// whether it was sent before.
+// determines whether it is urgent
+// and whether it was sent before.
 func (g *Gate) countRequest(c *call) {
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	g.retryAllowance(c.serviceName()).Earn(g.now())
-	c.urgent = ts.urgencyOf(c.serviceName()).IsUrgent(g.now(), c.route.Priority)
+	c.urgent = ts.service(c.serviceName()).urgency.IsUrgent(g.now(), c.route.Priority)
 	if !c.callerDeadline.IsZero() {
-		calm := ts.pressure(c.serviceName()) < calmPressure
+		calm := ts.service(c.serviceName()).pressure < calmPressure
 		c.repeat = ts.repeatsOf(c.route.Name).IsRepeat(c.callerDeadline.Sub(c.received), calm)
 	}
 }
