pimentogate: a stopping entry yields reading, and keeps retries that it doesn't send

An entry that stops isn't in the list of its region any more, so its rank became the place where it would stand instead of the last one, and it went on reading the platform beside its successor. A retry that was refused because of the stop had been taken from the allowance before.

TestStoppingEntryYieldsReading (rank 0, want 9) and TestStopKeepsRetryAllowance failed before.

--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -44,14 +44,18 @@
 func (g *Gate) position(now time.Duration) (at pimentofeed.Position, precedingReads bool) {
 	cs := g.cluster
 	region := cs.members.RegionMembers(g.region)
-	at.RegionRank, _ = pimentopeer.Rank(region, g.settings.Name)
+	rank, listed := pimentopeer.Rank(region, g.settings.Name)
+	if !listed { // This entry stops.
+		rank = len(region)
+	}
+	at.RegionRank = rank
 	at.DomainRank = countInDomain(region[:at.RegionRank], g.settings.Domain)
 	for run, r := range cs.readings {
 		if now-r.at >= readingTTL {
 			continue
 		}
 		reader, ok := cs.members.ByRun(run)
-		if ok && reader.Region == g.region && !reader.Down && !reader.Stopping && reader.Name < g.settings.Name {
+		if ok && reader.Region == g.region && !reader.Down && !reader.Stopping && (reader.Name < g.settings.Name || !listed) {
 			precedingReads = true
 		}
 	}
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -41,12 +41,12 @@
 		if g.crashCount(c) >= pimentoretry.MaxCrashes {
 			return g.refusal(c, reasonCrash, 0)
 		}
-		if isRetry && !g.spendRetry(c) {
-			return g.failRequest(c, failed, reasonBudget)
-		}
 		if g.outlastsStop(c, nil) {
 			return g.failRequest(c, failed, reasonStopping)
 		}
+		if isRetry && !g.spendRetry(c) {
+			return g.failRequest(c, failed, reasonBudget)
+		}
 		cand, why := g.chooseTarget(c, c.tried)
 		if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
 			cand.releaseIfAny()
