pimentoentry: a probe's refusal asks for a pause too

Only responses to requests were looked at, while the gate also takes the word of a probe's response. recordPause serves both now. TestPausedTargets and the stateful test of the table hold; no test of its own sends a pause in a probe's response.

--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -69,28 +69,27 @@
 	case c.info.IsRefusal(a.Resp.StatusCode()):
 		res = pimentotarget.ResultRefused
 	}
-	e.recordPause(c, a, bootID)
+	e.recordPause(c.service, a.target, a.Resp, bootID)
 	e.recordResult(c.service, a.target, a.sentAt, res, bootID)
 	e.quarantine.completed(a.fingerprint)
 }
 
-// recordPause records the pause that a target's refusal asks for.
-func (e *Entry) recordPause(c *call, a *attempt, bootID uint64) {
-	d, invalid := pimentohttp.RetryAfter(a.Resp)
+// recordPause records the pause that a target's refusal of a request or probe asks for.
+func (e *Entry) recordPause(s *service, tg *pimentotarget.Target, resp *fasthttp.Response, bootID uint64) {
+	d, invalid := pimentohttp.RetryAfter(resp)
 	if invalid != "" {
 		e.counters.pausesIgnored.Inc()
-		_ = level.Warn(e.log).Log("msg", "invalid pause ignored", "target", a.target.Name, "value", invalid)
+		_ = level.Warn(e.log).Log("msg", "invalid pause ignored", "target", tg.Name, "value", invalid)
 	}
 	if d <= 0 {
 		return
 	}
-	s := c.service
 	s.mu.Lock()
-	began := s.table.Pause(e.now(), a.target, bootID, d)
+	began := s.table.Pause(e.now(), tg, bootID, d)
 	s.mu.Unlock()
 	if began {
 		e.counters.targetPauses.Inc()
-		_ = level.Info(e.log).Log("msg", "target paused", "target", a.target.Name, "asked", d, "cut", d > pimentotarget.MaxPause)
+		_ = level.Info(e.log).Log("msg", "target paused", "target", tg.Name, "asked", d, "cut", d > pimentotarget.MaxPause)
 	}
 }
 
--- a/pimentoentry/probe.go
+++ b/pimentoentry/probe.go
@@ -65,6 +65,9 @@
 	if err == nil && bootHeader != "" {
 		bootID = bootHash(resp.Header.Peek(bootHeader))
 	}
+	if err == nil {
+		e.recordPause(s, tg, resp, bootID)
+	}
 	_ = resp.CloseBodyStream()
 	s.mu.Lock()
 	s.table.ProbeDone(e.now(), tg, err == nil, bootID)
