pimentoload: names and comments that a reader stumbled over

urgentsLate is lateUrgentRoom, the room of urgent requests is the least integer, and a comment of pimentogate is no longer broken in the middle of a sentence. No decision changes.

--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -235,8 +235,7 @@
 }
 
 // countRequest counts a request towards the retry allowance, before its first send, and
-// determines whether it is urgent
-// and whether it was sent before.
+// determines whether it is urgent and whether it was sent before.
 func (g *Gate) countRequest(c *call) {
 	ts := &g.traffic
 	ts.mu.Lock()
--- a/pimentoload/decide.go
+++ b/pimentoload/decide.go
@@ -1,6 +1,9 @@
 package pimentoload
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Decision is what to do with a request.
 type Decision uint8
@@ -103,10 +106,10 @@
 
 // Numbers of requests for which a target must have room.
 const (
-	urgentRoom  = -1 << 30 // None: urgent requests crowd targets.
-	inTimeRoom  = 1
-	lateRoom    = 2
-	urgentsLate = 1
+	urgentRoom     = math.MinInt // None: urgent requests crowd targets.
+	inTimeRoom     = 1
+	lateRoom       = 2
+	lateUrgentRoom = 1
 )
 
 // neededRoom returns the number of requests for which a target must have room.
@@ -118,7 +121,7 @@
 	case inTime:
 		return inTimeRoom
 	case r.Urgent:
-		return urgentsLate
+		return lateUrgentRoom
 	}
 	return lateRoom
 }
