--- a/review/standin/gate.go
+++ b/review/standin/gate.go
@@ -106,7 +106,8 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	fatal(fmt.Errorf("%s isn't ready", g.Name))
+	log, _ := os.ReadFile(filepath.Join(g.dir, g.Name+".log"))
+	fatal(fmt.Errorf("%s isn't ready; its log ends with %q", g.Name, log[max(0, len(log)-300):]))
 }
 
 // Metric returns a metric of the process, -1 without it.
--- a/review/standin/slots.go
+++ b/review/standin/slots.go
@@ -24,7 +24,7 @@
 	slotsTimeout   = 1500 * time.Millisecond
 	slotsDeadline  = 3000 * time.Millisecond
 	slotsRate      = 8.0 // Requests a second to each gate.
-	slotsSlow      = 2.5  // Factor on the work.
+	slotsSlow      = 2.5 // Factor on the work.
 	slotsSlowAt    = 5 * time.Second
 	slotsSlowFor   = 3 * time.Second
 	slotsSlowGap   = 2500 * time.Millisecond
