--- a/cmd/pimentoarch/soak_test.go
+++ b/cmd/pimentoarch/soak_test.go
@@ -150,7 +150,7 @@
 
 // publish stores the item of target i.
 func (s *soak) publish(i int, address, domain, state string) {
-	s.store.PutJSON(fmt.Sprint("servers/i-", i), map[string]any{"service": "seats", "address": address, "zone": domain, "slots": 3, "state": state, "warmupLeft": "0ms"})
+	s.store.PutJSON(fmt.Sprint("servers/i-", i), map[string]any{"service": "seats", "address": address, "zone": domain, "slots": 3, "state": state, "warmupLeft": "0ms", "version": "v1", "sequence": 1})
 }
 
 // publishConfig stores the configuration under a new version.
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -40,7 +40,7 @@
 			delete(cs.records, it.Key)
 			cs.tableChanges.add(inUse, pimentoroute.Record{})
 		}
-		g.metrics.count("pimento_undecodable_total")
+		g.metrics.countUndecodable(err)
 		g.logLine(level.WarnValue(), "msg", "published item ignored", "key", it.Key, "revision", it.Revision, "err", err)
 		return
 	}
--- a/pimentogate/metrics.go
+++ b/pimentogate/metrics.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -33,6 +34,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`pimento_repeats_total{reason=%q}`, string(why))).Inc()
 }
 
+// countUndecodable counts a published item that was ignored, by the reason that its error
+// states.
+func (m *gateMetrics) countUndecodable(err error) {
+	reason := "invalid"
+	var r interface{ Reason() string }
+	if errors.As(err, &r) {
+		reason = r.Reason()
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`pimento_undecodable_total{reason=%q}`, reason)).Inc()
+}
+
 func (m *gateMetrics) count(name string) {
 	m.set.GetOrCreateCounter(name).Inc()
 }
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -284,7 +284,8 @@
 		return
 	}
 	cand.report = g.dialect.ParseReport(resp)
-	if cand.report.Target != "" && cand.report.Target != tg.ID {
+	if cand.report.Target != tg.ID {
+		g.metrics.count("pimento_probes_unidentified_total")
 		cand.err = errOtherTarget
 		cand.release()
 		g.backOff(tg, failureBackoff)
@@ -296,9 +297,6 @@
 // recordProbeNotice records what the reply to a probe says about new requests. The
 // connection to a leaving target is only kept for the request that may follow.
 func (g *Gate) recordProbeNotice(cand *candidate, resp *fasthttp.Response) {
-	if cand.report.Target != cand.target.ID {
-		return
-	}
 	g.recordNotice(cand.target, "", resp)
 	if !g.admitsProbes(cand.target) {
 		cand.err = errWithdrawn
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -14,7 +14,7 @@
 	"pimentoarch/pimentoroute"
 )
 
-var errOtherTarget = errors.New("the address belongs to another target")
+var errOtherTarget = errors.New("the reply to the probe doesn't name the target")
 
 // send is one attempt: a request sent to one target.
 type send struct {
