pimentogate: count and log connections that end with something unanswered

Cause: a record of a lost request told neither which side closed the connection nor why; only failed writes were logged. Callers saw a closed connection.

Each end of a caller's connection now has a reason (left, failed, idle, invalid, closed, write, stop, cutoff). One line and one count are made if requests were dropped, bytes weren't served, or a request was still arriving. Lines are bounded by the log budget, and the labels by the reasons.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -50,6 +50,7 @@
 	closing    bool                  // No more requests are accepted.
 	receiving  bool                  // A request has begun to arrive.
 	calls      map[*call]struct{}    // Requests without a response.
+	losses     connLosses
 }
 
 // pendingResponse is the place of one response in the order of a connection.
@@ -78,6 +79,7 @@
 	wg.Wait()
 	cc.linger()
 	_ = nc.Close()
+	cc.reportLosses()
 	g.conns.remove(cc)
 }
 
@@ -93,7 +95,7 @@
 		return
 	}
 	_ = cc.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, cc.Conn)
+	_ = cc.discard(cc.r)
 }
 
 // limits returns the active limits.
@@ -159,7 +161,8 @@
 
 // stopReading makes the connection accept no more requests. Those that were read
 // still get their responses.
-func (cc *callerConn) stopReading() {
+func (cc *callerConn) stopReading(why connEnd) {
+	cc.setReadEnd(why)
 	cc.mu.Lock()
 	cc.closing = true
 	cc.mu.Unlock()
@@ -174,6 +177,7 @@
 	cc.closing = cc.closing || last
 	cc.mu.Unlock()
 	if last {
+		cc.setReadEnd(endStop)
 		_ = cc.SetReadDeadline(time.Now())
 	}
 	return last
@@ -188,6 +192,7 @@
 	cc.closing = cc.closing || stops
 	cc.mu.Unlock()
 	if stops {
+		cc.setReadEnd(endStop)
 		_ = cc.SetReadDeadline(time.Now())
 	}
 }
@@ -288,13 +293,15 @@
 	var bad *badRequest
 	switch {
 	case errors.As(err, &bad):
+		cc.setReadEnd(endInvalid)
 		cc.refuseInvalid(bad)
 	case errors.Is(err, errIdle), errors.Is(err, errClosing), cc.isClosing():
+		cc.setReadEnd(endIdle)
 		// Outstanding responses are still written.
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
-		cc.abandonAll()
+		cc.abandonAll(endCaller)
 	default:
-		cc.abandonAll()
+		cc.abandonAll(endFailed)
 		_ = level.Debug(cc.gate.log).Log("msg", "caller connection failed", "from", cc.callerIP, "err", err)
 	}
 }
@@ -308,10 +315,10 @@
 func (cc *callerConn) awaitResponses() {
 	for cc.unanswered.Load() > 0 {
 		_ = cc.SetReadDeadline(time.Now().Add(closeCheckInterval))
-		_, err := cc.r.WriteTo(io.Discard)
+		err := cc.discard(cc.r)
 		var ne net.Error
 		if !errors.As(err, &ne) || !ne.Timeout() {
-			cc.abandonAll()
+			cc.abandonAll(endCaller)
 			return
 		}
 	}
@@ -331,7 +338,9 @@
 }
 
 // abandonAll abandons all calls of the connection and accepts no more.
-func (cc *callerConn) abandonAll() {
+func (cc *callerConn) abandonAll(why connEnd) {
+	cc.setReadEnd(why)
+	cc.setDropEnd(why)
 	cc.mu.Lock()
 	cc.closing = true
 	calls := slices.Collect(maps.Keys(cc.calls))
@@ -346,17 +355,21 @@
 	w := bufio.NewWriterSize(cc.Conn, 4<<10)
 	for p := range cc.pending {
 		resp := <-p.done
-		more := cc.writeResponse(w, p, resp)
+		written, more := cc.writeResponse(w, p, resp)
+		if !written {
+			cc.countDropped(p.call)
+		}
 		cc.removeCall(p.call)
 		if !more {
 			break
 		}
 	}
-	cc.stopReading()
+	cc.stopReading(endResponse)
 	// Requests read after the last response don't get one.
-	cc.abandonAll()
+	cc.abandonAll(endResponse)
 	for p := range cc.pending {
 		releaseResponse(<-p.done)
+		cc.countDropped(p.call)
 		cc.removeCall(p.call)
 	}
 }
@@ -367,11 +380,12 @@
 	fasthttp.ReleaseResponse(resp.http)
 }
 
-// writeResponse writes a response, and reports whether another one may follow.
-func (cc *callerConn) writeResponse(w *bufio.Writer, p *pendingResponse, resp *response) bool {
+// writeResponse writes a response. It reports whether it was written whole, and whether
+// another one may follow.
+func (cc *callerConn) writeResponse(w *bufio.Writer, p *pendingResponse, resp *response) (written, more bool) {
 	defer releaseResponse(resp)
 	if p.call != nil && p.call.isAbandoned() {
-		return false
+		return false, false
 	}
 	closes := cc.closesAfterResponse(p, resp)
 	if closes {
@@ -389,10 +403,11 @@
 		}
 		cc.gate.metrics.count(`pimento_answers_cut_total`)
 		cc.gate.logLine(level.WarnValue(), "msg", "response write failed", "id", id, "from", cc.callerIP, "err", err)
+		cc.setDropEnd(endWrite)
 		_ = cc.Close()
-		return false
+		return false, false
 	}
-	return !closes
+	return true, !closes
 }
 
 // closesAfterResponse reports whether the connection is closed after a response, and makes
@@ -400,7 +415,7 @@
 // response is outstanding.
 func (cc *callerConn) closesAfterResponse(p *pendingResponse, resp *response) bool {
 	if resp.closeConn || (p.call != nil && p.call.req.ConnectionClose()) {
-		cc.stopReading()
+		cc.stopReading(endResponse)
 		return true
 	}
 	return cc.gate.stopping.Load() && cc.stopReadingIfLast()
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -41,11 +41,25 @@
 		}
 		time.Sleep(drainCheckInterval)
 	}
+	g.cutOffConns()
+}
+
+// cutOffConns closes the connections of callers that are still open, and waits until their
+// ends were logged.
+func (g *Gate) cutOffConns() {
 	for _, cc := range g.conns.all() {
+		cc.setReadEnd(endCutoff)
+		cc.setDropEnd(endCutoff)
 		_ = cc.Close()
 	}
+	for end := time.Now().Add(cutoffLogTime); g.conns.size() > 0 && time.Now().Before(end); {
+		time.Sleep(drainCheckInterval)
+	}
 }
 
+// cutoffLogTime bounds the time to log the ends of connections that were cut off.
+const cutoffLogTime = 100 * time.Millisecond
+
 // lateStopFactor times the expected time of a request is the time within which it is
 // assumed to end.
 const lateStopFactor = 2
