pimentogate: a planned stop counts connections from their acceptance

Cause: a connection was added to the set of open ones by its own goroutine. A stop that read an empty set in between ended, and the process exited on the connection. Callers saw it closed without a response, in a window of microseconds on an idle machine, longer where processor time is short.

The accept loop now counts the connection before it starts the goroutine.

--- a/pimentogate/connend_test.go
+++ b/pimentogate/connend_test.go
@@ -14,9 +14,9 @@
 	"pimentoarch/pimentofake"
 )
 
-// connGate returns a gate without a configuration that accepts callers, its log, and the
-// address. It refuses each request after configWait.
-func connGate(t *testing.T) (*Gate, *pimentofake.LogBuffer, string) {
+// newConnGate returns a gate without a configuration, and its log. It refuses each request
+// after configWait.
+func newConnGate(t *testing.T) (*Gate, *pimentofake.LogBuffer) {
 	t.Helper()
 	lines := new(pimentofake.LogBuffer)
 	g, cleanup, err := New(DefaultSettings(), PlatformAdapter{Dialect: Dialect{RequestID: "X-Request-Id"}}, log.NewLogfmtLogger(lines))
@@ -24,6 +24,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(cleanup)
+	return g, lines
+}
+
+// connGate returns a gate without a configuration that accepts callers, its log, and the
+// address.
+func connGate(t *testing.T) (*Gate, *pimentofake.LogBuffer, string) {
+	t.Helper()
+	g, lines := newConnGate(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -109,7 +117,7 @@
 
 // awaitUnanswered waits until a gate has read a request.
 func awaitUnanswered(g *Gate) {
-	for g.conns.all()[0].unanswered.Load() == 0 {
+	for len(g.conns.all()) == 0 || g.conns.all()[0].unanswered.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/pimentogate/conns.go
+++ b/pimentogate/conns.go
@@ -8,10 +8,19 @@
 
 // connSet is the set of open connections of callers.
 type connSet struct {
-	mu   sync.Mutex // Guards open.
-	open map[*callerConn]struct{}
+	mu    sync.Mutex // Guards the fields below.
+	open  map[*callerConn]struct{}
+	count int // Connections that were accepted and not removed yet.
 }
 
+// accept counts a connection that will be added, so that size includes it at once.
+func (s *connSet) accept() {
+	s.mu.Lock()
+	s.count++
+	s.mu.Unlock()
+}
+
+// add adds a connection that accept has counted.
 func (s *connSet) add(cc *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -24,6 +33,7 @@
 func (s *connSet) remove(cc *callerConn) {
 	s.mu.Lock()
 	delete(s.open, cc)
+	s.count--
 	s.mu.Unlock()
 }
 
@@ -34,8 +44,9 @@
 	return slices.Collect(maps.Keys(s.open))
 }
 
+// size returns the number of connections, with those that are about to be added.
 func (s *connSet) size() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.open)
+	return s.count
 }
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -216,6 +216,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		g.conns.accept()
 		go g.serveConn(nc)
 	}
 }
