pimentogate: a planned stop empties the accept queue before it closes the listener

Cause: 2.4 s after SIGTERM the callers' listener was closed at once. The kernel resets the connections that wait to be accepted, with the requests that it has already acknowledged; callers saw an established connection reset. The balancer may still send connections then (late checks, or fewer than half of a zone in rotation).

The accept loop now goes on until no connection has come for 2 x 50 ms, until half of the grace period at the latest, and then takes what waits for 100 ms at most.

--- a/pimentogate/accept_test.go
+++ b/pimentogate/accept_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,3 +93,28 @@
 	}
 	return resp.StatusCode()
 }
+
+// Connections that wait to be accepted when the stop ends accepting are served.
+func TestStopServesAcceptQueue(t *testing.T) {
+	t.Parallel()
+	const conns = 8
+	g, ln := slowGate(t, 25*time.Millisecond, 0)
+	done := stopGate(g, ln)
+	time.Sleep(balancerDelay - 50*time.Millisecond)
+	var wg sync.WaitGroup
+	var unanswered atomic.Int32
+	for range conns {
+		c := dialConn(t, ln.Addr().String())
+		wg.Go(func() {
+			_, _ = fmt.Fprint(c, shortRequest)
+			if readStatus(c) == 0 {
+				unanswered.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	<-done
+	if n := unanswered.Load(); n > 0 {
+		t.Errorf("%d of %d requests got no response", n, conns)
+	}
+}
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -76,6 +76,10 @@
 	stopping    atomic.Bool // A planned stop has begun.
 	// cutoff is when a planned stop cuts off the requests that still run; nil before it.
 	cutoff atomic.Pointer[time.Time]
+	// acceptEnd is when a planned stop accepts no more connections at the latest; nil
+	// until it has waited for the balancer.
+	acceptEnd  atomic.Pointer[time.Time]
+	acceptDone chan struct{} // Closed when acceptCallers has returned.
 }
 
 const (
@@ -110,6 +114,7 @@
 		metrics:    newGateMetrics(),
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
+		acceptDone: make(chan struct{}),
 		workers:    workers,
 	}
 	g.logBudget.linesPerSecond = s.LogLineRate
@@ -206,8 +211,9 @@
 }
 
 func (g *Gate) acceptCallers(ln net.Listener) {
+	defer close(g.acceptDone)
 	for {
-		nc, err := ln.Accept()
+		nc, err := g.accept(ln)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -24,7 +24,8 @@
 // has detected that the entry isn't ready; running requests are then completed, or
 // cut off near the end of the grace period.
 func (g *Gate) shutDown(callers net.Listener) {
-	cutoff := time.Now().Add(time.Duration(drainFraction * float64(g.settings.GracePeriod)))
+	began, grace := time.Now(), float64(g.settings.GracePeriod)
+	cutoff := began.Add(time.Duration(drainFraction * grace))
 	g.cutoff.Store(&cutoff)
 	g.stopping.Store(true)
 	cs := g.cluster
@@ -34,8 +35,8 @@
 	cs.mu.Unlock()
 	g.logChange("msg", "stopping", "open", g.conns.size())
 	time.Sleep(balancerDelay)
-	_ = callers.Close()
-	for g.conns.size() > 0 && time.Now().Before(cutoff) {
+	go g.stopAccepting(callers, began.Add(time.Duration(acceptEndFraction*grace)))
+	for (g.isAccepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
 		for _, cc := range g.conns.all() {
 			cc.stopReadingUnlessReceiving()
 		}
