pimentogate: a planned stop awaits the first request of a new connection

Cause: from 2.4 s after SIGTERM on, each connection on which no request had begun was closed at once, also one that was accepted milliseconds ago and whose first request was on its way. Callers saw a new connection closed when they had sent a request.

A new connection has 300 ms for the first byte of its first request.

--- a/pimentogate/accept_test.go
+++ b/pimentogate/accept_test.go
@@ -118,3 +118,19 @@
 		t.Errorf("%d of %d requests got no response", n, conns)
 	}
 }
+
+// A connection that was opened just before a planned stop ends accepting has time to send
+// its first request.
+func TestStopAwaitsFirstRequest(t *testing.T) {
+	t.Parallel()
+	g, ln := slowGate(t, 0, 0)
+	done := stopGate(g, ln)
+	time.Sleep(balancerDelay - 20*time.Millisecond)
+	c := dialConn(t, ln.Addr().String())
+	time.Sleep(120 * time.Millisecond)
+	_, _ = fmt.Fprint(c, shortRequest)
+	if readStatus(c) != fasthttp.StatusServiceUnavailable {
+		t.Error("the first request got no response")
+	}
+	<-done
+}
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -48,9 +48,12 @@
 	unanswered atomic.Int32          // Requests that were read and not responded to yet.
 	mu         sync.Mutex            // Guards the fields below.
 	closing    bool                  // No more requests are accepted.
-	receiving  bool                  // A request has begun to arrive.
-	calls      map[*call]struct{}    // Requests without a response.
-	losses     connLosses
+	// firstRequestBy is the time until which a planned stop leaves the connection open for
+	// its first request. It is zero once that has begun to arrive.
+	firstRequestBy time.Time
+	receiving      bool               // A request has begun to arrive.
+	calls          map[*call]struct{} // Requests without a response.
+	losses         connLosses
 }
 
 // pendingResponse is the place of one response in the order of a connection.
@@ -70,6 +73,8 @@
 		r:       bufio.NewReaderSize(nc, limits.HeaderBytes+requestLineRoom),
 		pending: make(chan *pendingResponse, maxPipelined),
 		calls:   make(map[*call]struct{}),
+
+		firstRequestBy: time.Now().Add(firstRequestTime),
 	}
 	g.conns.add(cc)
 	var wg sync.WaitGroup
@@ -83,6 +88,10 @@
 	g.conns.remove(cc)
 }
 
+// firstRequestTime is the time that a new connection has to begin its first request during a
+// planned stop.
+const firstRequestTime = 300 * time.Millisecond
+
 // lingerTime bounds the time for which a half-closed connection is still read.
 const lingerTime = 500 * time.Millisecond
 
@@ -184,11 +193,13 @@
 }
 
 // stopReadingUnlessReceiving makes the connection accept no more requests, except for one
-// that has begun to arrive while no response is outstanding. Requests behind an outstanding
-// response count as unread, because that response closes the connection.
+// that has begun to arrive while no response is outstanding, or the first one of a new
+// connection. Requests behind an outstanding response count as unread, because that response
+// closes the connection.
 func (cc *callerConn) stopReadingUnlessReceiving() {
 	cc.mu.Lock()
-	stops := !cc.receiving || cc.unanswered.Load() > 0
+	awaited := cc.receiving || time.Now().Before(cc.firstRequestBy)
+	stops := !awaited || cc.unanswered.Load() > 0
 	cc.closing = cc.closing || stops
 	cc.mu.Unlock()
 	if stops {
@@ -203,6 +214,7 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.receiving = !cc.closing
+	cc.firstRequestBy = time.Time{}
 	return cc.receiving
 }
 
