pimentogate: a planned stop serves a request that arrived on an idle connection

Cause: the stop sets the read deadline of an idle connection to now. A request that had arrived and wasn't read yet, because its goroutine hadn't run, was read and dropped. Callers saw the connection closed after a whole request that the kernel had acknowledged; a non-idempotent one isn't sent again then.

Only the stop's own closing of an idle connection is undone, never that by a response.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -48,6 +48,7 @@
 	unanswered atomic.Int32          // Requests that were read and not responded to yet.
 	mu         sync.Mutex            // Guards the fields below.
 	closing    bool                  // No more requests are accepted.
+	closedIdle bool                  // Only because a planned stop found the connection idle.
 	// firstRequestBy is the time until which a planned stop leaves the connection open for
 	// its first request. It is zero once that has begun to arrive.
 	firstRequestBy time.Time
@@ -173,7 +174,7 @@
 func (cc *callerConn) stopReading(why connEnd) {
 	cc.setReadEnd(why)
 	cc.mu.Lock()
-	cc.closing = true
+	cc.closing, cc.closedIdle = true, false
 	cc.mu.Unlock()
 	_ = cc.SetReadDeadline(time.Now())
 }
@@ -198,14 +199,18 @@
 // closes the connection.
 func (cc *callerConn) stopReadingUnlessReceiving() {
 	cc.mu.Lock()
+	defer cc.mu.Unlock()
 	awaited := cc.receiving || time.Now().Before(cc.firstRequestBy)
-	stops := !awaited || cc.unanswered.Load() > 0
-	cc.closing = cc.closing || stops
-	cc.mu.Unlock()
-	if stops {
-		cc.setReadEnd(endStop)
-		_ = cc.SetReadDeadline(time.Now())
+	outstanding := cc.unanswered.Load() > 0
+	if awaited && !outstanding {
+		return
+	}
+	cc.closedIdle = cc.closedIdle || (!cc.closing && !outstanding)
+	cc.closing = true
+	if cc.losses.readEnd == endNone {
+		cc.losses.readEnd = endStop
 	}
+	_ = cc.SetReadDeadline(time.Now())
 }
 
 // beginReceiving records that a request has begun to arrive. It reports false if the
@@ -236,7 +241,7 @@
 	if err := cc.awaitFirstByte(exclusive); err != nil {
 		return nil, time.Time{}, err
 	}
-	if !cc.beginReceiving() {
+	if !cc.beginReceiving() && !cc.resume() {
 		return nil, time.Time{}, errClosing
 	}
 	limits := cc.gate.limits()
@@ -274,6 +279,9 @@
 	for {
 		_ = cc.SetReadDeadline(time.Now().Add(idleCheckInterval))
 		if cc.isClosing() {
+			if cc.resume() {
+				return nil
+			}
 			return errClosing
 		}
 		_, err := cc.r.Peek(1)
@@ -354,7 +362,7 @@
 	cc.setReadEnd(why)
 	cc.setDropEnd(why)
 	cc.mu.Lock()
-	cc.closing = true
+	cc.closing, cc.closedIdle = true, false
 	calls := slices.Collect(maps.Keys(cc.calls))
 	cc.mu.Unlock()
 	for _, c := range calls {
--- a/pimentogate/connend_test.go
+++ b/pimentogate/connend_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentofake"
+	"pimentoarch/pimentoroute"
 )
 
 // newConnGate returns a gate without a configuration, and its log. It refuses each request
@@ -121,3 +123,40 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A request that has arrived when a planned stop closes its idle connection is served,
+// although nothing has read it yet.
+func TestStopServesArrivedRequest(t *testing.T) {
+	const attempts = 300
+	g, _, address := connGate(t)
+	g.table.Store(&pimentoroute.Table{Config: &pimentoroute.Config{Limits: defaultLimits}})
+	unanswered := 0
+	for range attempts {
+		c := dialConn(t, address)
+		_, _ = io.WriteString(c, shortRequest)
+		if readStatus(c) != fasthttp.StatusNotFound {
+			t.Fatal("the first request wasn't served")
+		}
+		awaitIdle(t, g)
+		_, _ = io.WriteString(c, shortRequest)
+		g.conns.all()[0].stopReadingUnlessReceiving()
+		if readStatus(c) == 0 {
+			unanswered++
+		}
+		_ = c.Close()
+		awaitConns(t, g, 0)
+	}
+	if unanswered > 0 {
+		t.Errorf("%d of %d requests got no response", unanswered, attempts)
+	}
+}
+
+// awaitIdle waits until the only connection of a gate awaits a request.
+func awaitIdle(t *testing.T, g *Gate) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); g.conns.all()[0].unanswered.Load() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection isn't idle after 5 s")
+		}
+	}
+}
