pimentogate: the end of a planned stop answers the requests that still run

Cause: at 88 % of the grace period the stop closed the connections of all callers and the process exited, with requests outstanding at targets that are silent or slower than expected (route timeouts beyond it). Callers saw a closed connection.

At that time a running request now ends as at its deadline: 504 if it may have been executed, 503 if not; its connection says so and closes. 200 ms bound the writing. No bound was moved: what was cut off then is answered then.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -34,6 +34,8 @@
 		select {
 		case <-c.done:
 			return nil, reasonCallerGone
+		case <-g.cutoffReached:
+			return nil, reasonStopping
 		case <-time.After(wait):
 		}
 	}
--- a/pimentogate/conns.go
+++ b/pimentogate/conns.go
@@ -44,6 +44,11 @@
 	return slices.Collect(maps.Keys(s.open))
 }
 
+// anyUnanswered reports whether a request that was read has no response yet.
+func (s *connSet) anyUnanswered() bool {
+	return slices.ContainsFunc(s.all(), func(cc *callerConn) bool { return cc.unanswered.Load() > 0 })
+}
+
 // size returns the number of connections, with those that are about to be added.
 func (s *connSet) size() int {
 	s.mu.Lock()
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -75,7 +75,8 @@
 	seedAddrs   atomic.Pointer[[]string]
 	stopping    atomic.Bool // A planned stop has begun.
 	// cutoff is when a planned stop cuts off the requests that still run; nil before it.
-	cutoff atomic.Pointer[time.Time]
+	cutoff        atomic.Pointer[time.Time]
+	cutoffReached chan struct{} // Closed at that time.
 	// acceptEnd is when a planned stop accepts no more connections at the latest; nil
 	// until it has waited for the balancer.
 	acceptEnd  atomic.Pointer[time.Time]
@@ -115,7 +116,9 @@
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
 		acceptDone: make(chan struct{}),
-		workers:    workers,
+
+		cutoffReached: make(chan struct{}),
+		workers:       workers,
 	}
 	g.logBudget.linesPerSecond = s.LogLineRate
 	g.cluster = newClusterState(pimentopeer.Member{
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -64,19 +64,20 @@
 			return g.failRequest(c, failed, reasonAttempts)
 		}
 		g.metrics.countRetry(c.retryReason)
-		s.awaitCrashCheck(c)
+		g.awaitCrashCheck(c, s)
 	}
 }
 
 // awaitCrashCheck waits until it is known whether a send that lost its connection crashed
 // its target, because that decides whether the request is retried.
-func (s *send) awaitCrashCheck(c *call) {
+func (g *Gate) awaitCrashCheck(c *call, s *send) {
 	if !s.lostConnection() {
 		return
 	}
 	select {
 	case <-s.crashChecked:
 	case <-c.done:
+	case <-g.cutoffReached:
 	case <-time.After(time.Until(c.deadline)):
 	}
 }
@@ -226,6 +227,8 @@
 			}
 			cand.releaseIfAny()
 			hedgeTimer.Reset(hedgeCheckInterval)
+		case <-g.cutoffReached:
+			return g.cancelAll(c, first, outcomeTimeout, running, probing, ended, hedges)
 		case <-deadline.C:
 			return g.cancelAll(c, first, outcomeTimeout, running, probing, ended, hedges)
 		case <-c.done:
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -22,7 +22,7 @@
 
 // shutDown performs a planned stop. New connections are accepted until the balancer
 // has detected that the entry isn't ready; running requests are then completed, or
-// cut off near the end of the grace period.
+// answered without a target's response near the end of the grace period.
 func (g *Gate) shutDown(callers net.Listener) {
 	began, grace := time.Now(), float64(g.settings.GracePeriod)
 	cutoff := began.Add(time.Duration(drainFraction * grace))
@@ -37,14 +37,27 @@
 	time.Sleep(balancerDelay)
 	go g.stopAccepting(callers, began.Add(time.Duration(acceptEndFraction*grace)))
 	for (g.isAccepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
-		for _, cc := range g.conns.all() {
-			cc.stopReadingUnlessReceiving()
-		}
+		g.stopIdleConns()
+		time.Sleep(drainCheckInterval)
+	}
+	close(g.cutoffReached)
+	for end := time.Now().Add(cutoffWriteTime); g.conns.anyUnanswered() && time.Now().Before(end); {
+		g.stopIdleConns()
 		time.Sleep(drainCheckInterval)
 	}
 	g.cutOffConns()
 }
 
+// stopIdleConns makes the connections of callers that are idle accept no more requests.
+func (g *Gate) stopIdleConns() {
+	for _, cc := range g.conns.all() {
+		cc.stopReadingUnlessReceiving()
+	}
+}
+
+// cutoffWriteTime bounds the time to write the responses to requests that were cut off.
+const cutoffWriteTime = 200 * time.Millisecond
+
 // cutOffConns closes the connections of callers that are still open, and waits until their
 // ends were logged.
 func (g *Gate) cutOffConns() {
