--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -48,8 +48,13 @@
 	unanswered atomic.Int32          // Requests that were read and not responded to yet.
 	mu         sync.Mutex            // Guards the fields below.
 	closing    bool                  // No more requests are accepted.
-	receiving  bool                  // A request has begun to arrive.
-	calls      map[*call]struct{}    // Requests without a response.
+	closedIdle bool                  // Only because a planned stop found the connection idle.
+	// firstRequestBy is the time until which a planned stop leaves the connection open for
+	// its first request. It is zero once that has begun to arrive.
+	firstRequestBy time.Time
+	receiving      bool               // A request has begun to arrive.
+	calls          map[*call]struct{} // Requests without a response.
+	losses         connLosses
 }
 
 // pendingResponse is the place of one response in the order of a connection.
@@ -69,6 +74,8 @@
 		r:       bufio.NewReaderSize(nc, limits.HeaderBytes+requestLineRoom),
 		pending: make(chan *pendingResponse, maxPipelined),
 		calls:   make(map[*call]struct{}),
+
+		firstRequestBy: time.Now().Add(firstRequestTime),
 	}
 	g.conns.add(cc)
 	var wg sync.WaitGroup
@@ -78,9 +85,14 @@
 	wg.Wait()
 	cc.linger()
 	_ = nc.Close()
+	cc.reportLosses()
 	g.conns.remove(cc)
 }
 
+// firstRequestTime is the time that a new connection has to begin its first request during a
+// planned stop.
+const firstRequestTime = 300 * time.Millisecond
+
 // lingerTime bounds the time for which a half-closed connection is still read.
 const lingerTime = 500 * time.Millisecond
 
@@ -93,7 +105,7 @@
 		return
 	}
 	_ = cc.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, cc.Conn)
+	_ = cc.discard(cc.r)
 }
 
 // limits returns the active limits.
@@ -159,9 +171,10 @@
 
 // stopReading makes the connection accept no more requests. Those that were read
 // still get their responses.
-func (cc *callerConn) stopReading() {
+func (cc *callerConn) stopReading(why connEnd) {
+	cc.setReadEnd(why)
 	cc.mu.Lock()
-	cc.closing = true
+	cc.closing, cc.closedIdle = true, false
 	cc.mu.Unlock()
 	_ = cc.SetReadDeadline(time.Now())
 }
@@ -174,22 +187,30 @@
 	cc.closing = cc.closing || last
 	cc.mu.Unlock()
 	if last {
+		cc.setReadEnd(endStop)
 		_ = cc.SetReadDeadline(time.Now())
 	}
 	return last
 }
 
 // stopReadingUnlessReceiving makes the connection accept no more requests, except for one
-// that has begun to arrive while no response is outstanding. Requests behind an outstanding
-// response count as unread, because that response closes the connection.
+// that has begun to arrive while no response is outstanding, or the first one of a new
+// connection. Requests behind an outstanding response count as unread, because that response
+// closes the connection.
 func (cc *callerConn) stopReadingUnlessReceiving() {
 	cc.mu.Lock()
-	stops := !cc.receiving || cc.unanswered.Load() > 0
-	cc.closing = cc.closing || stops
-	cc.mu.Unlock()
-	if stops {
-		_ = cc.SetReadDeadline(time.Now())
+	defer cc.mu.Unlock()
+	awaited := cc.receiving || time.Now().Before(cc.firstRequestBy)
+	outstanding := cc.unanswered.Load() > 0
+	if awaited && !outstanding {
+		return
 	}
+	cc.closedIdle = cc.closedIdle || (!cc.closing && !outstanding)
+	cc.closing = true
+	if cc.losses.readEnd == endNone {
+		cc.losses.readEnd = endStop
+	}
+	_ = cc.SetReadDeadline(time.Now())
 }
 
 // beginReceiving records that a request has begun to arrive. It reports false if the
@@ -198,6 +219,7 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.receiving = !cc.closing
+	cc.firstRequestBy = time.Time{}
 	return cc.receiving
 }
 
@@ -219,7 +241,7 @@
 	if err := cc.awaitFirstByte(exclusive); err != nil {
 		return nil, time.Time{}, err
 	}
-	if !cc.beginReceiving() {
+	if !cc.beginReceiving() && !cc.resume() {
 		return nil, time.Time{}, errClosing
 	}
 	limits := cc.gate.limits()
@@ -257,6 +279,9 @@
 	for {
 		_ = cc.SetReadDeadline(time.Now().Add(idleCheckInterval))
 		if cc.isClosing() {
+			if cc.resume() {
+				return nil
+			}
 			return errClosing
 		}
 		_, err := cc.r.Peek(1)
@@ -288,13 +313,15 @@
 	var bad *badRequest
 	switch {
 	case errors.As(err, &bad):
+		cc.setReadEnd(endInvalid)
 		cc.refuseInvalid(bad)
 	case errors.Is(err, errIdle), errors.Is(err, errClosing), cc.isClosing():
+		cc.setReadEnd(endIdle)
 		// Outstanding responses are still written.
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
-		cc.abandonAll()
+		cc.abandonAll(endCaller)
 	default:
-		cc.abandonAll()
+		cc.abandonAll(endFailed)
 		_ = level.Debug(cc.gate.log).Log("msg", "caller connection failed", "from", cc.callerIP, "err", err)
 	}
 }
@@ -308,10 +335,10 @@
 func (cc *callerConn) awaitResponses() {
 	for cc.unanswered.Load() > 0 {
 		_ = cc.SetReadDeadline(time.Now().Add(closeCheckInterval))
-		_, err := cc.r.WriteTo(io.Discard)
+		err := cc.discard(cc.r)
 		var ne net.Error
 		if !errors.As(err, &ne) || !ne.Timeout() {
-			cc.abandonAll()
+			cc.abandonAll(endCaller)
 			return
 		}
 	}
@@ -331,9 +358,11 @@
 }
 
 // abandonAll abandons all calls of the connection and accepts no more.
-func (cc *callerConn) abandonAll() {
+func (cc *callerConn) abandonAll(why connEnd) {
+	cc.setReadEnd(why)
+	cc.setDropEnd(why)
 	cc.mu.Lock()
-	cc.closing = true
+	cc.closing, cc.closedIdle = true, false
 	calls := slices.Collect(maps.Keys(cc.calls))
 	cc.mu.Unlock()
 	for _, c := range calls {
@@ -346,17 +375,21 @@
 	w := bufio.NewWriterSize(cc.Conn, 4<<10)
 	for p := range cc.pending {
 		resp := <-p.done
-		more := cc.writeResponse(w, p, resp)
+		written, more := cc.writeResponse(w, p, resp)
+		if !written {
+			cc.countDropped(p.call)
+		}
 		cc.removeCall(p.call)
 		if !more {
 			break
 		}
 	}
-	cc.stopReading()
+	cc.stopReading(endResponse)
 	// Requests read after the last response don't get one.
-	cc.abandonAll()
+	cc.abandonAll(endResponse)
 	for p := range cc.pending {
 		releaseResponse(<-p.done)
+		cc.countDropped(p.call)
 		cc.removeCall(p.call)
 	}
 }
@@ -367,11 +400,12 @@
 	fasthttp.ReleaseResponse(resp.http)
 }
 
-// writeResponse writes a response, and reports whether another one may follow.
-func (cc *callerConn) writeResponse(w *bufio.Writer, p *pendingResponse, resp *response) bool {
+// writeResponse writes a response. It reports whether it was written whole, and whether
+// another one may follow.
+func (cc *callerConn) writeResponse(w *bufio.Writer, p *pendingResponse, resp *response) (written, more bool) {
 	defer releaseResponse(resp)
 	if p.call != nil && p.call.isAbandoned() {
-		return false
+		return false, false
 	}
 	closes := cc.closesAfterResponse(p, resp)
 	if closes {
@@ -389,10 +423,11 @@
 		}
 		cc.gate.metrics.count(`pimento_answers_cut_total`)
 		cc.gate.logLine(level.WarnValue(), "msg", "response write failed", "id", id, "from", cc.callerIP, "err", err)
+		cc.setDropEnd(endWrite)
 		_ = cc.Close()
-		return false
+		return false, false
 	}
-	return !closes
+	return true, !closes
 }
 
 // closesAfterResponse reports whether the connection is closed after a response, and makes
@@ -400,7 +435,7 @@
 // response is outstanding.
 func (cc *callerConn) closesAfterResponse(p *pendingResponse, resp *response) bool {
 	if resp.closeConn || (p.call != nil && p.call.req.ConnectionClose()) {
-		cc.stopReading()
+		cc.stopReading(endResponse)
 		return true
 	}
 	return cc.gate.stopping.Load() && cc.stopReadingIfLast()
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -75,7 +75,12 @@
 	seedAddrs   atomic.Pointer[[]string]
 	stopping    atomic.Bool // A planned stop has begun.
 	// cutoff is when a planned stop cuts off the requests that still run; nil before it.
-	cutoff atomic.Pointer[time.Time]
+	cutoff        atomic.Pointer[time.Time]
+	cutoffReached chan struct{} // Closed at that time.
+	// acceptEnd is when a planned stop accepts no more connections at the latest; nil
+	// until it has waited for the balancer.
+	acceptEnd  atomic.Pointer[time.Time]
+	acceptDone chan struct{} // Closed when acceptCallers has returned.
 }
 
 const (
@@ -110,7 +115,10 @@
 		metrics:    newGateMetrics(),
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
-		workers:    workers,
+		acceptDone: make(chan struct{}),
+
+		cutoffReached: make(chan struct{}),
+		workers:       workers,
 	}
 	g.logBudget.linesPerSecond = s.LogLineRate
 	g.cluster = newClusterState(pimentopeer.Member{
@@ -206,8 +214,9 @@
 }
 
 func (g *Gate) acceptCallers(ln net.Listener) {
+	defer close(g.acceptDone)
 	for {
-		nc, err := ln.Accept()
+		nc, err := g.accept(ln)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
@@ -216,6 +225,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		g.conns.accept()
 		go g.serveConn(nc)
 	}
 }
--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -91,6 +91,8 @@
 			hedgeTimer.Reset(hedgeCheckInterval)
 		case <-deadline.C:
 			return r.giveUp(outcomeTimeout)
+		case <-r.gate.cutoffReached:
+			return r.giveUp(outcomeTimeout)
 		case <-c.done:
 			return r.giveUp(outcomeCallerGone)
 		}
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -22,9 +22,10 @@
 
 // shutDown performs a planned stop. New connections are accepted until the balancer
 // has detected that the entry isn't ready; running requests are then completed, or
-// cut off near the end of the grace period.
+// answered without a target's response near the end of the grace period.
 func (g *Gate) shutDown(callers net.Listener) {
-	cutoff := time.Now().Add(time.Duration(drainFraction * float64(g.settings.GracePeriod)))
+	began, grace := time.Now(), float64(g.settings.GracePeriod)
+	cutoff := began.Add(time.Duration(drainFraction * grace))
 	g.cutoff.Store(&cutoff)
 	g.stopping.Store(true)
 	cs := g.cluster
@@ -34,18 +35,45 @@
 	cs.mu.Unlock()
 	g.logChange("msg", "stopping", "open", g.conns.size())
 	time.Sleep(balancerDelay)
-	_ = callers.Close()
-	for g.conns.size() > 0 && time.Now().Before(cutoff) {
-		for _, cc := range g.conns.all() {
-			cc.stopReadingUnlessReceiving()
-		}
+	go g.stopAccepting(callers, began.Add(time.Duration(acceptEndFraction*grace)))
+	for (g.isAccepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
+		g.stopIdleConns()
+		time.Sleep(drainCheckInterval)
+	}
+	close(g.cutoffReached)
+	for end := time.Now().Add(cutoffWriteTime); g.conns.anyUnanswered() && time.Now().Before(end); {
+		g.stopIdleConns()
 		time.Sleep(drainCheckInterval)
 	}
+	g.cutOffConns()
+}
+
+// stopIdleConns makes the connections of callers that are idle accept no more requests.
+func (g *Gate) stopIdleConns() {
 	for _, cc := range g.conns.all() {
+		cc.stopReadingUnlessReceiving()
+	}
+}
+
+// cutoffWriteTime bounds the time to write the responses to requests that were cut off.
+const cutoffWriteTime = 200 * time.Millisecond
+
+// cutOffConns closes the connections of callers that are still open, and waits until their
+// ends were logged.
+func (g *Gate) cutOffConns() {
+	for _, cc := range g.conns.all() {
+		cc.setReadEnd(endCutoff)
+		cc.setDropEnd(endCutoff)
 		_ = cc.Close()
 	}
+	for end := time.Now().Add(cutoffLogTime); g.conns.size() > 0 && time.Now().Before(end); {
+		time.Sleep(drainCheckInterval)
+	}
 }
 
+// cutoffLogTime bounds the time to log the ends of connections that were cut off.
+const cutoffLogTime = 100 * time.Millisecond
+
 // lateStopFactor times the expected time of a request is the time within which it is
 // assumed to end.
 const lateStopFactor = 2
