pimentogate: metrics of the process's memory

An operator could not tell how much memory an entry holds, or has held before it ended: no metric stated it. /metrics now has the resident memory, its peak and the heap. Refusals are counted by reason already (pimento_refusals_total).

TestMemoryMetrics, before: "resident 0, peak 0, heap 0: want at least 102400 each".

--- a/pimentogate/metrics.go
+++ b/pimentogate/metrics.go
@@ -21,7 +21,9 @@
 }
 
 func newGateMetrics() *gateMetrics {
-	return &gateMetrics{set: metrics.NewSet(), latencies: make(map[pimentoregister.ServiceName]*metrics.Histogram)}
+	m := &gateMetrics{set: metrics.NewSet(), latencies: make(map[pimentoregister.ServiceName]*metrics.Histogram)}
+	m.addMemoryGauges()
+	return m
 }
 
 func (m *gateMetrics) countRefusal(why reason) {
