--- a/cmd/pimentoarch/main.go
+++ b/cmd/pimentoarch/main.go
@@ -14,7 +14,6 @@
 	"github.com/alexflint/go-arg"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"github.com/samber/oops"
 
 	"pimentoarch/pimentoentry"
 )
@@ -130,23 +129,6 @@
 	return s, true
 }
 
-// runProcess creates an entry or a gate (kind), runs it until it has stopped, logs an
-// error if there is one, and returns the exit status. create returns the function that
-// runs it and its cleanup function.
-func runProcess(kind, name string, logger log.Logger, create func() (run func() error, cleanup func(), err error)) int {
-	run, cleanup, err := create()
-	if err != nil {
-		_ = level.Error(logger).Log("msg", "start failed", "err", oops.In(kind).Wrap(err))
-		return exitFailed
-	}
-	defer cleanup()
-	if err := run(); err != nil {
-		_ = level.Error(logger).Log("msg", kind+" failed", "err", oops.In(kind).With("name", name).Wrap(err))
-		return exitFailed
-	}
-	return exitOK
-}
-
 // load reads and parses the settings file. Flags override values of the file.
 func (cmd *entryCmd) load() (pimentoentry.Settings, error) {
 	data, err := os.ReadFile(cmd.Settings)
