pimentosignal: a SIGHUP at the start doesn't end a process

runGate set its handler after the packages had been initialised, the command line parsed and the settings read: until then the default of SIGHUP ended the process, without a line of its own. Operators who signal a change of settings to a process that has just been (re)started hit that.

--- a/cmd/pimentoarch/gate.go
+++ b/cmd/pimentoarch/gate.go
@@ -4,12 +4,11 @@
 	"errors"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"pimentoarch/pimentogate"
 	"pimentoarch/pimentoplatform"
+	"pimentoarch/pimentosignal"
 	"pimentoarch/platform"
 )
 
@@ -48,7 +47,7 @@
 	}
 	return runProcess("gate", string(s.Name), logger, func() (func() error, func(), error) {
 		g, cleanup, err := pimentogate.New(s, adapter, logger)
-		return func() error { return g.Run(stopSignal(logger), reloadSignal()) }, cleanup, err
+		return func() error { return g.Run(stopSignal(logger), pimentosignal.Reload()) }, cleanup, err
 	})
 }
 
@@ -63,20 +62,3 @@
 	}
 	return pimentogate.ParseSettings(data)
 }
-
-// reloadSignal returns a channel that receives a value after a SIGHUP. Signals that
-// arrive before the value is received are merged into it.
-func reloadSignal() <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	reload := make(chan struct{}, 1)
-	go func() {
-		for range signals {
-			select {
-			case reload <- struct{}{}:
-			default:
-			}
-		}
-	}()
-	return reload
-}
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -165,7 +166,7 @@
 // Run serves until stop is closed, and then performs a planned stop. It returns
 // when the last request has ended, or has been cut off near the end of the grace
 // period. A value from reload makes it read the settings.
-func (g *Gate) Run(stop, reload <-chan struct{}) error {
+func (g *Gate) Run(stop <-chan struct{}, reload <-chan os.Signal) error {
 	l, closeAll, err := g.listen()
 	if err != nil {
 		return err
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -74,7 +75,7 @@
 
 // watchSettings reads the settings at intervals and after a signal, and applies
 // changed seeds. Other changes have no effect until a restart.
-func (g *Gate) watchSettings(ctx context.Context, reload <-chan struct{}) {
+func (g *Gate) watchSettings(ctx context.Context, reload <-chan os.Signal) {
 	if g.reload == nil {
 		return
 	}
