pimentogate: retries spent, denied and left, with the share they come from

/status, gauges and the line of a request refused with reason budget now have the share, by service (bounded), the entries it is computed from, the run and the time since the start. Responses to other requests, notices in them, and cancelled sends are counted.

Evidence: TestRetryStatus (go test -race ./pimentogate). No decision changes.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -66,6 +66,14 @@
 	Entries       int                                            `json:"entries"`
 	DomainEntries int                                            `json:"domain"`
 	Targets       map[pimentoregister.ServiceName][]TargetStatus `json:"targets"`
+	// Run is the ID of this start of the entry, and UpMillis the time since then.
+	Run      uint64 `json:"run"`
+	UpMillis int64  `json:"up"`
+	// ShareEntries is the number of entries that shares of limits are computed from, 0
+	// while it is unknown.
+	ShareEntries int64 `json:"share"`
+	// Retries has this entry's share of the retry limit of each service that had requests.
+	Retries map[pimentoregister.ServiceName]RetryStatus `json:"retries"`
 	// OutDomains lists the failure domains that are out of service.
 	OutDomains []pimentoregister.DomainName `json:"out"`
 }
@@ -97,11 +105,15 @@
 		Name: g.settings.Name, Ready: g.ready(), Revision: uint64(cs.feed.AsOf()), AgeMillis: -1, ReadsPlatform: cs.reading,
 		Entries: cs.members.LiveCount(), DomainEntries: len(cs.members.DomainMembers(g.settings.Domain)),
 		Targets: make(map[pimentoregister.ServiceName][]TargetStatus),
+		Run:     cs.members.Self().RunID, UpMillis: now.Milliseconds(), ShareEntries: g.clusterSize.Load(),
 	}
 	if age, known := cs.age(now); known {
 		v.AgeMillis = age.Milliseconds()
 	}
 	cs.mu.Unlock()
+	g.traffic.mu.Lock()
+	v.Retries = g.retryStatus()
+	g.traffic.mu.Unlock()
 	t := g.table.Load()
 	if t == nil {
 		return v
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// runID returns the ID of this start of the entry.
+func (cs *clusterState) runID() uint64 {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.members.Self().RunID
+}
+
 // signalChange wakes the sync loops. It is called with mu held.
 func (cs *clusterState) signalChange() {
 	close(cs.changed)
@@ -301,6 +308,7 @@
 	}
 	if live := int64(cs.members.LiveCount()); live > g.clusterSize.Load() {
 		g.clusterSize.Store(live)
+		g.logChange("msg", "share of limits changed", "entries", live)
 		g.limitConns(g.table.Load())
 	}
 	if cs.members.Changes() != cs.sharedChanges || g.domainNames.Load() == nil {
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -183,7 +183,7 @@
 	wg.Go(func() { g.watchSettings(ctx, reload) })
 	wg.Go(func() { g.acceptCallers(l.callers) })
 	go g.followPlatform(ctx) // Not in wg: a waiting watch can't be cancelled.
-	g.logChange("msg", "started", "name", g.settings.Name, "region", g.region, "domain", g.settings.Domain, "callers", g.settings.CallersAddr)
+	g.logChange("msg", "started", "name", g.settings.Name, "region", g.region, "domain", g.settings.Domain, "callers", g.settings.CallersAddr, "run", g.cluster.runID())
 	<-stop
 	g.shutDown(l.callers)
 	cancel()
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -265,6 +265,7 @@
 		for range running {
 			s := <-ended
 			g.sendEnded(s.candidate.target)
+			g.countCancelled(s)
 			g.checkCancelled(c, s, winner.outcome)
 			discardSend(s)
 		}
@@ -297,6 +298,7 @@
 			BodyDeadline: c.deadline.Add(responseSlack),
 			MaxBuffered:  maxBufferedResponse,
 			EchoHeader:   g.dialect.RequestID,
+			OnSkipped:    func(resp *fasthttp.Response) { g.recordSkipped(cand.target, c.id, resp) },
 		},
 	}
 }
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -46,6 +46,9 @@
 		fields = append(fields, "waited_ms", c.lastSentAt.Sub(c.received).Milliseconds())
 	}
 	fields = append(fields, c.candidateFields()...)
+	if resp.reason == reasonBudget {
+		fields = append(fields, g.retryFields(c)...)
+	}
 	g.logLine(severity, append(fields, c.rejectedFields()...)...)
 }
 
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -20,7 +20,7 @@
 	workByRoute map[pimentoroute.RouteName]*workStats
 	repeats     map[pimentoroute.RouteName]*pimentoload.Repeats
 	targets     map[pimentoroute.TargetID]*targetState
-	retries     map[pimentoregister.ServiceName]*pimentoretry.Allowance
+	retries     map[pimentoregister.ServiceName]*retryShare
 	quarantine  pimentoretry.Quarantine
 	// probes is this entry's share of the probe budget for all targets.
 	probes   pimentoretry.Allowance
@@ -218,22 +218,6 @@
 	return p
 }
 
-// spendRetry takes one retry from this entry's share for a service.
-func (g *Gate) spendRetry(c *call) bool {
-	ts := &g.traffic
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	return g.retryAllowance(c.serviceName()).Spend(g.now())
-}
-
-// returnRetry gives back a retry that wasn't sent.
-func (g *Gate) returnRetry(c *call) {
-	ts := &g.traffic
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	g.retryAllowance(c.serviceName()).Refund()
-}
-
 // countRequest counts a request towards the retry allowance, before its first send, and
 // determines whether it is urgent and whether it was sent before.
 func (g *Gate) countRequest(c *call) {
@@ -247,26 +231,3 @@
 		c.repeat = ts.repeatsOf(c.route.Name).IsRepeat(c.callerDeadline.Sub(c.received), calm)
 	}
 }
-
-// retryLimitFraction is the fraction of the retry limit that is used, because member
-// lists of entries may differ.
-const retryLimitFraction = 0.75
-
-// retryAllowance returns this entry's share of a service's retry limit. It is
-// called with trafficStats.mu held.
-func (g *Gate) retryAllowance(s pimentoregister.ServiceName) *pimentoretry.Allowance {
-	ts := &g.traffic
-	if ts.retries == nil {
-		ts.retries = make(map[pimentoregister.ServiceName]*pimentoretry.Allowance)
-	}
-	a := ts.retries[s]
-	if a == nil {
-		a = &pimentoretry.Allowance{Ratio: g.settings.RetryRatio * retryLimitFraction, Window: time.Duration(g.settings.RetryWindow)}
-		ts.retries[s] = a
-	}
-	a.Fixed = 0
-	if n := int(g.clusterSize.Load()); n > 0 {
-		a.Fixed = g.settings.RetryBase * retryLimitFraction / float64(n)
-	}
-	return a
-}
--- a/pimentogate/withdrawal.go
+++ b/pimentogate/withdrawal.go
@@ -72,6 +72,27 @@
 	}
 }
 
+// recordSkipped counts a response of a target that belongs to another request, and logs
+// what it says about new requests, which isn't applied.
+func (g *Gate) recordSkipped(tg *pimentoroute.Target, id string, resp *fasthttp.Response) {
+	g.metrics.count("pimento_responses_skipped_total")
+	n := g.dialect.ParseNotice(resp)
+	if !n.Leaving && n.Pause <= 0 {
+		return
+	}
+	g.metrics.count("pimento_notices_skipped_total")
+	g.logLine(level.WarnValue(), "msg", "notice in a skipped response", "id", id, "target", tg.ID, "status", resp.StatusCode(),
+		"leaving", n.Leaving, "pause", n.Pause)
+}
+
+// countCancelled counts a send that was cancelled after it was written, so that what its
+// target may have said in a response is unknown.
+func (g *Gate) countCancelled(s *send) {
+	if s.err != nil && s.exchange.Sent() {
+		g.metrics.count("pimento_sends_cancelled_total")
+	}
+}
+
 // logReturn logs that a target's pause has ended, unless it was extended.
 func (g *Gate) logReturn(tg *pimentoroute.Target) {
 	ts := &g.traffic
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -49,6 +49,8 @@
 	// response. Responses with another value belong to other requests and are
 	// skipped. "" disables the check.
 	EchoHeader string
+	// OnSkipped is called with each response that is skipped. It may be nil.
+	OnSkipped func(*fasthttp.Response)
 	// OnBodyEnd is called when the body has been buffered or there is none, or when
 	// the stream of the body is closed. It may be nil. It isn't called when Do
 	// returns an error.
@@ -124,6 +126,9 @@
 			cn.destroy()
 			return x.newError("read", err)
 		}
+		if x.OnSkipped != nil {
+			x.OnSkipped(x.Resp)
+		}
 		x.Resp.Reset()
 	}
 	cn.destroy()
--- a/pimentoretry/allowance.go
+++ b/pimentoretry/allowance.go
@@ -39,6 +39,12 @@
 // Refund gives back a retry that Spend has taken and that was not sent.
 func (a *Allowance) Refund() { a.tokens = min(a.tokens+1, a.capacity()) }
 
+// Left returns the number of retries that are left, less than 1 if none can be sent.
+func (a *Allowance) Left(now time.Duration) float64 {
+	a.refill(now)
+	return a.tokens
+}
+
 // capacity returns the number of retries that can be saved. Half of the fixed number
 // can be saved and half is refilled during a window, so that no window has more than
 // both.
