pimentoretry: a new start of an entry begins without retries

Cause: each start had half of its fixed share at once, on top of what the run before it had sent in the same window. While the share is unknown it may still send one retry; that one is now taken back from the share once it is known. Times of an Allowance count from the entry's start, so that a share that is first used later has what it has saved since.

What callers saw: nothing that a record shows.

Cost: after a start, the first retry of a service whose share is known comes from its requests (one in 6.7) or after Window/Fixed*2 (of 20 entries with 64: 8 s; of one: 0.4 s).

--- a/pimentoretry/allowance.go
+++ b/pimentoretry/allowance.go
@@ -5,8 +5,8 @@
 // Allowance is one entry's share of a limit on the retries of all entries: a ratio of
 // the first attempts plus a fixed number per window. The shares add up to the limit,
 // so that entries need no messages to keep it. With a Ratio of 0 it also limits other
-// sends, such as the probes of gates. Exported fields may be changed between calls. It
-// isn't safe for concurrent use.
+// sends, such as the probes of gates. Times are counted from the entry's start. Exported
+// fields may be changed between calls. It isn't safe for concurrent use.
 type Allowance struct {
 	// Ratio is the number of retries that one first attempt earns.
 	Ratio float64
@@ -15,9 +15,10 @@
 	// Window is the time over which the limit applies.
 	Window time.Duration
 
-	tokens     float64
+	tokens     float64 // Negative while an advance has to be paid back.
 	refilledAt time.Duration
 	started    bool
+	advanced   bool // It has got a retry in advance.
 }
 
 // Earn counts a first attempt.
@@ -50,16 +51,19 @@
 // both.
 func (a *Allowance) capacity() float64 { return max(1, a.Fixed/2) }
 
+// refill adds what the fixed number allows since the last call. An entry starts without
+// retries, since those that the run before it has sent count towards the same window. While
+// its share is unknown, it may send one retry, which it pays back afterwards.
 func (a *Allowance) refill(now time.Duration) {
-	if !a.started {
-		a.started = true
-		a.tokens = a.capacity()
-		if a.Fixed > 0 {
-			// The capacity is 1 also for an entry whose share is less: together such
-			// entries would exceed the limit when they start.
-			a.tokens = a.Fixed / 2
-		}
-	} else if a.Window > 0 {
+	switch {
+	case !a.started && a.Fixed == 0:
+		a.tokens, a.advanced = 1, true
+	case a.advanced && a.Fixed > 0:
+		a.tokens--
+		a.advanced = false
+	}
+	a.started = true
+	if a.Window > 0 {
 		a.tokens = min(a.capacity(), a.tokens+a.Fixed/2*float64(now-a.refilledAt)/float64(a.Window))
 	}
 	a.refilledAt = now
--- a/pimentoretry/allowance_test.go
+++ b/pimentoretry/allowance_test.go
@@ -122,3 +122,21 @@
 		t.Error("a second retry may be sent")
 	}
 }
+
+// The retry that an entry may send before it knows its share is taken from its share.
+func TestAdvanceIsPaidBack(t *testing.T) {
+	const window = 10 * time.Second
+	a := Allowance{Ratio: 0.2, Window: window}
+	if !a.Spend(0) {
+		t.Fatal("no retry may be sent")
+	}
+	a.Fixed = 4 // Of which half is refilled in a window.
+	for _, at := range []time.Duration{0, window / 2, window - time.Millisecond} {
+		if a.Spend(at) {
+			t.Errorf("a retry may be sent after %v", at)
+		}
+	}
+	if !a.Spend(window) {
+		t.Error("no retry may be sent after a window")
+	}
+}
