--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -127,6 +127,7 @@
 		for range r.running {
 			s := <-r.ended
 			r.gate.sendEnded(s.candidate.target)
+			r.gate.countCancelled(s)
 			r.gate.checkCancelled(r.call, s, r.result.outcome)
 			s.close()
 		}
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -205,6 +205,7 @@
 			BodyDeadline: c.deadline.Add(responseSlack),
 			MaxBuffered:  maxBufferedResponse,
 			EchoHeader:   g.dialect.RequestID,
+			OnSkipped:    func(resp *fasthttp.Response) { g.recordSkipped(cand.target, c.id, resp) },
 		},
 	}
 }
