pimentogate: entries notice that the answers to all readers are overdue

Cause: an entry that reads said that its items were current for 2.7 s after the store's last answer, with each message anew, while its watch hung; the others began to wait from its last such message. Class: a statement renewed without the evidence that it rests on.

A reading now carries when the next answer is due: 2.15 s after the last one. Once no answer of any reader is due any more, the first entry of each domain reads by itself and passes on what it finds, the others in groups 50 ms apart. A reader that is overdue no longer says that its items are current. Answers reach the region at once if they are due much later.

Ruled out: shorter watches and stale reads between them (more calls); the time since the last answer as the age itself (a domain that is cut off would then wait longer than 2 s, which TestIsolatedDomainReadsPlatform excludes).

--- a/pimentofeed/reader.go
+++ b/pimentofeed/reader.go
@@ -18,6 +18,12 @@
 	takeoverGroupsMax = 5
 	// MaxTakeoverAge is the age of the state above which every entry reads the platform.
 	MaxTakeoverAge = minTakeoverAge + takeoverGroupsMax*takeoverStep
+	// overdueStep takes the place of takeoverStep when the next answer to every entry that
+	// reads is overdue.
+	overdueStep = 50 * time.Millisecond
+	// MaxTakeoverDelay is the time after which every entry reads the platform once these
+	// answers are overdue.
+	MaxTakeoverDelay = takeoverGroupsMax * overdueStep
 	// handBackDelay is the time for which a preceding entry must have read the
 	// platform before this one stops.
 	handBackDelay = 2 * time.Second
@@ -34,14 +40,21 @@
 // depends on the entry's own domain only, since entries of other domains may count as
 // members for long after their links were cut.
 func (p Position) takeoverAge() time.Duration {
-	group := min(bits.Len(uint(p.DomainRank)), takeoverGroupsMax)
-	return minTakeoverAge + time.Duration(group)*takeoverStep
+	return minTakeoverAge + time.Duration(p.takeoverGroup())*takeoverStep
 }
 
+// takeoverGroup returns the number of the entry's group in its domain.
+func (p Position) takeoverGroup() int { return min(bits.Len(uint(p.DomainRank)), takeoverGroupsMax) }
+
 // ReadPolicy decides whether an entry reads the platform. There is no election: the
 // first entry in a region's list of entries reads, and the others start to read when
 // the age of the state that they receive is too great. The zero value is ready to use.
 type ReadPolicy struct {
+	// Overdue is the time since the last moment at which an answer to an entry that reads
+	// was due. It is set before each call of Decide, and 0 or less if an answer may still
+	// come in time.
+	Overdue time.Duration
+
 	reading        bool
 	precedingReads bool
 	precedingSince time.Duration // When a preceding entry, or this one, began to read.
@@ -60,7 +73,7 @@
 		p.reading = true
 	case p.reading:
 		p.reading = !precedingReads || now-p.precedingSince < handBackDelay
-	case !known || age > at.takeoverAge():
+	case !known || age > at.takeoverAge(), p.Overdue > time.Duration(at.takeoverGroup())*overdueStep:
 		p.reading = true
 		p.precedingSince = now // What was heard before the takeover is out of date.
 	}
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -9,7 +9,6 @@
 
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentopeer"
-	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoroute"
 	"pimentoarch/pimentotarget"
 )
@@ -33,13 +32,16 @@
 	readings      map[uint64]reading // The last reading of each entry, by its run ID.
 	reading       bool               // This entry reads the platform successfully.
 	lastRead      time.Duration      // When the last read succeeded.
-	shouldRead    bool               // This entry is to read the platform.
-	stale         bool               // The feed is older than staleAge, or of unknown age.
+	// due is the last moment at which an answer to an entry that reads the platform is due.
+	// 0 while none is known.
+	due        time.Duration
+	shouldRead bool // This entry is to read the platform.
+	stale      bool // The feed is older than staleAge, or of unknown age.
 	// confirmedBy is sourcePlatform or the name of the entry that last confirmed the feed.
 	confirmedBy string
 	changed     chan struct{} // Closed and replaced when peers are to be sent something.
 	// confirmed is closed and replaced when the age of the feed becomes known or drops
-	// by more than confirmGain.
+	// by more than confirmGain, or an answer of the platform is due much later.
 	confirmed chan struct{}
 }
 
@@ -120,14 +122,9 @@
 // readsNow reports whether this entry reads the platform successfully. It is called with
 // mu held.
 func (cs *clusterState) readsNow(now time.Duration) bool {
-	return cs.reading && now-cs.lastRead < readValidity
+	return cs.reading && now-cs.lastRead < answerDue
 }
 
-// readValidity is the time since the platform's last reply for which a waiting
-// watch counts as up to date: the duration of a watch, and a margin for a slow
-// reply. After that, other entries of the region take over reading.
-const readValidity = pimentoplatform.WatchWait + 700*time.Millisecond
-
 // sourcePlatform is the name of the platform as a source of updates, beside the names
 // of entries.
 const sourcePlatform = "platform"
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -9,6 +9,7 @@
 
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
 )
 
@@ -31,10 +32,11 @@
 		return false
 	}
 	at, precedingReads := g.position(now)
+	cs.readPolicy.Overdue = cs.overdue(now)
 	wanted := cs.readPolicy.Decide(now, at, precedingReads, age, known)
 	if wanted != cs.shouldRead {
 		cs.shouldRead = wanted
-		g.logChange("msg", "decision to read the platform changed", "reads", wanted, "rank", at.RegionRank, "domain_rank", at.DomainRank, "age", age)
+		g.logChange("msg", "decision to read the platform changed", "reads", wanted, "rank", at.RegionRank, "domain_rank", at.DomainRank, "age", age, "overdue", cs.readPolicy.Overdue)
 	}
 	return wanted
 }
@@ -125,9 +127,39 @@
 		cs.lastRead = g.now()
 		cs.feed.Confirm(cs.lastRead, 0)
 		cs.confirmedBy = sourcePlatform
+		cs.extendDue(cs.lastRead + answerDue)
 	}
 }
 
+// answerDue is the time after an answer of the platform within which the next one comes: the
+// duration of a watch, and a margin for the way there and back.
+const answerDue = pimentoplatform.WatchWait + 150*time.Millisecond
+
+// overdue returns the time since the last moment at which an answer to an entry that reads
+// the platform was due, as far as this entry knows. It is 0 if it knows of none. It is
+// called with mu held.
+func (cs *clusterState) overdue(now time.Duration) time.Duration {
+	if cs.due == 0 {
+		return 0
+	}
+	return now - cs.due
+}
+
+// extendDue records when an answer to an entry that reads the platform is due. If that is
+// much later than known so far, the sync peers are informed at once. It is called with mu
+// held.
+func (cs *clusterState) extendDue(due time.Duration) {
+	if due-cs.due > dueGain {
+		close(cs.confirmed)
+		cs.confirmed = make(chan struct{})
+	}
+	cs.due = max(cs.due, due)
+}
+
+// dueGain is the time by which an answer must be due later for the sync peers to be informed
+// at once.
+const dueGain = time.Second
+
 // reading is an entry's statement that the platform confirmed its items just now. It is
 // forwarded between entries. Each statement has a number of its own, so that an entry
 // that receives one again doesn't take it for a new one: with the time that messages
@@ -136,6 +168,7 @@
 	run    uint64 // The run ID of the entry that reads the platform.
 	number uint64
 	at     time.Duration // When it was made, by the receiver's clock.
+	due    time.Duration // When the platform's next answer to that entry is due, likewise.
 }
 
 // maxReadings bounds the readings in a sync message.
@@ -146,7 +179,7 @@
 func (cs *clusterState) currentReadings(now time.Duration) []reading {
 	if cs.readsNow(now) {
 		run := cs.members.Self().RunID
-		cs.readings[run] = reading{run: run, number: cs.readings[run].number + 1, at: now}
+		cs.readings[run] = reading{run: run, number: cs.readings[run].number + 1, at: now, due: cs.lastRead + answerDue}
 	}
 	var list []reading
 	for run, r := range cs.readings {
@@ -169,6 +202,7 @@
 	for _, r := range list {
 		if known, ok := cs.readings[r.run]; !ok || r.number > known.number {
 			cs.readings[r.run] = r
+			cs.extendDue(r.due)
 			isNew = true
 		}
 	}
--- a/pimentogate/reading_test.go
+++ b/pimentogate/reading_test.go
@@ -96,3 +96,60 @@
 	_, precedingReads := last.position(last.now())
 	is.True(precedingReads)
 }
+
+// While the watches of all readers hang, and they still say that they read, the other
+// entries begin to read in time for a change to be active within 2.5 s: the first of each
+// domain, which sends the change on, 2.25 s after the last answer of any reader, and the
+// last one 2.5 s after it, at any size of the fleet.
+func TestSilentReadersAreReplaced(t *testing.T) {
+	const firstLimit, lastLimit = 2250 * time.Millisecond, 2500 * time.Millisecond
+	for _, entries := range []int{16, 100, 472} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reader := gateInRegion(t, 1, 0)
+				first, last := gateInRegion(t, 2*entries/3+2, 0), gateInRegion(t, entries, 0)
+				first.settings.Domain = "d9" // It is alone there.
+				reader.setReading(true)      // The last answer.
+				start := time.Now()
+				began := make(map[*Gate]time.Duration)
+				for step := 0; time.Since(start) < 2*lastLimit; step++ {
+					for _, g := range []*Gate{first, last} {
+						if step%5 == 0 {
+							g.applySyncMessage(reader.newSyncMessage(0, nil))
+						}
+						if began[g] == 0 && g.decideReading() {
+							began[g] = time.Since(start)
+						}
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if d := began[first]; d == 0 || d > firstLimit {
+					t.Errorf("the first entry of a domain begins to read after %v, the limit is %v", d, firstLimit)
+				}
+				if d := began[last]; d == 0 || d > lastLimit {
+					t.Errorf("the last entry begins to read after %v, the limit is %v", d, lastLimit)
+				}
+			})
+		})
+	}
+}
+
+// Entries that hear of each answer in time don't read the platform themselves.
+func TestAnswersInTimeKeepOthersFromReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, other := gateInRegion(t, 1, 0), gateInRegion(t, 2, 0)
+		for range 50 {
+			reader.setReading(true)
+			for step := range 20 {
+				if step%5 == 0 {
+					other.applySyncMessage(reader.newSyncMessage(0, nil))
+				}
+				time.Sleep(100 * time.Millisecond)
+				if other.decideReading() {
+					t.Fatal("it reads the platform")
+				}
+			}
+			time.Sleep(60 * time.Millisecond) // The way there and back.
+		}
+	})
+}
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -159,7 +159,7 @@
 // linkPolicy returns the policy for an entry of another domain.
 func (g *Gate) linkPolicy(m *pimentopeer.Member) syncPolicy {
 	if m.Region == g.region {
-		return syncPolicy{interval: regionSyncInterval, onChange: true}
+		return syncPolicy{interval: regionSyncInterval, onChange: true, onConfirm: true}
 	}
 	return syncPolicy{interval: crossRegionSyncInterval}
 }
@@ -275,6 +275,7 @@
 	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
+		msg.readings[i].due -= now
 	}
 	if age, known := cs.age(now); known {
 		msg.ageMillis = age.Milliseconds()
@@ -314,7 +315,8 @@
 	cs.members.MergeDirect(now, msg.sender)
 	cs.members.Merge(now, msg.members)
 	for i := range msg.readings {
-		msg.readings[i].at += now // They have negative times since the message was made.
+		msg.readings[i].at += now // Their times are relative to the message.
+		msg.readings[i].due += now
 	}
 	confirms := cs.mergeReadings(msg.readings) && msg.ageMillis >= 0
 	cs.mu.Unlock()
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -103,12 +103,17 @@
 	mm.AppendUint64(5, uint64(r.Age.Milliseconds()))
 }
 
-// message Reading { fixed64 run = 1; uint64 number = 2; uint64 age_millis = 3; }
+// message Reading {
+//   fixed64 run = 1; uint64 number = 2; uint64 age_millis = 3; sint64 due_millis = 4;
+// }
+//
+// due_millis is negative if the answer is overdue.
 
 func marshalReading(mm *easyproto.MessageMarshaler, r *reading) {
 	mm.AppendFixed64(1, r.run)
 	mm.AppendUint64(2, r.number)
 	mm.AppendUint64(3, uint64(-r.at.Milliseconds()))
+	mm.AppendSint64(4, r.due.Milliseconds())
 }
 
 func unmarshalReading(src []byte, r *reading) error {
@@ -122,6 +127,10 @@
 			var age time.Duration
 			age, ok = ageField(fc)
 			r.at = -age
+		case 4:
+			var ms int64
+			ms, ok = fc.Sint64()
+			r.due = time.Duration(min(max(ms, -maxAgeMillis), answerDue.Milliseconds())) * time.Millisecond
 		default:
 			ok = true
 		}
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -25,8 +25,9 @@
 }
 
 const (
-	// WatchWait is the time for which a watch waits. A watch whose connection is silent
-	// fails soon after it.
+	// WatchWait is the time after a read within which a watch returns: the time for which
+	// it waits, with the pause before it. A watch whose connection is silent fails soon
+	// after it.
 	WatchWait = 2 * time.Second
 	// retryWatchWait is the time for which a watch after a failure waits. It is short,
 	// so that the recovery of the source is detected soon.
@@ -67,6 +68,7 @@
 
 	failures int  // Since the last success.
 	watching bool // A read has succeeded since ShouldRead last returned false.
+	batching bool // The last read returned changes, and batchPause followed.
 	readAll  bool // All items must be read again, and not stale.
 }
 
@@ -100,6 +102,8 @@
 			wait = retryWatchWait
 		case !f.watching:
 			wait = firstWatchWait
+		case f.batching:
+			wait = WatchWait - batchPause
 		}
 		u, err = f.Source.Watch(after, wait)
 	}
@@ -114,7 +118,8 @@
 	}
 	f.OnUpdate(u)
 	f.OnReading(true)
-	if !u.Full && len(u.Items) > 0 {
+	f.batching = !u.Full && len(u.Items) > 0
+	if f.batching {
 		return batchPause
 	}
 	return 0
--- a/pimentoplatform/follow_test.go
+++ b/pimentoplatform/follow_test.go
@@ -59,3 +59,37 @@
 		is.True(len(confirmed) < 8) // Later watches wait for WatchWait.
 	})
 }
+
+// After a read with changes a watch waits less by the pause that follows it, so that its
+// answer comes no later than usual.
+func TestWatchAfterChangesIsShorter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var answers []time.Time
+		f := &Follower{
+			Source: Source{Watch: func(after pimentofeed.Revision, wait time.Duration) (pimentofeed.Update, error) {
+				if len(answers) == 1 { // The second watch returns a change at once.
+					return pimentofeed.Update{From: after, AsOf: after, Items: []pimentofeed.Item{{Key: "a", Revision: after}}}, nil
+				}
+				time.Sleep(wait)
+				return pimentofeed.Update{From: after, AsOf: after}, nil
+			}},
+			Log:        log.NewNopLogger(),
+			ShouldRead: func() bool { return true },
+			AsOf:       func() pimentofeed.Revision { return 7 },
+			OnUpdate:   func(pimentofeed.Update) {},
+			OnReading:  func(bool) { answers = append(answers, time.Now()) },
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(6 * time.Second)
+		cancel()
+		<-done
+		is.Equal(answers[2].Sub(answers[1]), WatchWait)
+		is.Equal(answers[3].Sub(answers[2]), WatchWait)
+	})
+}
