pimentogate: a closed connection lingers until its response has arrived

Cause: after the last response of a connection, its input was drained for 500 ms, and then it was closed. What the caller sends after that resets it, and the kernel throws away what it hasn't delivered yet: up to 4 MiB of a response that was written long before. Callers that read slowly and send ahead saw a response cut.

The input is drained until the caller's kernel has acknowledged everything (SIOCOUTQ; where that isn't known, 500 ms as before), for 20 s at most, as long as a write may take.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -63,7 +63,10 @@
 	done chan *response // Receives one response.
 }
 
-func (g *Gate) serveConn(nc net.Conn) {
+func (g *Gate) serveConn(nc net.Conn) { g.newCallerConn(nc).serve() }
+
+// newCallerConn returns a connection that was accepted, and adds it to the open ones.
+func (g *Gate) newCallerConn(nc net.Conn) *callerConn {
 	host, _, err := net.SplitHostPort(nc.RemoteAddr().String())
 	if err != nil {
 		host = nc.RemoteAddr().String()
@@ -78,36 +81,26 @@
 		firstRequestBy: time.Now().Add(firstRequestTime),
 	}
 	g.conns.add(cc)
+	return cc
+}
+
+// serve serves requests until the connection ends.
+func (cc *callerConn) serve() {
 	var wg sync.WaitGroup
 	wg.Go(cc.writeResponses)
 	cc.readRequests()
 	close(cc.pending)
 	wg.Wait()
 	cc.linger()
-	_ = nc.Close()
+	_ = cc.Close()
 	cc.reportLosses()
-	g.conns.remove(cc)
+	cc.gate.conns.remove(cc)
 }
 
 // firstRequestTime is the time that a new connection has to begin its first request during a
 // planned stop.
 const firstRequestTime = 300 * time.Millisecond
 
-// lingerTime bounds the time for which a half-closed connection is still read.
-const lingerTime = 500 * time.Millisecond
-
-// linger closes the sending side and reads what the caller still sends, because
-// closing a connection with unread bytes resets it, and the caller may lose the
-// last response.
-func (cc *callerConn) linger() {
-	tcp, ok := cc.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
-		return
-	}
-	_ = cc.SetReadDeadline(time.Now().Add(lingerTime))
-	_ = cc.discard(cc.r)
-}
-
 // limits returns the active limits.
 func (g *Gate) limits() pimentoroute.Limits {
 	if t := g.table.Load(); t != nil && t.Config != nil {
