pimentogate: a response that breaks off doesn't reset the caller's connection

Cause: when a streamed response couldn't be written whole, the connection was closed at once. With requests behind it that weren't read, that is a reset, and the kernel throws away complete responses before it that haven't arrived. Callers lost these too.

The connection is half-closed and lingers, as after any last response; the end within the stated length or chunk tells that the response is incomplete.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -404,7 +404,8 @@
 	if closes {
 		resp.http.SetConnectionClose()
 	}
-	_ = cc.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
+	began := time.Now()
+	_ = cc.SetWriteDeadline(began.Add(responseWriteTimeout))
 	err := resp.http.Write(w)
 	if err == nil {
 		err = w.Flush()
@@ -417,7 +418,9 @@
 		cc.gate.metrics.count(`pimento_answers_cut_total`)
 		cc.gate.logLine(level.WarnValue(), "msg", "response write failed", "id", id, "from", cc.callerIP, "err", err)
 		cc.setDropEnd(endWrite)
-		_ = cc.Close()
+		if time.Since(began) >= responseWriteTimeout {
+			_ = cc.Close() // The caller doesn't read.
+		}
 		return false, false
 	}
 	return true, !closes
--- a/pimentogate/linger_test.go
+++ b/pimentogate/linger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -85,3 +86,19 @@
 	n, _ := io.Copy(io.Discard, c)
 	is.True(n > slowBodySize) // Bytes received, with the head.
 }
+
+// A response that breaks off doesn't take the complete ones before it along.
+func TestBrokenResponseKeepsEarlierOnes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	broken := io.MultiReader(strings.NewReader("part"), readerFunc(func([]byte) (int, error) { return 0, errors.New("broken") }))
+	c := respondTo(t, bodyResponse(bytes.NewReader(make([]byte, slowBodySize)), slowBodySize, false), bodyResponse(broken, 100, false))
+	go sendMore(c)
+	time.Sleep(slowCallerPause)
+	n, _ := io.Copy(io.Discard, c)
+	is.True(n > slowBodySize) // Bytes received, with the head.
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
