pimentogate: the idle time of a connection begins with the end of its last response

Cause: it was counted from the time at which the request had been read, so that the time of the response counted as idle. Callers may use a connection for four fifths of the idle timeout after a response; they found it closed, or sent a request into the close, after responses that take more than a fifth of it.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -54,6 +54,7 @@
 	firstRequestBy time.Time
 	receiving      bool               // A request has begun to arrive.
 	calls          map[*call]struct{} // Requests without a response.
+	idleSince      time.Time          // When the last response ended, zero before the first.
 	losses         connLosses
 }
 
@@ -158,6 +159,7 @@
 func (cc *callerConn) removeCall(c *call) {
 	cc.mu.Lock()
 	delete(cc.calls, c)
+	cc.idleSince = time.Now()
 	cc.mu.Unlock()
 	cc.unanswered.Add(-1)
 }
@@ -268,7 +270,7 @@
 // awaitFirstByte waits for the first byte of the next request, and for the end of
 // the previous one if that one is exclusive.
 func (cc *callerConn) awaitFirstByte(exclusive bool) error {
-	idleSince := time.Now()
+	began := time.Now()
 	for {
 		_ = cc.SetReadDeadline(time.Now().Add(idleCheckInterval))
 		if cc.isClosing() {
@@ -287,14 +289,20 @@
 			return nil
 		case !errors.As(err, &ne) || !ne.Timeout():
 			return err
-		case busy:
-			idleSince = time.Now()
-		case time.Since(idleSince) > cc.gate.limits().IdleTimeout:
+		case !busy && cc.idleTime(began) > cc.gate.limits().IdleTimeout:
 			return errIdle
 		}
 	}
 }
 
+// idleTime returns the time since a point in time or since the end of the last response, if
+// that was later.
+func (cc *callerConn) idleTime(since time.Time) time.Duration {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return min(time.Since(since), time.Since(cc.idleSince))
+}
+
 // idleCheckInterval is the longest time between two checks whether an idle
 // connection is to be closed.
 const idleCheckInterval = 5 * time.Second
