pimentogate: a shorter idle timeout doesn't apply to connections that are idle already

Cause: the active limit applied at once. A caller that was told a longer one reuses its connection within four fifths of that; it found it closed after the change of the configuration, or sent a request into the close.

The longer of the limit at the begin of the idle time and the active one applies.

Evidence: TestIdleTimeoutOfOlderConfig (20 s changed to 2 s, reuse after 6 s): EOF in 2 of 2 runs before, answered in 2 of 2 with -race after.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -271,6 +271,7 @@
 // the previous one if that one is exclusive.
 func (cc *callerConn) awaitFirstByte(exclusive bool) error {
 	began := time.Now()
+	limit := cc.gate.limits().IdleTimeout // The caller may not know a shorter one yet.
 	for {
 		_ = cc.SetReadDeadline(time.Now().Add(idleCheckInterval))
 		if cc.isClosing() {
@@ -289,7 +290,7 @@
 			return nil
 		case !errors.As(err, &ne) || !ne.Timeout():
 			return err
-		case !busy && cc.idleTime(began) > cc.gate.limits().IdleTimeout:
+		case !busy && cc.idleTime(began) > max(limit, cc.gate.limits().IdleTimeout):
 			return errIdle
 		}
 	}
