pimentogate: a planned stop refuses late requests that could outlast it

Cause: a request that was received late in the stop was sent on if it usually ends in time; at a slow or silent target it was cut off at the end. Callers got no response, or 504, where another entry could have served them.

In the second half of the grace period, in which no new connections are accepted, a request whose deadline lies behind the cutoff is refused at once as not executed (503, and the connection closes).

--- a/pimentogate/accept.go
+++ b/pimentogate/accept.go
@@ -29,10 +29,10 @@
 }
 
 // stopAccepting ends the accept loop once no new connection has come for a while, or at
-// the given time, and closes the listener. Closing it sooner would reset the connections
+// acceptEnd, and closes the listener. Closing it sooner would reset the connections
 // that wait to be accepted.
-func (g *Gate) stopAccepting(ln net.Listener, end time.Time) {
-	g.acceptEnd.Store(&end)
+func (g *Gate) stopAccepting(ln net.Listener) {
+	g.acceptsLast.Store(true)
 	if d, ok := ln.(deadlineListener); ok {
 		_ = d.SetDeadline(time.Now()) // Wakes the loop.
 		<-g.acceptDone
@@ -44,9 +44,9 @@
 // stop accepts no more.
 func (g *Gate) accept(ln net.Listener) (net.Conn, error) {
 	for quiet := 0; quiet < acceptQuietChecks; {
-		end := g.acceptEnd.Load()
-		if d, ok := ln.(deadlineListener); ok && end != nil {
-			left := time.Until(*end)
+		last := g.acceptsLast.Load()
+		if d, ok := ln.(deadlineListener); ok && last {
+			left := time.Until(*g.acceptEnd.Load())
 			if left < -acceptQueueTime {
 				break
 			}
@@ -56,7 +56,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nc, err
 		}
-		if end != nil {
+		if last {
 			quiet++
 		}
 	}
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -78,9 +78,10 @@
 	cutoff        atomic.Pointer[time.Time]
 	cutoffReached chan struct{} // Closed at that time.
 	// acceptEnd is when a planned stop accepts no more connections at the latest; nil
-	// until it has waited for the balancer.
-	acceptEnd  atomic.Pointer[time.Time]
-	acceptDone chan struct{} // Closed when acceptCallers has returned.
+	// before it.
+	acceptEnd   atomic.Pointer[time.Time]
+	acceptsLast atomic.Bool   // A planned stop accepts until no new connection comes.
+	acceptDone  chan struct{} // Closed when acceptCallers has returned.
 }
 
 const (
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -25,8 +25,9 @@
 // answered without a target's response near the end of the grace period.
 func (g *Gate) shutDown(callers net.Listener) {
 	began, grace := time.Now(), float64(g.settings.GracePeriod)
-	cutoff := began.Add(time.Duration(drainFraction * grace))
+	cutoff, half := began.Add(time.Duration(drainFraction*grace)), began.Add(time.Duration(acceptEndFraction*grace))
 	g.cutoff.Store(&cutoff)
+	g.acceptEnd.Store(&half)
 	g.stopping.Store(true)
 	cs := g.cluster
 	cs.mu.Lock()
@@ -35,7 +36,7 @@
 	cs.mu.Unlock()
 	g.logChange("msg", "stopping", "open", g.conns.size())
 	time.Sleep(balancerDelay)
-	go g.stopAccepting(callers, began.Add(time.Duration(acceptEndFraction*grace)))
+	go g.stopAccepting(callers)
 	for (g.isAccepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
 		g.stopIdleConns()
 		time.Sleep(drainCheckInterval)
@@ -75,7 +76,7 @@
 const cutoffLogTime = 100 * time.Millisecond
 
 // lateStopFactor times the expected time of a request is the time within which it is
-// assumed to end.
+// assumed to end, if it is received while new connections are accepted.
 const lateStopFactor = 2
 
 // retryAfterStop is the Retry-After time of refusals during a planned stop: other entries
@@ -90,6 +91,9 @@
 	if cutoff == nil {
 		return false
 	}
+	if half := g.acceptEnd.Load(); half != nil && c.received.After(*half) {
+		return cutoff.Before(c.deadline)
+	}
 	needed := c.route.Objective
 	if cand != nil {
 		needed = max(needed, lateStopFactor*cand.expected)
