pimentohttp: DrainListener, moved out of pimentogate

The emptying of the accept queue is needed by pimentoentry too. No change in what is done; the tests of the stop pass as before (pimentogate, TestStop* of platform, -race).

--- a/pimentogate/accept_test.go
+++ b/pimentogate/accept_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentohttp"
 )
 
 // slowListener takes a while for each connection that it accepts, as on a VM without
@@ -41,7 +43,7 @@
 
 // stopGate begins a planned stop of a gate with a listener and returns a channel that is
 // closed when the stop has ended.
-func stopGate(g *Gate, ln net.Listener) <-chan struct{} {
+func stopGate(g *Gate, ln *pimentohttp.DrainListener) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		g.shutDown(ln)
@@ -71,14 +73,14 @@
 }
 
 // slowGate returns a gate without a configuration and its slow listener.
-func slowGate(t *testing.T, acceptTime, addrTime time.Duration) (*Gate, *slowListener) {
+func slowGate(t *testing.T, acceptTime, addrTime time.Duration) (*Gate, *pimentohttp.DrainListener) {
 	t.Helper()
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = tcp.Close() })
-	ln := &slowListener{TCPListener: tcp.(*net.TCPListener), acceptTime: acceptTime, addrTime: addrTime}
+	ln := pimentohttp.NewDrainListener(&slowListener{TCPListener: tcp.(*net.TCPListener), acceptTime: acceptTime, addrTime: addrTime})
 	g, _ := newConnGate(t)
 	go g.acceptCallers(ln)
 	return g, ln
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -79,9 +79,7 @@
 	cutoffReached chan struct{} // Closed at that time.
 	// acceptEnd is when a planned stop accepts no more connections at the latest; nil
 	// before it.
-	acceptEnd   atomic.Pointer[time.Time]
-	acceptsLast atomic.Bool   // A planned stop accepts until no new connection comes.
-	acceptDone  chan struct{} // Closed when acceptCallers has returned.
+	acceptEnd atomic.Pointer[time.Time]
 }
 
 const (
@@ -116,7 +114,6 @@
 		metrics:    newGateMetrics(),
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
-		acceptDone: make(chan struct{}),
 
 		cutoffReached: make(chan struct{}),
 		workers:       workers,
@@ -190,11 +187,12 @@
 	wg.Go(func() { g.maintainCluster(ctx.Done()) })
 	wg.Go(func() { g.runPeerSyncs(ctx) })
 	wg.Go(func() { g.watchSettings(ctx, reload) })
-	wg.Go(func() { g.acceptCallers(l.callers) })
+	callers := pimentohttp.NewDrainListener(l.callers)
+	wg.Go(func() { g.acceptCallers(callers) })
 	go g.followPlatform(ctx) // Not in wg: a waiting watch can't be cancelled.
 	g.logChange("msg", "started", "name", g.settings.Name, "region", g.region, "domain", g.settings.Domain, "callers", g.settings.CallersAddr)
 	<-stop
-	g.shutDown(l.callers)
+	g.shutDown(callers)
 	cancel()
 	closeAll()
 	g.logChange("msg", "stopped", "open", g.conns.size())
@@ -215,9 +213,8 @@
 }
 
 func (g *Gate) acceptCallers(ln net.Listener) {
-	defer close(g.acceptDone)
 	for {
-		nc, err := g.accept(ln)
+		nc, err := ln.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentohttp"
 )
 
 const (
 	// balancerDelay is the time within which the balancer detects that an entry
 	// isn't ready: two of its readiness checks, and a margin.
 	balancerDelay = 2400 * time.Millisecond
+	// acceptEndFraction is the fraction of the grace period after which no new connections
+	// are accepted, although the balancer still sends some.
+	acceptEndFraction = 0.5
 	// drainFraction is the fraction of the grace period after which running requests are
 	// cut off.
 	drainFraction = 0.88
@@ -23,7 +27,7 @@
 // shutDown performs a planned stop. New connections are accepted until the balancer
 // has detected that the entry isn't ready; running requests are then completed, or
 // answered without a target's response near the end of the grace period.
-func (g *Gate) shutDown(callers net.Listener) {
+func (g *Gate) shutDown(callers *pimentohttp.DrainListener) {
 	began, grace := time.Now(), float64(g.settings.GracePeriod)
 	cutoff, half := began.Add(time.Duration(drainFraction*grace)), began.Add(time.Duration(acceptEndFraction*grace))
 	g.cutoff.Store(&cutoff)
@@ -36,8 +40,8 @@
 	cs.mu.Unlock()
 	g.logChange("msg", "stopping", "open", g.conns.size())
 	time.Sleep(balancerDelay)
-	go g.stopAccepting(callers)
-	for (g.isAccepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
+	go callers.Drain(half)
+	for (callers.Accepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
 		g.stopIdleConns()
 		time.Sleep(drainCheckInterval)
 	}
