--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -54,6 +54,7 @@
 	firstRequestBy time.Time
 	receiving      bool               // A request has begun to arrive.
 	calls          map[*call]struct{} // Requests without a response.
+	idleSince      time.Time          // When the last response ended, zero before the first.
 	losses         connLosses
 }
 
@@ -63,7 +64,10 @@
 	done chan *response // Receives one response.
 }
 
-func (g *Gate) serveConn(nc net.Conn) {
+func (g *Gate) serveConn(nc net.Conn) { g.newCallerConn(nc).serve() }
+
+// newCallerConn returns a connection that was accepted, and adds it to the open ones.
+func (g *Gate) newCallerConn(nc net.Conn) *callerConn {
 	host, _, err := net.SplitHostPort(nc.RemoteAddr().String())
 	if err != nil {
 		host = nc.RemoteAddr().String()
@@ -78,36 +82,26 @@
 		firstRequestBy: time.Now().Add(firstRequestTime),
 	}
 	g.conns.add(cc)
+	return cc
+}
+
+// serve serves requests until the connection ends.
+func (cc *callerConn) serve() {
 	var wg sync.WaitGroup
 	wg.Go(cc.writeResponses)
 	cc.readRequests()
 	close(cc.pending)
 	wg.Wait()
 	cc.linger()
-	_ = nc.Close()
+	_ = cc.Close()
 	cc.reportLosses()
-	g.conns.remove(cc)
+	cc.gate.conns.remove(cc)
 }
 
 // firstRequestTime is the time that a new connection has to begin its first request during a
 // planned stop.
 const firstRequestTime = 300 * time.Millisecond
 
-// lingerTime bounds the time for which a half-closed connection is still read.
-const lingerTime = 500 * time.Millisecond
-
-// linger closes the sending side and reads what the caller still sends, because
-// closing a connection with unread bytes resets it, and the caller may lose the
-// last response.
-func (cc *callerConn) linger() {
-	tcp, ok := cc.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
-		return
-	}
-	_ = cc.SetReadDeadline(time.Now().Add(lingerTime))
-	_ = cc.discard(cc.r)
-}
-
 // limits returns the active limits.
 func (g *Gate) limits() pimentoroute.Limits {
 	if t := g.table.Load(); t != nil && t.Config != nil {
@@ -165,6 +159,7 @@
 func (cc *callerConn) removeCall(c *call) {
 	cc.mu.Lock()
 	delete(cc.calls, c)
+	cc.idleSince = time.Now()
 	cc.mu.Unlock()
 	cc.unanswered.Add(-1)
 }
@@ -275,7 +270,8 @@
 // awaitFirstByte waits for the first byte of the next request, and for the end of
 // the previous one if that one is exclusive.
 func (cc *callerConn) awaitFirstByte(exclusive bool) error {
-	idleSince := time.Now()
+	began := time.Now()
+	limit := cc.gate.limits().IdleTimeout // The caller may not know a shorter one yet.
 	for {
 		_ = cc.SetReadDeadline(time.Now().Add(idleCheckInterval))
 		if cc.isClosing() {
@@ -294,14 +290,20 @@
 			return nil
 		case !errors.As(err, &ne) || !ne.Timeout():
 			return err
-		case busy:
-			idleSince = time.Now()
-		case time.Since(idleSince) > cc.gate.limits().IdleTimeout:
+		case !busy && cc.idleTime(began) > max(limit, cc.gate.limits().IdleTimeout):
 			return errIdle
 		}
 	}
 }
 
+// idleTime returns the time since a point in time or since the end of the last response, if
+// that was later.
+func (cc *callerConn) idleTime(since time.Time) time.Duration {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return min(time.Since(since), time.Since(cc.idleSince))
+}
+
 // idleCheckInterval is the longest time between two checks whether an idle
 // connection is to be closed.
 const idleCheckInterval = 5 * time.Second
@@ -411,7 +413,8 @@
 	if closes {
 		resp.http.SetConnectionClose()
 	}
-	_ = cc.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
+	began := time.Now()
+	_ = cc.SetWriteDeadline(began.Add(responseWriteTimeout))
 	err := resp.http.Write(w)
 	if err == nil {
 		err = w.Flush()
@@ -424,7 +427,9 @@
 		cc.gate.metrics.count(`pimento_answers_cut_total`)
 		cc.gate.logLine(level.WarnValue(), "msg", "response write failed", "id", id, "from", cc.callerIP, "err", err)
 		cc.setDropEnd(endWrite)
-		_ = cc.Close()
+		if time.Since(began) >= responseWriteTimeout {
+			_ = cc.Close() // The caller doesn't read.
+		}
 		return false, false
 	}
 	return true, !closes
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentohttp"
 )
 
 const (
 	// balancerDelay is the time within which the balancer detects that an entry
 	// isn't ready: two of its readiness checks, and a margin.
 	balancerDelay = 2400 * time.Millisecond
+	// acceptEndFraction is the fraction of the grace period after which no new connections
+	// are accepted, although the balancer still sends some.
+	acceptEndFraction = 0.5
 	// drainFraction is the fraction of the grace period after which running requests are
 	// cut off.
 	drainFraction = 0.88
@@ -24,10 +28,11 @@
 // shutDown performs a planned stop. New connections are accepted until the balancer
 // has detected that the entry isn't ready; running requests are then completed, or
 // answered without a target's response near the end of the grace period.
-func (g *Gate) shutDown(callers net.Listener) {
+func (g *Gate) shutDown(callers *pimentohttp.DrainListener) {
 	began, grace := time.Now(), float64(g.settings.GracePeriod)
-	cutoff := began.Add(time.Duration(drainFraction * grace))
+	cutoff, half := began.Add(time.Duration(drainFraction*grace)), began.Add(time.Duration(acceptEndFraction*grace))
 	g.cutoff.Store(&cutoff)
+	g.acceptEnd.Store(&half)
 	g.stopping.Store(true)
 	cs := g.cluster
 	cs.mu.Lock()
@@ -36,8 +41,8 @@
 	cs.mu.Unlock()
 	g.logChange("msg", "stopping", "open", g.conns.size())
 	time.Sleep(balancerDelay)
-	go g.stopAccepting(callers, began.Add(time.Duration(acceptEndFraction*grace)))
-	for (g.isAccepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
+	go callers.Drain(half)
+	for (callers.Accepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
 		g.stopIdleConns()
 		time.Sleep(drainCheckInterval)
 	}
@@ -76,7 +81,7 @@
 const cutoffLogTime = 100 * time.Millisecond
 
 // lateStopFactor times the expected time of a request is the time within which it is
-// assumed to end.
+// assumed to end, if it is received while new connections are accepted.
 const lateStopFactor = 2
 
 // retryAfterStop is the Retry-After time of refusals during a planned stop: other entries
@@ -91,6 +96,9 @@
 	if cutoff == nil {
 		return false
 	}
+	if half := g.acceptEnd.Load(); half != nil && c.received.After(*half) {
+		return cutoff.Before(c.deadline)
+	}
 	needed := c.route.Objective
 	if cand != nil {
 		needed = max(needed, lateStopFactor*cand.expected)
