pimentogate: statistics never read a streamed body

Callers saw a complete 200 with the signature of the target, whose body was the text of an error of this entry, when a target broke off a response above 4 MiB or its time ended.

recordOutcome took the length for its statistics by len(Resp.Body()). For a stream, fasthttp reads all of it for that, and on failure makes the text of the error the body, which then is framed as complete. The length now comes from the head; a response without one isn't measured. A stream that fails closes the connection of the caller, as was meant.

--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -111,7 +111,7 @@
 	switch s.outcome {
 	case outcomeResponse:
 		if r := &s.candidate.report; r.Slowdown <= calmSlowdown && r.Running < r.Slots {
-			g.traffic.recordLatency(c.route, c.serviceName(), time.Since(s.started)-g.roundTrip(tg), r.Running, len(s.exchange.Resp.Body()))
+			g.traffic.recordLatency(c.route, c.serviceName(), time.Since(s.started)-g.roundTrip(tg), r.Running, responseLength(s.exchange.Resp))
 		}
 		g.recordReport(tg, g.dialect.ParseReport(s.exchange.Resp))
 		g.clearQuarantine(c)
@@ -144,6 +144,18 @@
 	ts.mu.Unlock()
 }
 
+// unknownLength is the length of a response that isn't known.
+const unknownLength = -1
+
+// responseLength returns the length of a response's body in bytes, or unknownLength. It
+// doesn't read a body that is a stream, which is forwarded while it is received.
+func responseLength(resp *fasthttp.Response) int {
+	if resp.IsBodyStream() {
+		return max(unknownLength, resp.Header.ContentLength())
+	}
+	return len(resp.Body())
+}
+
 // asksForPause reports whether the response asks for a pause.
 func (s *send) asksForPause(d *Dialect) bool {
 	return s.err == nil && s.exchange != nil && d.ParseNotice(s.exchange.Resp).Pause > 0
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -184,7 +184,8 @@
 
 // recordLatency updates a route's work statistics and the service's curve with one response.
 // others is the number of other requests that ran at the target when it was chosen.
-// recordOutcome leaves out targets that were slowed down or full at that time.
+// recordOutcome leaves out targets that were slowed down or full at that time. bytes is the
+// length of the response, or unknownLength.
 func (ts *trafficStats) recordLatency(r *pimentoroute.Route, s pimentoregister.ServiceName, took time.Duration, others, bytes int) {
 	if took < minWork {
 		return
@@ -192,7 +193,9 @@
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	w, curve := ts.routeWork(r), &ts.service(s).curve
-	w.meanBytes += bytesWeight * (float64(bytes) - w.meanBytes)
+	if bytes != unknownLength {
+		w.meanBytes += bytesWeight * (float64(bytes) - w.meanBytes)
+	}
 	curve.Observe(others, float64(took)/float64(w.alone))
 	if others > 0 && curve.Ratio(others) > maxAloneRatio {
 		return
