pimentogate: one bound on the bodies that are held

pimentomemory.Budget now bounds them together, in both directions: setting `held`, by default a quarter of `memory`. A response that doesn't fit is forwarded while it is received. An upload that doesn't fit is refused with 503, Retry-After and the reason `memory`: before its body is read (and before 100 Continue), or when a chunked one grows. Responses to other requests that are skipped count too, and bodies without a length, which can't be forwarded while they are received and end in an error. The body of a request is dropped once its response is decided and nothing of it is being written.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -148,6 +148,9 @@
 	gauge("pimento_entries", func() float64 { return float64(g.clusterSize.Load()) })
 	gauge("pimento_callers_open", func() float64 { return float64(g.conns.size()) })
 	gauge("pimento_targets_open", func() float64 { return float64(g.client.OpenConns()) })
+	gauge("pimento_memory_held_bytes", func() float64 { return float64(g.memory.Used()) })
+	gauge("pimento_memory_limit_bytes", func() float64 { return float64(g.memory.Limit()) })
+	gauge("pimento_memory_denied_total", func() float64 { return float64(g.memory.Denied()) })
 	gauge("pimento_ready", func() float64 {
 		if g.ready() {
 			return 1
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -3,11 +3,13 @@
 import (
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentohttp"
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
@@ -33,6 +35,13 @@
 	repeat   bool      // Its caller has probably sent it before.
 	deadline time.Time // When the final response is due.
 
+	// memory counts the bytes that are held for the call. releaseMemory gives them back. Both
+	// are nil until the head of the request was checked.
+	memory        *pimentomemory.Grant
+	releaseMemory func()
+	bodyBytes     int          // Those of the request's body.
+	bodyUsers     atomic.Int32 // The call while it is served, and its sends.
+
 	tried         []pimentoroute.TargetID
 	sends         int        // Sends that a target may have executed or refused.
 	mayHaveRun    bool       // The request was executed, or a send's outcome is unknown.
@@ -60,6 +69,7 @@
 		received: received,
 		done:     make(chan struct{}),
 	}
+	c.bodyUsers.Store(1)
 	if ms, err := strconv.ParseFloat(string(req.Header.Peek(d.Deadline)), 64); err == nil && ms >= 0 {
 		ms = min(ms, float64(maxCallerDeadline.Milliseconds()))
 		c.callerDeadline = received.Add(time.Duration(ms * float64(time.Millisecond)))
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -109,16 +109,17 @@
 func (cc *callerConn) readRequests() {
 	exclusive := false
 	for {
-		req, received, err := cc.readRequest(exclusive)
+		c, err := cc.readRequest(exclusive)
 		if err != nil {
-			cc.handleReadError(err)
+			cc.handleReadError(c, err)
+			c.end()
 			cc.awaitResponses()
 			return
 		}
-		c := newCall(req, &cc.gate.dialect, cc.callerIP, received)
 		if !cc.addCall(c) {
 			// The response before this request closes the connection, so the
 			// request counts as unread.
+			c.end()
 			cc.awaitResponses()
 			return
 		}
@@ -129,7 +130,7 @@
 		}
 		// The request after one that may change something must not be executed if
 		// the response to that one closes the connection.
-		exclusive = !req.Header.IsGet() && !req.Header.IsHead()
+		exclusive = !c.req.Header.IsGet() && !c.req.Header.IsHead()
 	}
 }
 
@@ -151,6 +152,7 @@
 
 // removeCall removes a request whose response was written or dropped.
 func (cc *callerConn) removeCall(c *call) {
+	c.end()
 	cc.mu.Lock()
 	delete(cc.calls, c)
 	cc.mu.Unlock()
@@ -214,42 +216,33 @@
 var errClosing = errors.New("the connection closes after the outstanding responses")
 
 // readRequest reads one complete request. Between requests it waits for at most the
-// active idle timeout. If exclusive is set, the request before it must end first.
-func (cc *callerConn) readRequest(exclusive bool) (*fasthttp.Request, time.Time, error) {
+// active idle timeout. If exclusive is set, the request before it must end first. After an
+// error, the call is that of a request whose head was read, or nil.
+func (cc *callerConn) readRequest(exclusive bool) (*call, error) {
 	if err := cc.awaitFirstByte(exclusive); err != nil {
-		return nil, time.Time{}, err
+		return nil, err
 	}
 	if !cc.beginReceiving() {
-		return nil, time.Time{}, errClosing
+		return nil, errClosing
 	}
 	limits := cc.gate.limits()
 	_ = cc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req := new(fasthttp.Request)
 	if err := req.Header.Read(cc.r); err != nil {
-		return nil, time.Time{}, headError(err)
+		return nil, headError(err)
 	}
-	received := time.Now()
+	c := newCall(req, &cc.gate.dialect, cc.callerIP, time.Now())
 	if err := checkHead(&req.Header, limits); err != nil {
-		return nil, received, err
+		return c, err
 	}
-	if req.MayContinue() {
-		if _, err := cc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return nil, received, err
-		}
-	}
-	_ = cc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if err := req.ContinueReadBody(cc.r, limits.BodyBytes, false); err != nil {
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			return nil, received, &badRequest{status: fasthttp.StatusRequestEntityTooLarge, err: err}
-		}
-		return nil, received, err
+	c.memory, c.releaseMemory = cc.gate.memory.NewGrant()
+	err := cc.readBody(c, limits.BodyBytes)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		err = &badRequest{status: fasthttp.StatusRequestEntityTooLarge, err: err}
 	}
-	return req, received, nil
+	return c, err
 }
 
-// bodyTimeout bounds the time to receive a body.
-const bodyTimeout = 30 * time.Second
-
 // awaitFirstByte waits for the first byte of the next request, and for the end of
 // the previous one if that one is exclusive.
 func (cc *callerConn) awaitFirstByte(exclusive bool) error {
@@ -283,12 +276,15 @@
 
 var errIdle = errors.New("the connection exceeded the idle timeout")
 
-// handleReadError ends the connection's requests according to the read error.
-func (cc *callerConn) handleReadError(err error) {
+// handleReadError ends the connection's requests according to the read error. c is the call
+// whose body couldn't be read, or nil.
+func (cc *callerConn) handleReadError(c *call, err error) {
 	var bad *badRequest
 	switch {
 	case errors.As(err, &bad):
 		cc.refuseInvalid(bad)
+	case errors.Is(err, errNoMemory):
+		cc.refuseUnread(c)
 	case errors.Is(err, errIdle), errors.Is(err, errClosing), cc.isClosing():
 		// Outstanding responses are still written.
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -17,6 +17,7 @@
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
@@ -46,6 +47,7 @@
 	log       log.Logger
 	logBudget lineBudget
 	metrics   *gateMetrics
+	memory    *pimentomemory.Budget // For bodies and messages that are held.
 	startedAt time.Time
 
 	table atomic.Pointer[pimentoroute.Table]
@@ -108,6 +110,7 @@
 		reload:     p.Reload,
 		log:        logger,
 		metrics:    newGateMetrics(),
+		memory:     pimentomemory.NewBudget(s.heldBytes()),
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
 		workers:    workers,
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -27,6 +27,7 @@
 	reasonCrash        reason = "crash"        // The request crashes targets.
 	reasonCallerGone   reason = "left"         // The call was abandoned.
 	reasonStopping     reason = "stopping"     // It would outlast the planned stop.
+	reasonMemory       reason = "memory"       // Its body doesn't fit in the memory now.
 	reasonUnread       reason = "unread"       // Unused: such requests get no response.
 )
 
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -186,6 +186,7 @@
 		go func() {
 			g.runSend(c, s)
 			ended <- s
+			s.dropBody(c)
 		}()
 	}
 	started := time.Now()
@@ -282,7 +283,7 @@
 	req := new(fasthttp.Request)
 	c.req.Header.CopyTo(&req.Header)
 	removeHopRequestHeaders(&req.Header)
-	req.SetBodyRaw(c.req.Body())
+	req.SetBodyRaw(c.useBody())
 	left := max(time.Millisecond, time.Until(c.deadline))
 	req.Header.Set(g.dialect.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	req.Header.Set(g.dialect.ExpectedTarget, string(cand.target.ID))
@@ -296,6 +297,7 @@
 			Deadline:     c.deadline.Add(responseSlack),
 			BodyDeadline: c.deadline.Add(responseSlack),
 			MaxBuffered:  maxBufferedResponse,
+			Memory:       c.memory,
 			EchoHeader:   g.dialect.RequestID,
 		},
 	}
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -11,6 +11,7 @@
 
 // serveRequest handles one request, counts and logs it.
 func (g *Gate) serveRequest(c *call) *response {
+	defer c.dropBody()
 	resp := g.handle(c)
 	took := time.Since(c.received)
 	status := resp.http.StatusCode()
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -67,6 +67,9 @@
 	ProbeRate float64 `json:"questions"`
 	// MemoryMiB is the VM's memory in MiB.
 	MemoryMiB int `json:"memory"`
+	// HeldMiB bounds the bodies and messages that are held at a time, in MiB. 0 means
+	// heldPercent of the VM's memory.
+	HeldMiB int `json:"held"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log"`
 	// LogLineRate bounds the log lines per second about successful requests.
@@ -87,6 +90,17 @@
 	}
 }
 
+// heldPercent is the default of HeldMiB in percent of the VM's memory.
+const heldPercent = 25
+
+// heldBytes returns the bound on the bytes that are held at a time.
+func (s *Settings) heldBytes() int {
+	if s.HeldMiB > 0 {
+		return s.HeldMiB << 20
+	}
+	return s.MemoryMiB << 20 * heldPercent / 100
+}
+
 // Region returns the VM's region.
 func (s *Settings) Region() pimentoregister.RegionName { return s.Regions[s.Domain] }
 
@@ -141,6 +155,7 @@
 		pimentosettings.AtLeast("slack", s.ColdRateExtra, 0),
 		pimentosettings.AtLeast("questions", s.ProbeRate, 0),
 		pimentosettings.AtLeast("memory", s.MemoryMiB, 16),
+		pimentosettings.AtLeast("held", s.HeldMiB, 0),
 		pimentosettings.AtLeast("lines", s.LogLineRate, 0),
 	)
 }
--- a/pimentohttp/body.go
+++ b/pimentohttp/body.go
@@ -1,9 +1,9 @@
 package pimentohttp
 
 import (
+	"bytes"
 	"errors"
 	"io"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -21,27 +21,37 @@
 
 var errSmallChunks = errors.New("the body has too many small chunks")
 
-// readChunks buffers a chunked body of up to MaxBuffered bytes, and reads its trailer.
+// readChunks buffers a chunked body of up to MaxBuffered bytes, and reads its trailer. If
+// Memory doesn't grow with the body, it leaves the body as a stream.
 func (x *Exchange) readChunks(cn *Conn) error {
 	b := x.newBodyStream(cn, -1)
-	defer fasthttp.ReleaseResponse(b.decoder)
-	body := make([]byte, 0, chunkReadSize)
+	var body []byte
 	for reads := 0; ; reads++ {
 		if len(body) == cap(body) {
-			body = slices.Grow(body, len(body))
+			more := max(chunkReadSize, len(body))
+			if !x.Memory.Grow(more) {
+				b.r = io.MultiReader(bytes.NewReader(body), b.r)
+				x.Resp.SetBodyStream(b, -1)
+				return nil
+			}
+			body = append(make([]byte, 0, len(body)+more), body...)
 		}
 		n, err := b.r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
+			fasthttp.ReleaseResponse(b.decoder)
 			x.Resp.SetBodyRaw(body)
 			return nil
 		case err != nil:
-			return err
 		case len(body) > x.MaxBuffered:
-			return fasthttp.ErrBodyTooLarge
+			err = fasthttp.ErrBodyTooLarge
 		case reads > maxSmallChunks && len(body) < reads*minMeanChunk:
-			return errSmallChunks
+			err = errSmallChunks
+		}
+		if err != nil {
+			fasthttp.ReleaseResponse(b.decoder)
+			return err
 		}
 	}
 }
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentomemory"
 )
 
 // Exchange is a request to a target and its response. Its exported fields are set
@@ -45,6 +47,10 @@
 	// is buffered as well, chunked or up to the orderly close of the connection by the
 	// target; a longer one is an error.
 	MaxBuffered int
+	// Memory is what the bytes of buffered bodies are counted in. A body that doesn't fit is
+	// left as a stream, or is an error if it has no length and isn't chunked. The caller of
+	// Do gives the bytes back. If Memory is nil, they aren't counted.
+	Memory *pimentomemory.Grant
 	// EchoHeader is a header whose value targets copy from the request to the
 	// response. Responses with another value belong to other requests and are
 	// skipped. "" disables the check.
@@ -120,7 +126,7 @@
 		if x.matchesRequest() {
 			return x.readBody(cn)
 		}
-		if err := x.Resp.ReadBody(cn.r, defaultMaxBuffered); err != nil {
+		if err := x.skipBody(cn.r); err != nil {
 			cn.destroy()
 			return x.newError("read", err)
 		}
@@ -264,12 +270,12 @@
 	}
 	size := x.Resp.Header.ContentLength()
 	switch {
-	case x.MaxBuffered > 0 && size <= x.MaxBuffered:
+	case x.MaxBuffered > 0 && size <= x.MaxBuffered && x.Memory.Grow(max(0, size)):
 		return x.readBuffered(cn, size)
 	case size < -1:
 		cn.destroy()
 		return &Error{Op: "read", Kind: KindInvalid, Address: x.Address, Err: errUnframed}
-	case size >= 0 && size <= defaultMaxBuffered:
+	case size >= 0 && size <= defaultMaxBuffered && x.Memory.Grow(size):
 		if err := x.Resp.ReadBody(cn.r, defaultMaxBuffered); err != nil {
 			cn.destroy()
 			return x.newError("body", err)
@@ -289,7 +295,7 @@
 		_ = cn.SetReadDeadline(x.BodyDeadline)
 	}
 	if size < -1 {
-		body, err := io.ReadAll(io.LimitReader(cn.r, int64(x.MaxBuffered)+1))
+		body, err := io.ReadAll(io.LimitReader(&countedReader{r: cn.r, memory: x.Memory}, int64(x.MaxBuffered)+1))
 		if err == nil && len(body) > x.MaxBuffered {
 			err = fasthttp.ErrBodyTooLarge
 		}
@@ -313,7 +319,9 @@
 		cn.destroy()
 		return x.newError("body", err)
 	}
-	x.finish(cn)
+	if !x.Resp.IsBodyStream() {
+		x.finish(cn)
+	}
 	return nil
 }
 
