pimentogate: close the connections of large responses that aren't forwarded

A response that is left as a stream and isn't forwarded, such as one above 4 MiB without a signature, kept its connection to the target open and counted for good: nothing closed the stream. Enough of them use up the share of connections to that target, and the bytes that the kernel had received stayed.

The end of a call now cancels the exchanges of all its sends, which has no effect on those that have ended.

TestUnusedResponsesAreDropped, before: "not within 10 s: unsigned: connections are closed".

--- a/pimentogate/upload.go
+++ b/pimentogate/upload.go
@@ -117,11 +117,17 @@
 	}
 }
 
-// end gives back the memory that a call still holds. The call may be nil.
+// end gives back what a call still holds: the connections of responses that aren't
+// forwarded, and its memory. The call may be nil.
 func (c *call) end() {
 	if c == nil {
 		return
 	}
+	c.mu.Lock()
+	for _, x := range c.exchanges {
+		x.Cancel()
+	}
+	c.mu.Unlock()
 	if c.releaseMemory != nil {
 		c.releaseMemory()
 	}
