pimentolink: one bound on the messages that are received at a time

A message may have 64 MiB, and each of any number of streams of peers could make an entry keep one, whole or in part, without a time limit. Node.Memory now bounds them together; a stream whose message doesn't fit ends. A gate gives messages a quarter of `held`, beside the bodies, so that a gate full of uploads still hears of changes, and small messages keep their part.

--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -89,6 +89,9 @@
 	targetIdleTimeout = 12 * time.Second
 	// targetDialTimeout bounds the time to open a connection to a target.
 	targetDialTimeout = 250 * time.Millisecond
+	// messageShare is the divisor of the bytes that peers' messages may hold, beside the
+	// bodies, so that these never keep messages out.
+	messageShare = 4
 	// targetAckTimeout is the time without a TCP acknowledgement after which a
 	// connection to a target fails.
 	targetAckTimeout = 2 * time.Second
@@ -125,7 +128,7 @@
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
 	}
 	g.client = pimentohttp.Client{MaxIdle: targetIdleTimeout, DialTimeout: targetDialTimeout, UserTimeout: targetAckTimeout, Redial: true}
-	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync}
+	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync, Memory: pimentomemory.NewBudget(s.heldBytes() / messageShare)}
 	g.addGauges()
 	return g, workers.Release, nil
 }
--- a/pimentolink/client.go
+++ b/pimentolink/client.go
@@ -18,6 +18,7 @@
 	kind    streamKind
 	stream  *yamux.Stream
 	r       *bufio.Reader
+	release func() // Gives back the memory of the last reply. Nil before it.
 }
 
 // SyncClient returns a client that sends sync messages to a peer. The first
@@ -28,15 +29,25 @@
 }
 
 func (c *MessageClient) close() {
+	c.releaseReply()
 	if c.stream != nil {
 		_ = c.stream.Close()
 		c.stream = nil
 	}
 }
 
-// Exchange sends a message and returns the peer's reply. After an error the next
-// call opens a new connection.
+// releaseReply gives back the memory of the last reply.
+func (c *MessageClient) releaseReply() {
+	if c.release != nil {
+		c.release()
+		c.release = nil
+	}
+}
+
+// Exchange sends a message and returns the peer's reply, which counts as held until the
+// next call. After an error the next call opens a new connection.
 func (c *MessageClient) Exchange(msg []byte) ([]byte, error) {
+	c.releaseReply()
 	if c.stream == nil {
 		stream, err := c.node.open(c.address, c.kind)
 		if err != nil {
@@ -63,25 +74,34 @@
 	if err := writeMessage(c.stream, msg); err != nil {
 		return nil, err
 	}
-	return readMessage(c.r)
+	memory, release := c.node.Memory.NewGrant()
+	c.release = release
+	return readMessage(c.r, memory)
 }
 
 // serveMessages writes the reply that handle returns for each message of a stream,
 // until the stream ends or handle fails.
-func serveMessages(stream *yamux.Stream, r *bufio.Reader, handle func([]byte) ([]byte, error)) error {
+func (n *Node) serveMessages(stream *yamux.Stream, r *bufio.Reader, handle func([]byte) ([]byte, error)) error {
 	for {
 		_ = stream.SetDeadline(time.Time{})
-		msg, err := readMessage(r)
-		if err != nil {
-			return err
-		}
-		reply, err := handle(msg)
-		if err != nil {
-			return err
-		}
-		_ = stream.SetWriteDeadline(time.Now().Add(controlTimeout))
-		if err := writeMessage(stream, reply); err != nil {
+		if err := n.serveMessage(stream, r, handle); err != nil {
 			return err
 		}
 	}
 }
+
+// serveMessage writes the reply that handle returns for the next message.
+func (n *Node) serveMessage(stream *yamux.Stream, r *bufio.Reader, handle func([]byte) ([]byte, error)) error {
+	memory, release := n.Memory.NewGrant()
+	defer release()
+	msg, err := readMessage(r, memory)
+	if err != nil {
+		return err
+	}
+	reply, err := handle(msg)
+	if err != nil {
+		return err
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(controlTimeout))
+	return writeMessage(stream, reply)
+}
--- a/pimentolink/fetch.go
+++ b/pimentolink/fetch.go
@@ -19,7 +19,9 @@
 	}
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetDeadline(time.Now().Add(transferTimeout))
-	msg, err := readMessage(bufio.NewReader(stream))
+	memory, release := n.Memory.NewGrant()
+	defer release()
+	msg, err := readMessage(bufio.NewReader(stream), memory)
 	if err != nil {
 		return 0, nil, &Error{Op: "fetch", Kind: KindConnectionLost, Peer: address, Err: err}
 	}
--- a/pimentolink/forward.go
+++ b/pimentolink/forward.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentowire"
 )
 
@@ -65,7 +66,7 @@
 		_ = stream.Close()
 		return &Error{Op: "forward", Kind: KindUnreachable, Peer: address, Err: errors.New("request was cancelled before it was sent")}
 	}
-	if err := o.exchange(stream); err != nil {
+	if err := o.exchange(stream, n.Memory); err != nil {
 		_ = stream.Close()
 		return &Error{Op: "forward", Kind: KindConnectionLost, Peer: address, Err: err}
 	}
@@ -95,7 +96,7 @@
 // responseGrace is the time beyond the request's timeout that a peer has to respond.
 const responseGrace = 500 * time.Millisecond
 
-func (o *OutgoingRequest) exchange(stream *yamux.Stream) error {
+func (o *OutgoingRequest) exchange(stream *yamux.Stream, budget *pimentomemory.Budget) error {
 	_ = stream.SetDeadline(time.Now().Add(o.Timeout + responseGrace))
 	if err := writeMessage(stream, marshalRequest(o)); err != nil {
 		return err
@@ -108,7 +109,9 @@
 		return err
 	}
 	r := bufio.NewReader(stream)
-	msg, err := readMessage(r)
+	memory, release := budget.NewGrant()
+	defer release()
+	msg, err := readMessage(r, memory)
 	if err != nil {
 		return unexpectedEOF(err)
 	}
@@ -172,7 +175,9 @@
 }
 
 func (n *Node) serveForward(stream *yamux.Stream, r *bufio.Reader) error {
-	msg, err := readMessage(r)
+	memory, release := n.Memory.NewGrant()
+	defer release()
+	msg, err := readMessage(r, memory)
 	if err != nil {
 		return err
 	}
--- a/pimentolink/frame.go
+++ b/pimentolink/frame.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"pimentoarch/pimentomemory"
 )
 
 // maxMessageBytes is the maximum length of one message.
@@ -22,8 +24,11 @@
 	return err
 }
 
-// readMessage reads one message that writeMessage wrote.
-func readMessage(r *bufio.Reader) ([]byte, error) {
+// errNoMemory is returned for a message that doesn't fit in the memory for messages.
+var errNoMemory = errors.New("message doesn't fit in the memory for messages")
+
+// readMessage reads one message that writeMessage wrote, and counts it in memory.
+func readMessage(r *bufio.Reader, memory *pimentomemory.Grant) ([]byte, error) {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return nil, err
@@ -31,7 +36,7 @@
 	if size > maxMessageBytes {
 		return nil, fmt.Errorf("%w: %d bytes, the limit is %d", errTooLong, size, maxMessageBytes)
 	}
-	return readExactly(r, int(size))
+	return readExactly(r, int(size), memory)
 }
 
 // initialAlloc is the most memory in bytes that is allocated for a length prefix
@@ -39,11 +44,15 @@
 const initialAlloc = 64 << 10
 
 // readExactly reads size bytes. It allocates memory as they arrive.
-func readExactly(r io.Reader, size int) ([]byte, error) {
-	msg := make([]byte, 0, min(size, initialAlloc))
+func readExactly(r io.Reader, size int, memory *pimentomemory.Grant) ([]byte, error) {
+	var msg []byte
 	for len(msg) < size {
 		if len(msg) == cap(msg) {
-			grown := make([]byte, len(msg), min(size, 2*cap(msg)))
+			more := min(size-len(msg), max(initialAlloc, len(msg)))
+			if !memory.Grow(more) {
+				return nil, errNoMemory
+			}
+			grown := make([]byte, len(msg), len(msg)+more)
 			copy(grown, msg)
 			msg = grown
 		}
--- a/pimentolink/handover.go
+++ b/pimentolink/handover.go
@@ -30,7 +30,9 @@
 	if err := writeMessage(stream, marshalHandover(from, to, ranges)); err != nil {
 		return connectionLost(err)
 	}
-	msg, err := readMessage(bufio.NewReader(stream))
+	memory, release := n.Memory.NewGrant()
+	defer release()
+	msg, err := readMessage(bufio.NewReader(stream), memory)
 	if err != nil {
 		return connectionLost(err)
 	}
@@ -42,7 +44,9 @@
 
 func (n *Node) serveHandover(stream *yamux.Stream, r *bufio.Reader) error {
 	_ = stream.SetDeadline(time.Now().Add(transferTimeout))
-	msg, err := readMessage(r)
+	memory, release := n.Memory.NewGrant()
+	defer release()
+	msg, err := readMessage(r, memory)
 	if err != nil {
 		return err
 	}
@@ -76,14 +80,18 @@
 	if err := writeMessage(stream, marshalKeyOutcome(&o)); err != nil {
 		return &Error{Op: "report outcome", Kind: KindConnectionLost, Peer: address, Err: err}
 	}
-	if _, err := readMessage(bufio.NewReader(stream)); err != nil {
+	memory, release := n.Memory.NewGrant()
+	defer release()
+	if _, err := readMessage(bufio.NewReader(stream), memory); err != nil {
 		return &Error{Op: "report outcome", Kind: KindConnectionLost, Peer: address, Err: err}
 	}
 	return nil
 }
 
 func (n *Node) serveKeyOutcome(stream *yamux.Stream, r *bufio.Reader) error {
-	msg, err := readMessage(r)
+	memory, release := n.Memory.NewGrant()
+	defer release()
+	msg, err := readMessage(r, memory)
 	if err != nil {
 		return err
 	}
--- a/pimentolink/node.go
+++ b/pimentolink/node.go
@@ -16,6 +16,7 @@
 
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentokey"
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoregister"
 )
@@ -49,6 +50,10 @@
 	// Workers runs the handlers of incoming streams.
 	Workers *ants.Pool
 
+	// Memory bounds the messages that are received at a time. If it is nil, only the length
+	// of each is bounded.
+	Memory *pimentomemory.Budget
+
 	// OnHeartbeat handles a peer's heartbeat and returns this entry's in reply.
 	OnHeartbeat func(pimentopeer.Heartbeat) pimentopeer.Heartbeat
 	// OnSyncMessage handles a peer's sync message and returns the reply.
@@ -188,9 +193,9 @@
 	}
 	switch streamKind(kind) {
 	case streamHeartbeat:
-		err = serveMessages(stream, r, n.handleHeartbeat)
+		err = n.serveMessages(stream, r, n.handleHeartbeat)
 	case streamSync:
-		err = serveMessages(stream, r, n.OnSyncMessage)
+		err = n.serveMessages(stream, r, n.OnSyncMessage)
 	case streamForward:
 		err = n.serveForward(stream, r)
 	case streamFetch:
