--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -18,6 +18,7 @@
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
@@ -47,6 +48,7 @@
 	log       log.Logger
 	logBudget lineBudget
 	metrics   *gateMetrics
+	memory    *pimentomemory.Budget // For bodies and messages that are held.
 	startedAt time.Time
 
 	table atomic.Pointer[pimentoroute.Table]
@@ -92,6 +94,9 @@
 	targetIdleTimeout = 12 * time.Second
 	// targetDialTimeout bounds the time to open a connection to a target.
 	targetDialTimeout = 250 * time.Millisecond
+	// messageShare is the divisor of the bytes that peers' messages may hold, beside the
+	// bodies, so that these never keep messages out.
+	messageShare = 4
 	// targetAckTimeout is the time without a TCP acknowledgement after which a
 	// connection to a target fails.
 	targetAckTimeout = 2 * time.Second
@@ -113,6 +118,7 @@
 		reload:     p.Reload,
 		log:        logger,
 		metrics:    newGateMetrics(),
+		memory:     pimentomemory.NewBudget(s.heldBytes()),
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
 
@@ -129,7 +135,7 @@
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
 	}
 	g.client = pimentohttp.Client{MaxIdle: targetIdleTimeout, DialTimeout: targetDialTimeout, UserTimeout: targetAckTimeout, Redial: true}
-	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync}
+	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync, Memory: pimentomemory.NewBudget(s.heldBytes() / messageShare)}
 	g.addGauges()
 	return g, workers.Release, nil
 }
--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -58,6 +58,7 @@
 	go func() {
 		r.gate.runSend(c, s)
 		r.ended <- s
+		s.dropBody(c)
 	}()
 }
 
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -190,7 +190,7 @@
 	req := new(fasthttp.Request)
 	c.req.Header.CopyTo(&req.Header)
 	removeHopRequestHeaders(&req.Header)
-	req.SetBodyRaw(c.req.Body())
+	req.SetBodyRaw(c.useBody())
 	left := max(time.Millisecond, time.Until(c.deadline))
 	req.Header.Set(g.dialect.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	req.Header.Set(g.dialect.ExpectedTarget, string(cand.target.ID))
@@ -204,6 +204,7 @@
 			Deadline:     c.deadline.Add(responseSlack),
 			BodyDeadline: c.deadline.Add(responseSlack),
 			MaxBuffered:  maxBufferedResponse,
+			Memory:       c.memory,
 			EchoHeader:   g.dialect.RequestID,
 			OnSkipped:    func(resp *fasthttp.Response) { g.recordSkipped(cand.target, c.id, resp) },
 		},
