pimentohttp, pimentogate: framing, size and strays of responses in logs and metrics

The lines "request ended" and "send failed" now have framing, bytes and strays; counters pimento_bodies_total{framing} and pimento_strays_total, four and one in number.

No change of behaviour: go test -race ./pimentohttp ./pimentogate passes.

--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -41,6 +41,7 @@
 	// rejected is the best target found when the request was refused, nil without one.
 	rejected   *candidate
 	lastSentAt time.Time
+	lastSend   *send // The last send whose outcome counted.
 
 	mu        sync.Mutex // Guards the fields below.
 	exchanges []*pimentohttp.Exchange
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -100,8 +100,9 @@
 	tg := s.candidate.target
 	g.sendEnded(tg)
 	if s.outcome != outcomeResponse {
-		g.logLine(level.WarnValue(), "msg", "send failed", "id", c.id, "target", tg.ID, "outcome", s.outcome, "err", s.err,
-			"status", s.status(), "stretch", s.candidate.report.Slowdown, "running", s.candidate.report.Running, "ms", time.Since(s.started).Milliseconds())
+		fields := []any{"msg", "send failed", "id", c.id, "target", tg.ID, "outcome", s.outcome, "err", s.err,
+			"status", s.status(), "stretch", s.candidate.report.Slowdown, "running", s.candidate.report.Running, "ms", time.Since(s.started).Milliseconds()}
+		g.logLine(level.WarnValue(), append(fields, s.bodyFields()...)...)
 	}
 	if s.outcome != outcomeUnsent && s.outcome != outcomeCallerGone {
 		if overloaded, changed := g.traffic.recordSend(c.serviceName(), s.outcome == outcomeNotExecuted); changed {
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -56,6 +56,7 @@
 			return g.failRequest(c, failed, why)
 		}
 		s := g.sendHedged(c, cand)
+		c.lastSend = s
 		resp, tryNext := g.handleOutcome(c, s, &failed)
 		if !tryNext {
 			return resp
@@ -325,6 +326,7 @@
 	}
 	exchangeErr := g.client.Do(s.exchange)
 	s.err = exchangeErr
+	g.metrics.countBody(s.exchange)
 	s.outcome = g.classify(c, s)
 	tg := s.candidate.target
 	if exchangeErr == nil && g.echoesID(c, s.exchange.Resp) && s.exchange.Resp.StatusCode() != fasthttp.StatusMisdirectedRequest {
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -45,6 +45,9 @@
 	if c.sends > 0 {
 		fields = append(fields, "waited_ms", c.lastSentAt.Sub(c.received).Milliseconds())
 	}
+	if c.lastSend != nil {
+		fields = append(fields, c.lastSend.bodyFields()...)
+	}
 	fields = append(fields, c.candidateFields()...)
 	g.logLine(severity, append(fields, c.rejectedFields()...)...)
 }
--- a/pimentohttp/body.go
+++ b/pimentohttp/body.go
@@ -32,6 +32,7 @@
 		}
 		n, err := b.r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		x.BodyBytes = len(body)
 		switch {
 		case errors.Is(err, io.EOF):
 			x.Resp.SetBodyRaw(body)
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -54,6 +54,14 @@
 	// returns an error.
 	OnBodyEnd func(BodyEnd)
 
+	// Framing is how the response states the end of its body. Do sets it.
+	Framing Framing
+	// BodyBytes is the number of body bytes that were buffered, -1 if the body is a
+	// stream. Do sets it.
+	BodyBytes int
+	// Strays is the number of skipped responses to other requests. Do sets it.
+	Strays int
+
 	mu        sync.Mutex // Guards conn, cancelled and sent.
 	conn      *Conn
 	cancelled bool
@@ -124,6 +132,7 @@
 			cn.destroy()
 			return x.newError("read", err)
 		}
+		x.Strays++
 		x.Resp.Reset()
 	}
 	cn.destroy()
@@ -263,6 +272,7 @@
 		return nil
 	}
 	size := x.Resp.Header.ContentLength()
+	x.Framing = framingOf(size)
 	switch {
 	case x.MaxBuffered > 0 && size <= x.MaxBuffered:
 		return x.readBuffered(cn, size)
@@ -277,6 +287,7 @@
 		x.finish(cn)
 		return nil
 	}
+	x.BodyBytes = -1
 	x.Resp.SetBodyStream(x.newBodyStream(cn, size), size)
 	return nil
 }
@@ -290,6 +301,7 @@
 	}
 	if size < -1 {
 		body, err := io.ReadAll(io.LimitReader(cn.r, int64(x.MaxBuffered)+1))
+		x.BodyBytes = len(body)
 		if err == nil && len(body) > x.MaxBuffered {
 			err = fasthttp.ErrBodyTooLarge
 		}
@@ -325,6 +337,7 @@
 // finish ends an exchange whose response was read completely.
 func (x *Exchange) finish(cn *Conn) {
 	written := x.fullyWritten()
+	x.BodyBytes = len(x.Resp.Body())
 	cn.keepAlive = keepAliveTimeout(x.Resp)
 	switch {
 	case !x.detach() || !written || x.Resp.ConnectionClose() || cn.r.Buffered() > 0:
