pimentogate: a body without a length counts once its target has outlived it

All such responses of a process end at one moment, so several callers got halves at once, idempotent or not.

Now such a response, success or failure, is forwarded only after the same target has replied to a probe that was sent after the end, on a new connection. Connection refused or another target at the address: incomplete, retried if that is safe, else 502; it counts as a crash without a second probe. No reply in 500 ms: incomplete, and examined as before. Bodies of one target that end together share a probe, at most one in 8 ms; it is charged to the probe allowance, and ordinary probes make up for one that wasn't left. Log key "end", counter pimento_unframed_total{end}.

Not changed: a body above 4 MiB without a length is incomplete. Can't be told: a target that lives on and breaks off by FIN (M3); see docs/PROMISES.md.

--- a/pimentogate/bodylog.go
+++ b/pimentogate/bodylog.go
@@ -12,7 +12,7 @@
 		return nil
 	}
 	x := s.exchange
-	return []any{"framing", x.Framing, "bytes", x.BodyBytes, "strays", x.Strays}
+	return []any{"framing", x.Framing, "bytes", x.BodyBytes, "end", s.end, "strays", x.Strays}
 }
 
 // countBody counts the response of an exchange by its framing, and the responses to other
@@ -23,3 +23,8 @@
 		m.set.GetOrCreateCounter("pimento_strays_total").Add(x.Strays)
 	}
 }
+
+// countEnd counts a body without a length by what is known about its end.
+func (m *gateMetrics) countEnd(e bodyEnd) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`pimento_unframed_total{end=%q}`, e)).Inc()
+}
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -85,6 +85,10 @@
 // the target was unreachable meanwhile: then it has restarted.
 func (g *Gate) checkCrash(c *call, s *send) {
 	tg := s.candidate.target
+	if s.end == endGone {
+		g.recordCrash(c, tg)
+		return
+	}
 	time.Sleep(crashProbeDelay)
 	cand := &candidate{target: tg}
 	g.sendProbe(c, cand, true)
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -245,7 +245,7 @@
 	// An allowance refills half of its fixed number in each window. That refill is
 	// the average rate, so the fixed number is twice the budget of a window.
 	a.Fixed = 2 * probeLimitFraction * g.settings.ProbeRate * probeWindow.Seconds() * float64(targets) / float64(n)
-	return a.Spend(g.now())
+	return g.payProbeDebt() && a.Spend(g.now())
 }
 
 // sendProbe probes a target on a pooled connection, or on a new one if newConn is
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -23,6 +23,7 @@
 	started   time.Time
 	outcome   outcome
 	err       error
+	end       bodyEnd
 	// crashChecked is closed once it is known whether the target crashed. It is nil for
 	// outcomes after which that isn't checked.
 	crashChecked chan struct{}
@@ -328,6 +329,7 @@
 	s.err = exchangeErr
 	g.metrics.countBody(s.exchange)
 	s.outcome = g.classify(c, s)
+	g.confirmBody(c, s)
 	tg := s.candidate.target
 	if exchangeErr == nil && g.echoesID(c, s.exchange.Resp) && s.exchange.Resp.StatusCode() != fasthttp.StatusMisdirectedRequest {
 		g.recordNotice(tg, c.id, s.exchange.Resp)
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -23,8 +23,10 @@
 	retries     map[pimentoregister.ServiceName]*pimentoretry.Allowance
 	quarantine  pimentoretry.Quarantine
 	// probes is this entry's share of the probe budget for all targets.
-	probes   pimentoretry.Allowance
-	services map[pimentoregister.ServiceName]*serviceStats
+	probes pimentoretry.Allowance
+	// probeDebt counts the probes that were sent without one left in that share.
+	probeDebt int
+	services  map[pimentoregister.ServiceName]*serviceStats
 }
 
 // workStats has the usual time that a target works on a route's requests if nothing runs
@@ -88,6 +90,10 @@
 	hasReport       bool
 	sentSinceReport int
 	probing         *pendingProbe
+	// nextConfirmation is waited for and not sent yet. confirming is set while a goroutine
+	// sends confirmations.
+	nextConfirmation *confirmation
+	confirming       bool
 }
 
 const (
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -43,7 +43,7 @@
 	// MaxBuffered is the length in bytes up to which a body is buffered. A body with a
 	// length of up to 64 KiB always is. If MaxBuffered isn't 0, a body without a length
 	// is buffered as well, chunked or up to the orderly close of the connection by the
-	// target; a longer one is an error.
+	// target; a longer one is an error. See FramingClose for what such a close means.
 	MaxBuffered int
 	// EchoHeader is a header whose value targets copy from the request to the
 	// response. Responses with another value belong to other requests and are
