--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -23,6 +23,7 @@
 	started   time.Time
 	outcome   outcome
 	err       error
+	end       bodyEnd
 	// crashChecked is closed once it is known whether the target crashed. It is nil for
 	// outcomes after which that isn't checked.
 	crashChecked chan struct{}
@@ -68,6 +69,7 @@
 		}
 		s := g.sendHedged(c, cand)
 		defer s.close()
+		c.lastSend = s
 		resp, tryNext := g.handleOutcome(c, s, &failed)
 		if !tryNext {
 			return resp
@@ -235,7 +237,9 @@
 	}
 	exchangeErr := g.client.Do(s.exchange)
 	s.err = exchangeErr
+	g.metrics.countBody(s.exchange)
 	s.outcome = g.classify(c, s)
+	g.confirmBody(c, s)
 	tg := s.candidate.target
 	if exchangeErr == nil && g.echoesID(c, s.exchange.Resp) && s.exchange.Resp.StatusCode() != fasthttp.StatusMisdirectedRequest {
 		g.recordNotice(tg, c.id, s.exchange.Resp)
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -45,7 +45,7 @@
 	// MaxBuffered is the length in bytes up to which a body is buffered. A body with a
 	// length of up to 64 KiB always is. If MaxBuffered isn't 0, a body without a length
 	// is buffered as well, chunked or up to the orderly close of the connection by the
-	// target; a longer one is an error.
+	// target; a longer one is an error. See FramingClose for what such a close means.
 	MaxBuffered int
 	// Memory is what the bytes of buffered bodies are counted in. A body that doesn't fit is
 	// left as a stream, or is an error if it has no length and isn't chunked. The caller of
@@ -62,6 +62,14 @@
 	// returns an error.
 	OnBodyEnd func(BodyEnd)
 
+	// Framing is how the response states the end of its body. Do sets it.
+	Framing Framing
+	// BodyBytes is the number of body bytes that were buffered, -1 if the body is a
+	// stream. Do sets it.
+	BodyBytes int
+	// Strays is the number of skipped responses to other requests. Do sets it.
+	Strays int
+
 	mu        sync.Mutex // Guards conn, cancelled and sent.
 	conn      *Conn
 	cancelled bool
@@ -132,6 +140,7 @@
 			cn.destroy()
 			return x.newError("read", err)
 		}
+		x.Strays++
 		if x.OnSkipped != nil {
 			x.OnSkipped(x.Resp)
 		}
@@ -274,6 +283,7 @@
 		return nil
 	}
 	size := x.Resp.Header.ContentLength()
+	x.Framing = framingOf(size)
 	switch {
 	case x.MaxBuffered > 0 && size <= x.MaxBuffered && x.Memory.Grow(max(0, size)):
 		return x.readBuffered(cn, size)
@@ -288,6 +298,7 @@
 		x.finish(cn)
 		return nil
 	}
+	x.BodyBytes = -1
 	x.Resp.SetBodyStream(x.newBodyStream(cn, size), size)
 	return nil
 }
@@ -301,6 +312,7 @@
 	}
 	if size < -1 {
 		body, err := io.ReadAll(io.LimitReader(&countedReader{r: cn.r, memory: x.Memory}, int64(x.MaxBuffered)+1))
+		x.BodyBytes = len(body)
 		if err == nil && len(body) > x.MaxBuffered {
 			err = fasthttp.ErrBodyTooLarge
 		}
@@ -338,6 +350,7 @@
 // finish ends an exchange whose response was read completely.
 func (x *Exchange) finish(cn *Conn) {
 	written := x.fullyWritten()
+	x.BodyBytes = len(x.Resp.Body())
 	cn.keepAlive = keepAliveTimeout(x.Resp)
 	switch {
 	case !x.detach() || !written || x.Resp.ConnectionClose() || cn.r.Buffered() > 0:
