pimentosignal: a closed output doesn't end the process

A line that was written after the reader of standard output or standard error had closed its end raised SIGPIPE, which ends a Go program for these two descriptors: every entry whose log was collected through a pipe ended with its collector, at the next line. Writes now fail with EPIPE; the commands that only print still end so.

--- a/cmd/pimentoarch/process.go
+++ b/cmd/pimentoarch/process.go
@@ -10,6 +10,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/samber/oops"
+
+	"pimentoarch/pimentosignal"
 )
 
 // runProcess creates an entry or a gate (kind), runs it until it has stopped, and returns
@@ -17,6 +19,7 @@
 // first line that is logged identifies the process, and the last one says why it ended.
 func runProcess(kind, name string, logger log.Logger, create func() (run func() error, cleanup func(), err error)) int {
 	start := time.Now()
+	pimentosignal.IgnoreBrokenPipe()
 	_ = level.Info(logger).Log("msg", "process started", "kind", kind, "name", name, "pid", os.Getpid(),
 		"version", buildVersion(), "go", runtime.Version(), "arch", runtime.GOARCH)
 	ended := func(severity func(log.Logger) log.Logger, reason string, status int) int {
