pimentolisten: a port in use delays a start and doesn't end the process

A process whose port was in use exited at once: for operators (the port is fixed, and nothing promises that it is free) as for callers, readiness and peers, which an ending process or an outgoing connection may hold for a moment.

The port for operators is tried all the time, beside serving. Failures are counted (pimento_listen_failures_total).

TestPortTakenForAMoment, TestStopWhilePortTaken and TestOperatorsPortTaken failed before for gate and entry: "process ended", status 1, within 1 ms of the start. TestLastLineOfFailedStart still wants status 1 and the cause, after the wait.

--- a/cmd/pimentoarch/ended_test.go
+++ b/cmd/pimentoarch/ended_test.go
@@ -28,20 +28,15 @@
 
 // A process that can't start says why in its last line.
 func TestLastLineOfFailedStart(t *testing.T) {
-	bin := buildBinary(t)
-	for _, kind := range []string{"gate", "entry"} {
-		t.Run(kind, func(t *testing.T) {
-			is := is.New(t)
-			p := newProcess(t, bin, kind)
-			ln, err := net.Listen("tcp", p.addresses[0])
-			is.NoErr(err)
-			defer func() { _ = ln.Close() }()
-			p.start()
-			is.Equal(p.awaitEnd().ExitCode(), exitFailed)
-			checkEnds(t, p, fmt.Sprintf("status=%d", exitFailed))
-			is.True(strings.Contains(p.text(), "address already in use"))
-		})
-	}
+	forKinds(t, func(is *is.I, p *process) {
+		ln, err := net.Listen("tcp", p.addresses[0])
+		is.NoErr(err)
+		defer func() { _ = ln.Close() }()
+		p.start()
+		is.Equal(p.awaitEnd().ExitCode(), exitFailed)
+		checkEnds(t, p, fmt.Sprintf("status=%d", exitFailed))
+		is.True(strings.Contains(p.text(), "address already in use"))
+	})
 }
 
 // checkEnds checks the first and the last line of a process that has ended.
--- a/cmd/pimentoarch/hangup_test.go
+++ b/cmd/pimentoarch/hangup_test.go
@@ -18,7 +18,7 @@
 func TestHangupAtStart(t *testing.T) {
 	is := is.New(t)
 	p := newProcess(t, buildBinary(t), "gate")
-	p.settings = "none" // The process ends by itself at once.
+	p.write([]byte(`{"name": ""}`)) // The process ends by itself at once.
 	ended := 0
 	for range hangupStarts {
 		r, w, err := os.Pipe()
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -16,6 +16,7 @@
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentolisten"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentotarget"
@@ -147,32 +148,42 @@
 // the last request has ended. The error is an *Error: KindListen if an address
 // can't be listened on, KindStop if requests still run after the drain time.
 func (e *Entry) Run(stop <-chan struct{}) error {
-	callers, err := net.Listen("tcp", e.settings.Callers)
+	peerLn, err := e.port(e.settings.Peers).Listen(stop)
 	if err != nil {
-		return &Error{Op: "listen for callers", Kind: KindListen, Err: err}
-	}
-	defer func() { _ = callers.Close() }()
-	peerLn, err := net.Listen("tcp", e.settings.Peers)
-	if err != nil {
-		return &Error{Op: "listen for peers", Kind: KindListen, Err: err}
+		return listenError("peers", err)
 	}
 	defer func() { _ = peerLn.Close() }()
-	admin, err := net.Listen("tcp", e.settings.Admin)
+	callers, err := e.port(e.settings.Callers).Listen(stop)
 	if err != nil {
-		return &Error{Op: "listen for operators", Kind: KindListen, Err: err}
+		return listenError("callers", err)
+	}
+	defer func() { _ = callers.Close() }()
+	return e.serveAll(stop, callers, peerLn)
+}
+
+// port returns a port to listen on.
+func (e *Entry) port(address string) pimentolisten.Port {
+	return pimentolisten.Port{Address: address, Log: e.log, OnFailure: e.counters.listenFailures.Inc}
+}
+
+// listenError returns the error of Run for a failed listen, nil if a planned stop ended it.
+func listenError(who string, err error) error {
+	if pimentolisten.IsStopped(err) {
+		return nil
 	}
-	defer func() { _ = admin.Close() }()
-	return e.serveAll(stop, callers, peerLn, admin)
+	return &Error{Op: "listen for " + who, Kind: KindListen, Err: err}
 }
 
-// serveAll serves on the three listeners until the planned stop after stop is closed has
+// serveAll serves on the listeners, and operators once their port is free, until the planned stop after stop is closed has
 // ended, or the cleanup function of New is called.
-func (e *Entry) serveAll(stop <-chan struct{}, callers, peerLn, admin net.Listener) error {
+func (e *Entry) serveAll(stop <-chan struct{}, callers, peerLn net.Listener) error {
 	ctx := e.ctx
 	adminServer := e.adminServer()
 	callerServer := e.callerServer()
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = adminServer.Serve(admin) })
+	wg.Go(func() {
+		e.port(e.settings.Admin).Serve(ctx.Done(), func(ln net.Listener) { _ = adminServer.Serve(ln) })
+	})
 	wg.Go(func() { e.node.Serve(ctx, peerLn) })
 	wg.Go(func() { e.connWatcher.Run(ctx.Done()) })
 	wg.Go(func() { e.runPeriodic(ctx) })
--- a/pimentoentry/refusal.go
+++ b/pimentoentry/refusal.go
@@ -184,6 +184,7 @@
 	incomplete       *metrics.Counter // Responses that targets cut short.
 	controlBytes     *metrics.Counter // Bytes of own heartbeats and their replies.
 	platformFailures *metrics.Counter
+	listenFailures   *metrics.Counter
 	configsRefused   *metrics.Counter
 	stalls           *metrics.Counter
 	probes           *metrics.Counter
@@ -207,6 +208,7 @@
 		incomplete:       set.NewCounter("pimento_answers_cut_total"),
 		controlBytes:     set.NewCounter("pimento_control_bytes_total"),
 		platformFailures: set.NewCounter("pimento_platform_failures_total"),
+		listenFailures:   set.NewCounter("pimento_listen_failures_total"),
 		configsRefused:   set.NewCounter("pimento_config_refused_total"),
 		stalls:           set.NewCounter("pimento_pauses_total"),
 		probes:           set.NewCounter("pimento_probes_total"),
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -18,6 +18,7 @@
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentolisten"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
@@ -134,13 +135,20 @@
 
 func (g *Gate) seeds() []string { return *g.seedAddrs.Load() }
 
-// listeners are the listening sockets.
-type listeners struct{ callers, ready, peers, admin net.Listener }
+// listeners are the listening sockets without which a gate can't serve.
+type listeners struct{ callers, ready, peers net.Listener }
 
-func (g *Gate) listen() (*listeners, func(), error) {
+// port returns a port to listen on.
+func (g *Gate) port(address string) pimentolisten.Port {
+	return pimentolisten.Port{Address: address, Log: g.log, OnFailure: func() { g.metrics.count("pimento_listen_failures_total") }}
+}
+
+// listen opens the listening sockets, that for callers last, so that no caller waits for
+// the others. It returns a cleanup function.
+func (g *Gate) listen(stop <-chan struct{}) (*listeners, func(), error) {
 	var l listeners
 	closeAll := func() {
-		for _, ln := range []net.Listener{l.callers, l.ready, l.peers, l.admin} {
+		for _, ln := range []net.Listener{l.callers, l.ready, l.peers} {
 			if ln != nil {
 				_ = ln.Close()
 			}
@@ -150,13 +158,12 @@
 		ln      *net.Listener
 		address string
 	}{
-		{&l.callers, g.settings.CallersAddr}, {&l.ready, g.settings.ReadyAddr},
-		{&l.peers, g.settings.PeersAddr}, {&l.admin, g.settings.AdminAddr},
+		{&l.peers, g.settings.PeersAddr}, {&l.ready, g.settings.ReadyAddr}, {&l.callers, g.settings.CallersAddr},
 	} {
-		ln, err := net.Listen("tcp", port.address)
+		ln, err := g.port(port.address).Listen(stop)
 		if err != nil {
 			closeAll()
-			return nil, nil, &Error{Op: "listen on " + port.address, Kind: KindListen, Err: err}
+			return nil, nil, &Error{Op: "listen", Kind: KindListen, Err: err}
 		}
 		*port.ln = ln
 	}
@@ -167,7 +174,10 @@
 // when the last request has ended, or has been cut off near the end of the grace
 // period. A value from reload makes it read the settings.
 func (g *Gate) Run(stop <-chan struct{}, reload <-chan os.Signal) error {
-	l, closeAll, err := g.listen()
+	l, closeAll, err := g.listen(stop)
+	if pimentolisten.IsStopped(err) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -177,7 +187,9 @@
 	ready, admin := g.readyServer(), g.adminServer()
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = ready.Serve(l.ready) })
-	wg.Go(func() { _ = admin.Serve(l.admin) })
+	wg.Go(func() {
+		g.port(g.settings.AdminAddr).Serve(ctx.Done(), func(ln net.Listener) { _ = admin.Serve(ln) })
+	})
 	wg.Go(func() { g.node.Serve(ctx, l.peers) })
 	wg.Go(func() { g.maintainCluster(ctx.Done()) })
 	wg.Go(func() { g.runPeerSyncs(ctx) })
