--- a/cmd/pimentoarch/gate.go
+++ b/cmd/pimentoarch/gate.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"io"
 	"os"
 	"runtime/debug"
@@ -58,7 +57,7 @@
 		return pimentogate.Settings{}, err
 	}
 	if len(data) == 0 {
-		return pimentogate.Settings{}, errors.New("the settings file is empty")
+		return pimentogate.Settings{}, errEmptySettings
 	}
 	return pimentogate.ParseSettings(data)
 }
--- a/cmd/pimentoarch/main.go
+++ b/cmd/pimentoarch/main.go
@@ -114,21 +114,6 @@
 	})
 }
 
-// loadSettings reads settings with load. If that fails, it prints the error to stderr and
-// returns false.
-func loadSettings[S any](file string, load func() (S, error), stderr io.Writer) (s S, ok bool) {
-	if file == "" {
-		fmt.Fprintln(stderr, "pimentoarch: --settings is required")
-		return s, false
-	}
-	s, err := load()
-	if err != nil {
-		fmt.Fprintf(stderr, "pimentoarch: %s: %v\n", file, err)
-		return s, false
-	}
-	return s, true
-}
-
 // load reads and parses the settings file. Flags override values of the file.
 func (cmd *entryCmd) load() (pimentoentry.Settings, error) {
 	data, err := os.ReadFile(cmd.Settings)
