pimentolisten: a failed accept doesn't end serving

fasthttp's Server.Serve returns on an accept that fails for another reason than a timeout (EMFILE, ENFILE, ECONNABORTED, ENOBUFS), and the caller dropped the error: a gate was then never ready again and had no port for operators, and an entry of pimentoentry took no caller again, while the process went on to run.

--- a/cmd/pimentoarch/brokenpipe_test.go
+++ b/cmd/pimentoarch/brokenpipe_test.go
@@ -20,7 +20,9 @@
 			p := newProcess(t, bin, kind)
 			r, w, err := os.Pipe()
 			is.NoErr(err)
-			p.startWith(w, w)
+			cmd := p.command()
+			cmd.Stdout, cmd.Stderr = w, w
+			p.startCommand(cmd)
 			_ = w.Close()
 			_, err = io.ReadFull(r, make([]byte, 100))
 			is.NoErr(err)
--- a/cmd/pimentoarch/hangup_test.go
+++ b/cmd/pimentoarch/hangup_test.go
@@ -23,7 +23,9 @@
 	for range hangupStarts {
 		r, w, err := os.Pipe()
 		is.NoErr(err)
-		p.startWith(nil, w, "GODEBUG=inittrace=1")
+		cmd := p.command()
+		cmd.Stderr, cmd.Env = w, append(os.Environ(), "GODEBUG=inittrace=1")
+		p.startCommand(cmd)
 		_ = w.Close()
 		_, err = r.Read(make([]byte, 1))
 		is.NoErr(err)
--- a/cmd/pimentoarch/process_test.go
+++ b/cmd/pimentoarch/process_test.go
@@ -66,23 +66,27 @@
 	}
 }
 
-// start starts the process. It is killed at the end of the test if it still runs.
-func (p *process) start(env ...string) {
+// start starts the process, with its output in the file.
+func (p *process) start() {
 	p.t.Helper()
-	out, err := os.OpenFile(p.output, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	defer func() { _ = out.Close() }()
-	p.startWith(out, out, env...)
+	p.startCommand(p.command())
 }
 
-// startWith starts the process with files as its standard output and standard error.
-func (p *process) startWith(stdout, stderr *os.File, env ...string) {
+// command returns the command that runs the process.
+func (p *process) command() *exec.Cmd { return exec.Command(p.bin, p.kind, "--settings", p.settings) }
+
+// startCommand starts a command that becomes the process. Its output goes to the file if
+// it has no other. It is killed at the end of the test if it still runs.
+func (p *process) startCommand(cmd *exec.Cmd) {
 	p.t.Helper()
-	cmd := exec.Command(p.bin, p.kind, "--settings", p.settings)
-	cmd.Stdout, cmd.Stderr = stdout, stderr
-	cmd.Env = append(os.Environ(), env...)
+	if cmd.Stdout == nil && cmd.Stderr == nil {
+		out, err := os.OpenFile(p.output, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		defer func() { _ = out.Close() }()
+		cmd.Stdout, cmd.Stderr = out, out
+	}
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
--- a/pimentolisten/listen.go
+++ b/pimentolisten/listen.go
@@ -65,7 +65,7 @@
 			if tries > 1 {
 				_ = level.Info(p.Log).Log("msg", "listening after failures", "address", p.Address, "tries", tries, "after", time.Since(start))
 			}
-			return ln, nil
+			return p.accepting(ln), nil
 		}
 		if p.OnFailure != nil {
 			p.OnFailure()
