--- a/cmd/pimentoarch/hangup_test.go
+++ b/cmd/pimentoarch/hangup_test.go
@@ -18,12 +18,14 @@
 func TestHangupAtStart(t *testing.T) {
 	is := is.New(t)
 	p := newProcess(t, buildBinary(t), "gate")
-	p.settings = "none" // The process ends by itself at once.
+	p.write([]byte(`{"name": ""}`)) // The process ends by itself at once.
 	ended := 0
 	for range hangupStarts {
 		r, w, err := os.Pipe()
 		is.NoErr(err)
-		p.startWith(nil, w, "GODEBUG=inittrace=1")
+		cmd := p.command()
+		cmd.Stderr, cmd.Env = w, append(os.Environ(), "GODEBUG=inittrace=1")
+		p.startCommand(cmd)
 		_ = w.Close()
 		_, err = r.Read(make([]byte, 1))
 		is.NoErr(err)
