pimentogate: the size of the fleet is unknown until other entries tell it

Cause: 1.8 s after its start an entry took the entries that it had met by then for the whole fleet. One that starts while its seeds are down or stale, or while its first messages are late, takes all of a service's retries for itself: with a limit of 64, 24 at once and 2.4 each second, until it meets the rest. Several such starts within a window break the budget of that window.

Now the size is unknown until no further member was met for 1.8 s, and while an entry that has seeds has met nobody; until then one retry may be sent besides those that requests earn. Messages between entries carry the size that the sender has seen itself, so that a new start knows it from the first entry that it reaches. It still never decreases within one start; a size from before entries were removed is forgotten when each has started again.

That the users' BUDGET cases came this way is not shown: no record has them; 'share of limits changed' and 'started' lines now would.

--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,7 @@
 	// sharedChanges is the number of changes that this entry's shares of limits follow.
 	sharedChanges uint64
 	members       *pimentopeer.GossipMembership
+	size          fleetSize
 	readPolicy    pimentofeed.ReadPolicy
 	readings      map[uint64]reading // The last reading of each entry, by its run ID.
 	reading       bool               // This entry reads the platform successfully.
@@ -293,8 +295,7 @@
 
 // updateMembership marks members as down from which nothing was received, removes
 // them later, drops expired crash reports, and updates the numbers that this entry's
-// shares of limits are computed from. clusterSize never decreases, so that the shares
-// don't grow when members are lost.
+// shares of limits are computed from.
 func (g *Gate) updateMembership() {
 	now := g.now()
 	cs := g.cluster
@@ -303,14 +304,10 @@
 	cs.members.Expire(now)
 	g.logMemberChanges()
 	g.expireCrashes(now)
+	g.updateFleetSize(now)
 	if now < shareDelay {
 		return
 	}
-	if live := int64(cs.members.LiveCount()); live > g.clusterSize.Load() {
-		g.clusterSize.Store(live)
-		g.logChange("msg", "share of limits changed", "entries", live)
-		g.limitConns(g.table.Load())
-	}
 	if cs.members.Changes() != cs.sharedChanges || g.domainNames.Load() == nil {
 		cs.sharedChanges = cs.members.Changes()
 		g.updateDomain(cs.members.DomainMembers(g.settings.Domain))
@@ -318,6 +315,26 @@
 	g.domainSize.Store(int64(cs.members.PeakDomainSize() + 1))
 }
 
+// updateFleetSize updates the number of entries that shares of limits are computed from. It
+// is called with clusterState.mu held.
+func (g *Gate) updateFleetSize(now time.Duration) {
+	cs := g.cluster
+	live := cs.members.LiveCount()
+	cs.size.observe(now, live, live == 1 && g.hasOtherSeeds())
+	n := int64(cs.size.value())
+	if n == g.clusterSize.Load() {
+		return
+	}
+	g.clusterSize.Store(n)
+	g.logChange("msg", "share of limits changed", "entries", n, "live", live, "stated", cs.size.stated)
+	g.limitConns(g.table.Load())
+}
+
+// hasOtherSeeds reports whether other entries are named as seeds.
+func (g *Gate) hasOtherSeeds() bool {
+	return slices.ContainsFunc(g.seeds(), func(address string) bool { return address != g.settings.PeersAddr })
+}
+
 // updateDomain updates what is known about the entries of this entry's domain.
 func (g *Gate) updateDomain(members []pimentopeer.Member) {
 	names := make([]pimentotarget.EntryName, len(members))
@@ -339,8 +356,8 @@
 	ts.quarantine.Expire(now)
 }
 
-// shareDelay is the time after the start before which the numbers that shares of
-// limits are computed from count as unknown, because not all entries are known yet.
+// shareDelay is the time after the start before which the entries of this entry's domain
+// count as unknown, because not all are known yet.
 const shareDelay = 1800 * time.Millisecond
 
 // randomUpTo returns a random time between 0 and d.
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -59,7 +59,7 @@
 	workers        *ants.Pool
 	conns          connSet
 
-	clusterSize atomic.Int64 // Most entries seen at a time; 0 while unknown.
+	clusterSize atomic.Int64 // The value of clusterState.size; 0 while unknown.
 	// domainSize is one more than the recent peak number of entries in this entry's
 	// domain; 0 while unknown.
 	domainSize atomic.Int64
@@ -131,7 +131,13 @@
 // time.Duration, such as coldUntil, are counted from then too.
 func (g *Gate) now() time.Duration { return time.Since(g.startedAt) }
 
-func (g *Gate) seeds() []string { return *g.seedAddrs.Load() }
+// seeds returns the addresses of the entries to contact first.
+func (g *Gate) seeds() []string {
+	if list := g.seedAddrs.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
 
 // listeners are the listening sockets.
 type listeners struct{ callers, ready, peers, admin net.Listener }
--- a/pimentogate/retries_test.go
+++ b/pimentogate/retries_test.go
@@ -24,7 +24,7 @@
 	is := is.New(t)
 	g := fleetGate(0, 30)
 	g.settings.RetryBase = 80
-	g.cluster.members.Resume(g.now())
+	g.cluster.size.state(30)
 	g.updateMembership()
 	c := retryCall(g)
 	is.True(g.spendRetry(c))
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -272,7 +272,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest}
+	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own()}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 	}
@@ -313,6 +313,7 @@
 	cs.mu.Lock()
 	cs.members.MergeDirect(now, msg.sender)
 	cs.members.Merge(now, msg.members)
+	cs.size.state(msg.entries)
 	for i := range msg.readings {
 		msg.readings[i].at += now // They have negative times since the message was made.
 	}
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -29,6 +29,7 @@
 	// that the receiver may lack.
 	crashDigest uint64
 	crashes     []pimentoretry.Report
+	entries     int // The size of the fleet that the sender has seen, 0 if unknown.
 }
 
 var (
@@ -42,7 +43,7 @@
 //   Member sender = 1; fixed64 members_hash = 2; repeated Member members = 3;
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
-//   fixed64 crash_digest = 11;
+//   fixed64 crash_digest = 11; uint64 entries = 12;
 // }
 //
 // Field 7 was used for another purpose.
@@ -71,6 +72,7 @@
 		marshalReading(mm.AppendMessage(10), &msg.readings[i])
 	}
 	mm.AppendFixed64(11, msg.crashDigest)
+	mm.AppendUint64(12, uint64(msg.entries))
 	return m.Marshal(nil)
 }
 
@@ -175,6 +177,10 @@
 			}
 		case 11:
 			msg.crashDigest, ok = fc.Fixed64()
+		case 12:
+			var n uint64
+			n, ok = fc.Uint64()
+			msg.entries = int(min(n, maxStatedEntries))
 		default:
 			ok = true
 		}
