pimentogate: a pause asked for in a bare refusal is kept

Cause: a refusal without the request's id was no notice, nor was the reply to a probe that doesn't name the target, as one that is rejected like any other request may not. Such a refusal now counts for its pause, not for a leave; one with another request's id or by another target (421) still counts for nothing.

What callers saw: retries and refusals while the target was chosen again and again.

--- a/pimentogate/dialect.go
+++ b/pimentogate/dialect.go
@@ -43,6 +43,12 @@
 	InvalidPause string
 }
 
+// pauseOnly returns the notice without a leave.
+func (n Notice) pauseOnly() Notice {
+	n.Leaving = false
+	return n
+}
+
 // LoadReport is a target's state as it reports it.
 type LoadReport struct {
 	// Target is the responding target, "" if it isn't stated.
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -293,13 +293,15 @@
 	g.recordProbeNotice(cand, resp)
 }
 
-// recordProbeNotice records what the reply to a probe says about new requests. The
-// connection to a leaving target is only kept for the request that may follow.
+// recordProbeNotice records what the reply to a probe says about new requests. A refusal
+// may not name the target; then only a pause counts. The connection to a leaving target is
+// only kept for the request that may follow.
 func (g *Gate) recordProbeNotice(cand *candidate, resp *fasthttp.Response) {
+	n := g.dialect.ParseNotice(resp)
 	if cand.report.Target != cand.target.ID {
-		return
+		n = n.pauseOnly()
 	}
-	g.recordNotice(cand.target, "", resp)
+	g.recordNotice(cand.target, "", resp, n)
 	if !g.admitsProbes(cand.target) {
 		cand.err = errWithdrawn
 		cand.release()
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -329,8 +329,8 @@
 	s.err = exchangeErr
 	s.outcome = g.classify(c, s)
 	tg := s.candidate.target
-	if exchangeErr == nil && g.echoesID(c, s.exchange.Resp) && s.exchange.Resp.StatusCode() != fasthttp.StatusMisdirectedRequest {
-		g.recordNotice(tg, c.id, s.exchange.Resp)
+	if exchangeErr == nil {
+		g.recordSendNotice(c, tg, s.exchange.Resp)
 	}
 	switch {
 	case exchangeErr != nil || s.exchange.Resp.IsBodyStream() || !s.candidate.conn.Reusable():
--- a/pimentogate/withdrawal.go
+++ b/pimentogate/withdrawal.go
@@ -39,10 +39,22 @@
 	return g.admission(ts.target(tg.ID)) != pimentotarget.AdmitPaused
 }
 
+// recordSendNotice records what the response to a request says about new requests. One
+// without the request's ID isn't proven to be to this request, but a pause that it asks for
+// is the target's wish all the same.
+func (g *Gate) recordSendNotice(c *call, tg *pimentoroute.Target, resp *fasthttp.Response) {
+	switch {
+	case resp.StatusCode() == fasthttp.StatusMisdirectedRequest:
+	case g.echoesID(c, resp):
+		g.recordNotice(tg, c.id, resp, g.dialect.ParseNotice(resp))
+	case len(resp.Header.Peek(g.dialect.RequestID)) == 0:
+		g.recordNotice(tg, c.id, resp, g.dialect.ParseNotice(resp).pauseOnly())
+	}
+}
+
 // recordNotice records what a target's response says about new requests. id is that of
-// the request, "" for a probe. The response must be the target's own and to this request.
-func (g *Gate) recordNotice(tg *pimentoroute.Target, id string, resp *fasthttp.Response) {
-	n := g.dialect.ParseNotice(resp)
+// the request, "" for a probe.
+func (g *Gate) recordNotice(tg *pimentoroute.Target, id string, resp *fasthttp.Response, n Notice) {
 	if n.InvalidPause != "" {
 		g.metrics.count("pimento_pauses_ignored_total")
 		g.logLine(level.WarnValue(), "msg", "invalid pause ignored", "id", id, "target", tg.ID, "value", n.InvalidPause)
