--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -284,20 +284,24 @@
 		return
 	}
 	cand.report = g.dialect.ParseReport(resp)
-	if cand.report.Target != tg.ID {
+	g.recordProbeNotice(cand, resp)
+	if cand.err == nil && cand.report.Target != tg.ID {
 		g.metrics.count("pimento_probes_unidentified_total")
 		cand.err = errOtherTarget
 		cand.release()
 		g.backOff(tg, failureBackoff)
-		return
 	}
-	g.recordProbeNotice(cand, resp)
 }
 
-// recordProbeNotice records what the reply to a probe says about new requests. The
-// connection to a leaving target is only kept for the request that may follow.
+// recordProbeNotice records what the reply to a probe says about new requests. A refusal
+// may not name the target; then only a pause counts. The connection to a leaving target is
+// only kept for the request that may follow.
 func (g *Gate) recordProbeNotice(cand *candidate, resp *fasthttp.Response) {
-	g.recordNotice(cand.target, "", resp)
+	n := g.dialect.ParseNotice(resp)
+	if cand.report.Target != cand.target.ID {
+		n = n.pauseOnly()
+	}
+	g.recordNotice(cand.target, "", resp, n)
 	if !g.admitsProbes(cand.target) {
 		cand.err = errWithdrawn
 		cand.release()
