pimentoentry: a planned stop empties the accept queue before it closes the listener

Cause: as in pimentogate; the HTTP server's shutdown closes the listener at once, and the kernel resets the connections that wait to be accepted.

--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -171,6 +171,7 @@
 	ctx := e.ctx
 	adminServer := e.adminServer()
 	callerServer := e.callerServer()
+	drained := pimentohttp.NewDrainListener(callers)
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = adminServer.Serve(admin) })
 	wg.Go(func() { e.node.Serve(ctx, peerLn) })
@@ -178,13 +179,13 @@
 	wg.Go(func() { e.runPeriodic(ctx) })
 	go e.watchPlatform(ctx) // Not waited for: a pending watch call can't be cancelled.
 	wg.Go(func() { e.awaitReady(ctx) })
-	wg.Go(func() { _ = callerServer.Serve(callers) })
+	wg.Go(func() { _ = callerServer.Serve(drained) })
 	_ = level.Info(e.log).Log("msg", "entry started", "name", e.settings.Name, "region", e.settings.Region,
 		"domain", e.settings.Domain, "callers", callers.Addr(), "incarnation", fmt.Sprintf("%016x", e.incarnation))
 	var err error
 	select {
 	case <-stop:
-		err = e.stop(callerServer)
+		err = e.stop(callerServer, drained)
 	case <-ctx.Done():
 	}
 	e.cancel()
--- a/pimentoentry/stop.go
+++ b/pimentoentry/stop.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentolink"
 	"pimentoarch/pimentopeer"
@@ -23,6 +24,9 @@
 	// to report one outcome to it; handoverPause is the time between two of them.
 	handoverAttempts = 5
 	handoverPause    = 100 * time.Millisecond
+	// acceptLimit bounds the time for which connections are still accepted after the grace
+	// time, until no new one comes.
+	acceptLimit = 500 * time.Millisecond
 	// drainPoll is the time between two checks for running requests.
 	drainPoll = 20 * time.Millisecond
 	// unreadTimeout is the time within which the head of a request must arrive while
@@ -34,12 +38,13 @@
 // requests of callers are accepted for the grace time only, and running requests have
 // the drain time to end. Requests of peers are accepted until the end. The error is an
 // *Error of KindStop.
-func (e *Entry) stop(server *fasthttp.Server) error {
+func (e *Entry) stop(server *fasthttp.Server, callers *pimentohttp.DrainListener) error {
 	e.stopping.Store(true)
 	_ = level.Info(e.log).Log("msg", "planned stop begins", "running", e.running.Load())
 	e.wakeHeartbeats()
 	e.handOverKeys()
 	sleepContext(e.ctx, millis(e.settings.Grace))
+	callers.Drain(time.Now().Add(acceptLimit))
 	e.closing.Store(true)
 	ctx, cancel := context.WithTimeout(e.ctx, millis(e.settings.Drain))
 	defer cancel()
--- a/pimentohttp/drainlistener.go
+++ b/pimentohttp/drainlistener.go
@@ -90,3 +90,11 @@
 	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
 	return ok && d.SetDeadline(t) == nil
 }
+
+// Close implements net.Listener. It has no effect after a drain.
+func (l *DrainListener) Close() error {
+	if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
