--- a/cmd/pimentoarch/soak_lost_test.go
+++ b/cmd/pimentoarch/soak_lost_test.go
@@ -212,6 +212,9 @@
 		case !r.behind && after > unreadSlack:
 			s.t.Errorf("request %s (number %d) to %s ended without a response %v after its last byte, at %s: %v",
 				r.id, r.number, r.gate, after, r.ended.UTC().Format(time.RFC3339Nano), r.err)
+		default:
+			s.t.Logf("request %s (number %d, behind another: %v) to %s ended without a response %v after its last byte, at %s: %v",
+				r.id, r.number, r.behind, r.gate, after, r.ended.UTC().Format(time.RFC3339Nano), r.err)
 		}
 	}
 	s.t.Logf("%d requests, by status: %v", len(s.sent), byStatus)
