pimentogate: an idle connection is closed without reading from it

Cause: after its half-close an idle connection was still read for 500 ms, to protect the last response from a reset. All of that had arrived long before; what came was a request that crossed the close. It was read and dropped, so that its caller couldn't take it for unread: a non-idempotent one isn't sent again then.

A connection that ends between two requests, by a planned stop or the idle timeout, is closed at once if its caller has acknowledged all responses.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -46,6 +46,7 @@
 	r          *bufio.Reader
 	pending    chan *pendingResponse // In the order of the requests.
 	unanswered atomic.Int32          // Requests that were read and not responded to yet.
+	endedIdle  bool                  // It ended between two requests. Set by readRequests.
 	mu         sync.Mutex            // Guards the fields below.
 	closing    bool                  // No more requests are accepted.
 	closedIdle bool                  // Only because a planned stop found the connection idle.
@@ -92,7 +93,9 @@
 	cc.readRequests()
 	close(cc.pending)
 	wg.Wait()
-	cc.linger()
+	if !cc.endedIdle || unacknowledged(cc.Conn) > 0 {
+		cc.linger()
+	}
 	_ = cc.Close()
 	cc.reportLosses()
 	cc.gate.conns.remove(cc)
@@ -117,6 +120,7 @@
 	for {
 		req, received, err := cc.readRequest(exclusive)
 		if err != nil {
+			cc.endedIdle = cc.isIdleEnd(err)
 			cc.handleReadError(err)
 			cc.awaitResponses()
 			return
--- a/pimentogate/linger.go
+++ b/pimentogate/linger.go
@@ -37,10 +37,22 @@
 	}
 }
 
+// isIdleEnd reports whether a read error ends a connection between two requests. Nothing is
+// read from it then: a request that comes after that is unread, and its caller learns so.
+func (cc *callerConn) isIdleEnd(err error) bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return errors.Is(err, errIdle) || (errors.Is(err, errClosing) && cc.closedIdle)
+}
+
 // unacknowledged returns the number of bytes that were written and not received by the
 // other end's kernel, 0 if that isn't known.
-func unacknowledged(c syscall.Conn) int {
-	raw, err := c.SyscallConn()
+func unacknowledged(c net.Conn) int {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return 0
 	}
--- a/pimentogate/linger_test.go
+++ b/pimentogate/linger_test.go
@@ -102,3 +102,24 @@
 type readerFunc func([]byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// A planned stop closes an idle connection without reading from it any more, so that a
+// request that comes then is unread, as its caller takes it.
+func TestIdleCloseReadsNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g, lines, address := connGate(t)
+	c := dialConn(t, address)
+	_, _ = io.WriteString(c, shortRequest)
+	is.Equal(readStatus(c), fasthttp.StatusServiceUnavailable)
+	awaitIdle(t, g)
+	g.stopIdleConns()
+	_, err := c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	_, _ = io.WriteString(c, shortRequest)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(g.conns.size(), 0)
+	_, err = io.WriteString(c, shortRequest)
+	is.True(err != nil) // The connection was reset.
+	is.True(!strings.Contains(lines.String(), "unanswered"))
+}
