--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -48,8 +48,14 @@
 	unanswered atomic.Int32          // Requests that were read and not responded to yet.
 	mu         sync.Mutex            // Guards the fields below.
 	closing    bool                  // No more requests are accepted.
-	receiving  bool                  // A request has begun to arrive.
-	calls      map[*call]struct{}    // Requests without a response.
+	closedIdle bool                  // Only because a planned stop found the connection idle.
+	// firstRequestBy is the time until which a planned stop leaves the connection open for
+	// its first request. It is zero once that has begun to arrive.
+	firstRequestBy time.Time
+	receiving      bool               // A request has begun to arrive.
+	calls          map[*call]struct{} // Requests without a response.
+	idleSince      time.Time          // When the last response ended, zero before the first.
+	losses         connLosses
 }
 
 // pendingResponse is the place of one response in the order of a connection.
@@ -58,7 +64,10 @@
 	done chan *response // Receives one response.
 }
 
-func (g *Gate) serveConn(nc net.Conn) {
+func (g *Gate) serveConn(nc net.Conn) { g.newCallerConn(nc).serve() }
+
+// newCallerConn returns a connection that was accepted, and adds it to the open ones.
+func (g *Gate) newCallerConn(nc net.Conn) *callerConn {
 	host, _, err := net.SplitHostPort(nc.RemoteAddr().String())
 	if err != nil {
 		host = nc.RemoteAddr().String()
@@ -69,32 +78,29 @@
 		r:       bufio.NewReaderSize(nc, limits.HeaderBytes+requestLineRoom),
 		pending: make(chan *pendingResponse, maxPipelined),
 		calls:   make(map[*call]struct{}),
+
+		firstRequestBy: time.Now().Add(firstRequestTime),
 	}
 	g.conns.add(cc)
+	return cc
+}
+
+// serve serves requests until the connection ends.
+func (cc *callerConn) serve() {
 	var wg sync.WaitGroup
 	wg.Go(cc.writeResponses)
 	cc.readRequests()
 	close(cc.pending)
 	wg.Wait()
 	cc.linger()
-	_ = nc.Close()
-	g.conns.remove(cc)
+	_ = cc.Close()
+	cc.reportLosses()
+	cc.gate.conns.remove(cc)
 }
 
-// lingerTime bounds the time for which a half-closed connection is still read.
-const lingerTime = 500 * time.Millisecond
-
-// linger closes the sending side and reads what the caller still sends, because
-// closing a connection with unread bytes resets it, and the caller may lose the
-// last response.
-func (cc *callerConn) linger() {
-	tcp, ok := cc.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
-		return
-	}
-	_ = cc.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, cc.Conn)
-}
+// firstRequestTime is the time that a new connection has to begin its first request during a
+// planned stop.
+const firstRequestTime = 300 * time.Millisecond
 
 // limits returns the active limits.
 func (g *Gate) limits() pimentoroute.Limits {
@@ -109,16 +115,17 @@
 func (cc *callerConn) readRequests() {
 	exclusive := false
 	for {
-		req, received, err := cc.readRequest(exclusive)
+		c, err := cc.readRequest(exclusive)
 		if err != nil {
-			cc.handleReadError(err)
+			cc.handleReadError(c, err)
+			c.end()
 			cc.awaitResponses()
 			return
 		}
-		c := newCall(req, &cc.gate.dialect, cc.callerIP, received)
 		if !cc.addCall(c) {
 			// The response before this request closes the connection, so the
 			// request counts as unread.
+			c.end()
 			cc.awaitResponses()
 			return
 		}
@@ -129,7 +136,7 @@
 		}
 		// The request after one that may change something must not be executed if
 		// the response to that one closes the connection.
-		exclusive = !req.Header.IsGet() && !req.Header.IsHead()
+		exclusive = !c.req.Header.IsGet() && !c.req.Header.IsHead()
 	}
 }
 
@@ -151,17 +158,20 @@
 
 // removeCall removes a request whose response was written or dropped.
 func (cc *callerConn) removeCall(c *call) {
+	c.end()
 	cc.mu.Lock()
 	delete(cc.calls, c)
+	cc.idleSince = time.Now()
 	cc.mu.Unlock()
 	cc.unanswered.Add(-1)
 }
 
 // stopReading makes the connection accept no more requests. Those that were read
 // still get their responses.
-func (cc *callerConn) stopReading() {
+func (cc *callerConn) stopReading(why connEnd) {
+	cc.setReadEnd(why)
 	cc.mu.Lock()
-	cc.closing = true
+	cc.closing, cc.closedIdle = true, false
 	cc.mu.Unlock()
 	_ = cc.SetReadDeadline(time.Now())
 }
@@ -174,22 +184,30 @@
 	cc.closing = cc.closing || last
 	cc.mu.Unlock()
 	if last {
+		cc.setReadEnd(endStop)
 		_ = cc.SetReadDeadline(time.Now())
 	}
 	return last
 }
 
 // stopReadingUnlessReceiving makes the connection accept no more requests, except for one
-// that has begun to arrive while no response is outstanding. Requests behind an outstanding
-// response count as unread, because that response closes the connection.
+// that has begun to arrive while no response is outstanding, or the first one of a new
+// connection. Requests behind an outstanding response count as unread, because that response
+// closes the connection.
 func (cc *callerConn) stopReadingUnlessReceiving() {
 	cc.mu.Lock()
-	stops := !cc.receiving || cc.unanswered.Load() > 0
-	cc.closing = cc.closing || stops
-	cc.mu.Unlock()
-	if stops {
-		_ = cc.SetReadDeadline(time.Now())
+	defer cc.mu.Unlock()
+	awaited := cc.receiving || time.Now().Before(cc.firstRequestBy)
+	outstanding := cc.unanswered.Load() > 0
+	if awaited && !outstanding {
+		return
+	}
+	cc.closedIdle = cc.closedIdle || (!cc.closing && !outstanding)
+	cc.closing = true
+	if cc.losses.readEnd == endNone {
+		cc.losses.readEnd = endStop
 	}
+	_ = cc.SetReadDeadline(time.Now())
 }
 
 // beginReceiving records that a request has begun to arrive. It reports false if the
@@ -198,6 +216,7 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.receiving = !cc.closing
+	cc.firstRequestBy = time.Time{}
 	return cc.receiving
 }
 
@@ -214,49 +233,44 @@
 var errClosing = errors.New("the connection closes after the outstanding responses")
 
 // readRequest reads one complete request. Between requests it waits for at most the
-// active idle timeout. If exclusive is set, the request before it must end first.
-func (cc *callerConn) readRequest(exclusive bool) (*fasthttp.Request, time.Time, error) {
+// active idle timeout. If exclusive is set, the request before it must end first. After an
+// error, the call is that of a request whose head was read, or nil.
+func (cc *callerConn) readRequest(exclusive bool) (*call, error) {
 	if err := cc.awaitFirstByte(exclusive); err != nil {
-		return nil, time.Time{}, err
+		return nil, err
 	}
-	if !cc.beginReceiving() {
-		return nil, time.Time{}, errClosing
+	if !cc.beginReceiving() && !cc.resume() {
+		return nil, errClosing
 	}
 	limits := cc.gate.limits()
 	_ = cc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req := new(fasthttp.Request)
 	if err := req.Header.Read(cc.r); err != nil {
-		return nil, time.Time{}, headError(err)
+		return nil, headError(err)
 	}
-	received := time.Now()
+	c := newCall(req, &cc.gate.dialect, cc.callerIP, time.Now())
 	if err := checkHead(&req.Header, limits); err != nil {
-		return nil, received, err
-	}
-	if req.MayContinue() {
-		if _, err := cc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return nil, received, err
-		}
+		return c, err
 	}
-	_ = cc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if err := req.ContinueReadBody(cc.r, limits.BodyBytes, false); err != nil {
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			return nil, received, &badRequest{status: fasthttp.StatusRequestEntityTooLarge, err: err}
-		}
-		return nil, received, err
+	c.memory, c.releaseMemory = cc.gate.memory.NewGrant()
+	err := cc.readBody(c, limits.BodyBytes)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		err = &badRequest{status: fasthttp.StatusRequestEntityTooLarge, err: err}
 	}
-	return req, received, nil
+	return c, err
 }
 
-// bodyTimeout bounds the time to receive a body.
-const bodyTimeout = 30 * time.Second
-
 // awaitFirstByte waits for the first byte of the next request, and for the end of
 // the previous one if that one is exclusive.
 func (cc *callerConn) awaitFirstByte(exclusive bool) error {
-	idleSince := time.Now()
+	began := time.Now()
+	limit := cc.gate.limits().IdleTimeout // The caller may not know a shorter one yet.
 	for {
 		_ = cc.SetReadDeadline(time.Now().Add(idleCheckInterval))
 		if cc.isClosing() {
+			if cc.resume() {
+				return nil
+			}
 			return errClosing
 		}
 		_, err := cc.r.Peek(1)
@@ -269,32 +283,43 @@
 			return nil
 		case !errors.As(err, &ne) || !ne.Timeout():
 			return err
-		case busy:
-			idleSince = time.Now()
-		case time.Since(idleSince) > cc.gate.limits().IdleTimeout:
+		case !busy && cc.idleTime(began) > max(limit, cc.gate.limits().IdleTimeout):
 			return errIdle
 		}
 	}
 }
 
+// idleTime returns the time since a point in time or since the end of the last response, if
+// that was later.
+func (cc *callerConn) idleTime(since time.Time) time.Duration {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return min(time.Since(since), time.Since(cc.idleSince))
+}
+
 // idleCheckInterval is the longest time between two checks whether an idle
 // connection is to be closed.
 const idleCheckInterval = 5 * time.Second
 
 var errIdle = errors.New("the connection exceeded the idle timeout")
 
-// handleReadError ends the connection's requests according to the read error.
-func (cc *callerConn) handleReadError(err error) {
+// handleReadError ends the connection's requests according to the read error. c is the call
+// whose body couldn't be read, or nil.
+func (cc *callerConn) handleReadError(c *call, err error) {
 	var bad *badRequest
 	switch {
 	case errors.As(err, &bad):
+		cc.setReadEnd(endInvalid)
 		cc.refuseInvalid(bad)
+	case errors.Is(err, errNoMemory):
+		cc.refuseUnread(c)
 	case errors.Is(err, errIdle), errors.Is(err, errClosing), cc.isClosing():
+		cc.setReadEnd(endIdle)
 		// Outstanding responses are still written.
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
-		cc.abandonAll()
+		cc.abandonAll(endCaller)
 	default:
-		cc.abandonAll()
+		cc.abandonAll(endFailed)
 		_ = level.Debug(cc.gate.log).Log("msg", "caller connection failed", "from", cc.callerIP, "err", err)
 	}
 }
@@ -308,10 +333,10 @@
 func (cc *callerConn) awaitResponses() {
 	for cc.unanswered.Load() > 0 {
 		_ = cc.SetReadDeadline(time.Now().Add(closeCheckInterval))
-		_, err := cc.r.WriteTo(io.Discard)
+		err := cc.discard(cc.r)
 		var ne net.Error
 		if !errors.As(err, &ne) || !ne.Timeout() {
-			cc.abandonAll()
+			cc.abandonAll(endCaller)
 			return
 		}
 	}
@@ -331,9 +356,11 @@
 }
 
 // abandonAll abandons all calls of the connection and accepts no more.
-func (cc *callerConn) abandonAll() {
+func (cc *callerConn) abandonAll(why connEnd) {
+	cc.setReadEnd(why)
+	cc.setDropEnd(why)
 	cc.mu.Lock()
-	cc.closing = true
+	cc.closing, cc.closedIdle = true, false
 	calls := slices.Collect(maps.Keys(cc.calls))
 	cc.mu.Unlock()
 	for _, c := range calls {
@@ -346,17 +373,21 @@
 	w := bufio.NewWriterSize(cc.Conn, 4<<10)
 	for p := range cc.pending {
 		resp := <-p.done
-		more := cc.writeResponse(w, p, resp)
+		written, more := cc.writeResponse(w, p, resp)
+		if !written {
+			cc.countDropped(p.call)
+		}
 		cc.removeCall(p.call)
 		if !more {
 			break
 		}
 	}
-	cc.stopReading()
+	cc.stopReading(endResponse)
 	// Requests read after the last response don't get one.
-	cc.abandonAll()
+	cc.abandonAll(endResponse)
 	for p := range cc.pending {
 		releaseResponse(<-p.done)
+		cc.countDropped(p.call)
 		cc.removeCall(p.call)
 	}
 }
@@ -367,17 +398,19 @@
 	fasthttp.ReleaseResponse(resp.http)
 }
 
-// writeResponse writes a response, and reports whether another one may follow.
-func (cc *callerConn) writeResponse(w *bufio.Writer, p *pendingResponse, resp *response) bool {
+// writeResponse writes a response. It reports whether it was written whole, and whether
+// another one may follow.
+func (cc *callerConn) writeResponse(w *bufio.Writer, p *pendingResponse, resp *response) (written, more bool) {
 	defer releaseResponse(resp)
 	if p.call != nil && p.call.isAbandoned() {
-		return false
+		return false, false
 	}
 	closes := cc.closesAfterResponse(p, resp)
 	if closes {
 		resp.http.SetConnectionClose()
 	}
-	_ = cc.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
+	began := time.Now()
+	_ = cc.SetWriteDeadline(began.Add(responseWriteTimeout))
 	err := resp.http.Write(w)
 	if err == nil {
 		err = w.Flush()
@@ -389,10 +422,13 @@
 		}
 		cc.gate.metrics.count(`pimento_answers_cut_total`)
 		cc.gate.logLine(level.WarnValue(), "msg", "response write failed", "id", id, "from", cc.callerIP, "err", err)
-		_ = cc.Close()
-		return false
+		cc.setDropEnd(endWrite)
+		if time.Since(began) >= responseWriteTimeout {
+			_ = cc.Close() // The caller doesn't read.
+		}
+		return false, false
 	}
-	return !closes
+	return true, !closes
 }
 
 // closesAfterResponse reports whether the connection is closed after a response, and makes
@@ -400,7 +436,7 @@
 // response is outstanding.
 func (cc *callerConn) closesAfterResponse(p *pendingResponse, resp *response) bool {
 	if resp.closeConn || (p.call != nil && p.call.req.ConnectionClose()) {
-		cc.stopReading()
+		cc.stopReading(endResponse)
 		return true
 	}
 	return cc.gate.stopping.Load() && cc.stopReadingIfLast()
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
@@ -46,6 +48,7 @@
 	log       log.Logger
 	logBudget lineBudget
 	metrics   *gateMetrics
+	memory    *pimentomemory.Budget // For bodies and messages that are held.
 	startedAt time.Time
 
 	table atomic.Pointer[pimentoroute.Table]
@@ -75,7 +78,11 @@
 	seedAddrs   atomic.Pointer[[]string]
 	stopping    atomic.Bool // A planned stop has begun.
 	// cutoff is when a planned stop cuts off the requests that still run; nil before it.
-	cutoff atomic.Pointer[time.Time]
+	cutoff        atomic.Pointer[time.Time]
+	cutoffReached chan struct{} // Closed at that time.
+	// acceptEnd is when a planned stop accepts no more connections at the latest; nil
+	// before it.
+	acceptEnd atomic.Pointer[time.Time]
 }
 
 const (
@@ -87,6 +94,9 @@
 	targetIdleTimeout = 12 * time.Second
 	// targetDialTimeout bounds the time to open a connection to a target.
 	targetDialTimeout = 250 * time.Millisecond
+	// messageShare is the divisor of the bytes that peers' messages may hold, beside the
+	// bodies, so that these never keep messages out.
+	messageShare = 4
 	// targetAckTimeout is the time without a TCP acknowledgement after which a
 	// connection to a target fails.
 	targetAckTimeout = 2 * time.Second
@@ -108,9 +118,12 @@
 		reload:     p.Reload,
 		log:        logger,
 		metrics:    newGateMetrics(),
+		memory:     pimentomemory.NewBudget(s.heldBytes()),
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
-		workers:    workers,
+
+		cutoffReached: make(chan struct{}),
+		workers:       workers,
 	}
 	g.logBudget.linesPerSecond = s.LogLineRate
 	g.cluster = newClusterState(pimentopeer.Member{
@@ -122,7 +135,7 @@
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
 	}
 	g.client = pimentohttp.Client{MaxIdle: targetIdleTimeout, DialTimeout: targetDialTimeout, UserTimeout: targetAckTimeout, Redial: true}
-	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync}
+	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync, Memory: pimentomemory.NewBudget(s.heldBytes() / messageShare)}
 	g.addGauges()
 	return g, workers.Release, nil
 }
@@ -171,7 +184,7 @@
 // Run serves until stop is closed, and then performs a planned stop. It returns
 // when the last request has ended, or has been cut off near the end of the grace
 // period. A value from reload makes it read the settings.
-func (g *Gate) Run(stop, reload <-chan struct{}) error {
+func (g *Gate) Run(stop <-chan struct{}, reload <-chan os.Signal) error {
 	l, closeAll, err := g.listen()
 	if err != nil {
 		return err
@@ -187,11 +200,12 @@
 	wg.Go(func() { g.maintainCluster(ctx.Done()) })
 	wg.Go(func() { g.runPeerSyncs(ctx) })
 	wg.Go(func() { g.watchSettings(ctx, reload) })
-	wg.Go(func() { g.acceptCallers(l.callers) })
+	callers := pimentohttp.NewDrainListener(l.callers)
+	wg.Go(func() { g.acceptCallers(callers) })
 	go g.followPlatform(ctx) // Not in wg: a waiting watch can't be cancelled.
 	g.logChange("msg", "started", "name", g.settings.Name, "region", g.region, "domain", g.settings.Domain, "callers", g.settings.CallersAddr, "run", g.cluster.runID())
 	<-stop
-	g.shutDown(l.callers)
+	g.shutDown(callers)
 	cancel()
 	closeAll()
 	g.logChange("msg", "stopped", "open", g.conns.size())
@@ -222,6 +236,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		g.conns.accept()
 		go g.serveConn(nc)
 	}
 }
--- a/pimentogate/metrics.go
+++ b/pimentogate/metrics.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -21,7 +22,9 @@
 }
 
 func newGateMetrics() *gateMetrics {
-	return &gateMetrics{set: metrics.NewSet(), latencies: make(map[pimentoregister.ServiceName]*metrics.Histogram)}
+	m := &gateMetrics{set: metrics.NewSet(), latencies: make(map[pimentoregister.ServiceName]*metrics.Histogram)}
+	m.addMemoryGauges()
+	return m
 }
 
 func (m *gateMetrics) countRefusal(why reason) {
@@ -33,6 +36,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`pimento_repeats_total{reason=%q}`, string(why))).Inc()
 }
 
+// countUndecodable counts a published item that was ignored, by the reason that its error
+// states.
+func (m *gateMetrics) countUndecodable(err error) {
+	reason := "invalid"
+	var r interface{ Reason() string }
+	if errors.As(err, &r) {
+		reason = r.Reason()
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`pimento_undecodable_total{reason=%q}`, reason)).Inc()
+}
+
 func (m *gateMetrics) count(name string) {
 	m.set.GetOrCreateCounter(name).Inc()
 }
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -284,8 +284,12 @@
 		return
 	}
 	cand.report = g.dialect.ParseReport(resp)
-	if cand.report.Target != "" && cand.report.Target != tg.ID {
+	if cand.report.Target != tg.ID {
+		g.metrics.count("pimento_probes_unidentified_total")
 		cand.err = errOtherTarget
+		if cand.report.Target == "" {
+			g.recordBareRefusal(cand, resp)
+		}
 		cand.release()
 		g.backOff(tg, failureBackoff)
 		return
@@ -293,21 +297,26 @@
 	g.recordProbeNotice(cand, resp)
 }
 
-// recordProbeNotice records what the reply to a probe says about new requests. A refusal
-// may not name the target; then only a pause counts. The connection to a leaving target is
-// only kept for the request that may follow.
+// recordProbeNotice records what the reply to a probe says about new requests. The
+// connection to a leaving target is only kept for the request that may follow.
 func (g *Gate) recordProbeNotice(cand *candidate, resp *fasthttp.Response) {
-	n := g.dialect.ParseNotice(resp)
-	if cand.report.Target != cand.target.ID {
-		n = n.pauseOnly()
-	}
-	g.recordNotice(cand.target, "", resp, n)
+	g.recordNotice(cand.target, "", resp, g.dialect.ParseNotice(resp))
 	if !g.admitsProbes(cand.target) {
 		cand.err = errWithdrawn
 		cand.release()
 	}
 }
 
+// recordBareRefusal records the pause that a target asks for in a reply that doesn't name
+// it, as a rejected probe may get.
+func (g *Gate) recordBareRefusal(cand *candidate, resp *fasthttp.Response) {
+	n := g.dialect.ParseNotice(resp).pauseOnly()
+	g.recordNotice(cand.target, "", resp, n)
+	if n.Pause > 0 {
+		cand.err = errWithdrawn
+	}
+}
+
 // ensureConn gives a candidate a connection if it has no open one: a pooled one, or a
 // new one if the request isn't retryable, because the target may have closed a pooled
 // one.
--- a/pimentogate/stop.go
+++ b/pimentogate/stop.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
-	"net"
+	"os"
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentohttp"
 )
 
 const (
 	// balancerDelay is the time within which the balancer detects that an entry
 	// isn't ready: two of its readiness checks, and a margin.
 	balancerDelay = 2400 * time.Millisecond
+	// acceptEndFraction is the fraction of the grace period after which no new connections
+	// are accepted, although the balancer still sends some.
+	acceptEndFraction = 0.5
 	// drainFraction is the fraction of the grace period after which running requests are
 	// cut off.
 	drainFraction = 0.88
@@ -22,10 +27,12 @@
 
 // shutDown performs a planned stop. New connections are accepted until the balancer
 // has detected that the entry isn't ready; running requests are then completed, or
-// cut off near the end of the grace period.
-func (g *Gate) shutDown(callers net.Listener) {
-	cutoff := time.Now().Add(time.Duration(drainFraction * float64(g.settings.GracePeriod)))
+// answered without a target's response near the end of the grace period.
+func (g *Gate) shutDown(callers *pimentohttp.DrainListener) {
+	began, grace := time.Now(), float64(g.settings.GracePeriod)
+	cutoff, half := began.Add(time.Duration(drainFraction*grace)), began.Add(time.Duration(acceptEndFraction*grace))
 	g.cutoff.Store(&cutoff)
+	g.acceptEnd.Store(&half)
 	g.stopping.Store(true)
 	cs := g.cluster
 	cs.mu.Lock()
@@ -34,20 +41,47 @@
 	cs.mu.Unlock()
 	g.logChange("msg", "stopping", "open", g.conns.size())
 	time.Sleep(balancerDelay)
-	_ = callers.Close()
-	for g.conns.size() > 0 && time.Now().Before(cutoff) {
-		for _, cc := range g.conns.all() {
-			cc.stopReadingUnlessReceiving()
-		}
+	go callers.Drain(half)
+	for (callers.Accepting() || g.conns.size() > 0) && time.Now().Before(cutoff) {
+		g.stopIdleConns()
+		time.Sleep(drainCheckInterval)
+	}
+	close(g.cutoffReached)
+	for end := time.Now().Add(cutoffWriteTime); g.conns.anyUnanswered() && time.Now().Before(end); {
+		g.stopIdleConns()
 		time.Sleep(drainCheckInterval)
 	}
+	g.cutOffConns()
+}
+
+// stopIdleConns makes the connections of callers that are idle accept no more requests.
+func (g *Gate) stopIdleConns() {
 	for _, cc := range g.conns.all() {
+		cc.stopReadingUnlessReceiving()
+	}
+}
+
+// cutoffWriteTime bounds the time to write the responses to requests that were cut off.
+const cutoffWriteTime = 200 * time.Millisecond
+
+// cutOffConns closes the connections of callers that are still open, and waits until their
+// ends were logged.
+func (g *Gate) cutOffConns() {
+	for _, cc := range g.conns.all() {
+		cc.setReadEnd(endCutoff)
+		cc.setDropEnd(endCutoff)
 		_ = cc.Close()
 	}
+	for end := time.Now().Add(cutoffLogTime); g.conns.size() > 0 && time.Now().Before(end); {
+		time.Sleep(drainCheckInterval)
+	}
 }
 
+// cutoffLogTime bounds the time to log the ends of connections that were cut off.
+const cutoffLogTime = 100 * time.Millisecond
+
 // lateStopFactor times the expected time of a request is the time within which it is
-// assumed to end.
+// assumed to end, if it is received while new connections are accepted.
 const lateStopFactor = 2
 
 // retryAfterStop is the Retry-After time of refusals during a planned stop: other entries
@@ -62,6 +96,9 @@
 	if cutoff == nil {
 		return false
 	}
+	if half := g.acceptEnd.Load(); half != nil && c.received.After(*half) {
+		return cutoff.Before(c.deadline)
+	}
 	needed := c.route.Objective
 	if cand != nil {
 		needed = max(needed, lateStopFactor*cand.expected)
@@ -74,7 +111,7 @@
 
 // watchSettings reads the settings at intervals and after a signal, and applies
 // changed seeds. Other changes have no effect until a restart.
-func (g *Gate) watchSettings(ctx context.Context, reload <-chan struct{}) {
+func (g *Gate) watchSettings(ctx context.Context, reload <-chan os.Signal) {
 	if g.reload == nil {
 		return
 	}
