--- a/pimentoretry/fleet_test.go
+++ b/pimentoretry/fleet_test.go
@@ -148,6 +148,7 @@
 // quietFleet returns a fleet that has saved what it can save.
 func quietFleet(l fleetLimit) *fleet {
 	f := newFleet(l)
+	f.step(l.entries, 0) // Each has had a request.
 	for range 4 * int(l.window/fleetStep) {
 		f.step(0, 0)
 	}
