pimentolog: a log line never waits for its reader

Each line was written to standard output or standard error by the goroutine that logged it, under a mutex that all lines share. Lines now go to a buffer of 256 KiB that one goroutine writes. When it is full, lines are dropped, not even formatted, and counted, and the count follows when reading goes on; so it does after writes that failed. A process that ends waits 0.5 s at most for the rest. The line about a target's cold state is logged after the lock that requests need is released; those logged under clusterState.mu are formatted under it still, without a wait.

--- a/cmd/pimentoarch/gate.go
+++ b/cmd/pimentoarch/gate.go
@@ -35,7 +35,8 @@
 	}
 	debug.SetGCPercent(gateGCPercent)
 	debug.SetMemoryLimit(int64(s.MemoryMiB) << 20 * memoryLimitPercent / 100)
-	logger := newLogger(stdout, s.LogLevel)
+	logger, flush := newLogger(stdout, s.LogLevel)
+	defer flush()
 	client, closeClient := pimentoplatform.NewClient(s.PlatformAddrs)
 	defer closeClient()
 	adapter := pimentogate.PlatformAdapter{
--- a/cmd/pimentoarch/main.go
+++ b/cmd/pimentoarch/main.go
@@ -10,12 +10,14 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"pimentoarch/pimentoentry"
+	"pimentoarch/pimentolog"
 )
 
 type entryCmd struct {
@@ -107,7 +109,8 @@
 	if !ok {
 		return exitSettings
 	}
-	logger := newLogger(stderr, s.Log)
+	logger, flush := newLogger(stderr, s.Log)
+	defer flush()
 	return runProcess("entry", string(s.Name), logger, func() (func() error, func(), error) {
 		e, cleanup, err := pimentoentry.New(s, logger)
 		return func() error { return e.Run(stopSignal(logger)) }, cleanup, err
@@ -149,10 +152,14 @@
 	return stop
 }
 
-// newLogger returns a logger that writes logfmt lines of the named level and above to w.
-// An unknown name means info.
-func newLogger(w io.Writer, name string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
-	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
-	return log.With(logger, "ts", log.DefaultTimestampUTC)
+// flushTimeout bounds the time for which a process that ends waits until its log has been
+// written.
+const flushTimeout = 500 * time.Millisecond
+
+// newLogger returns a logger that writes logfmt lines of the named level and above to w,
+// and a function that waits until they have been written. An unknown name means info.
+func newLogger(w io.Writer, name string) (logger log.Logger, flush func()) {
+	lines, flush := pimentolog.New(w, flushTimeout)
+	logger = level.NewFilter(lines.Logger(), level.Allow(level.ParseDefault(name, level.InfoValue())))
+	return log.With(logger, "ts", log.DefaultTimestampUTC), flush
 }
--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -8,6 +8,13 @@
 
 // estimate sets what follows from a candidate's report, and updates the target's cold state.
 func (g *Gate) estimate(c *call, cand *candidate) {
+	if g.updateEstimate(c, cand) {
+		g.logChange("msg", "target's cold state changed", "target", cand.target.ID, "cold", cand.cold, "left_ms", cand.report.ColdLeft.Milliseconds())
+	}
+}
+
+// updateEstimate does what estimate does, and reports whether the cold state has changed.
+func (g *Gate) updateEstimate(c *call, cand *candidate) (coldChanged bool) {
 	now := g.now()
 	ts := &g.traffic
 	ts.mu.Lock()
@@ -19,9 +26,6 @@
 		s.coldUntil = now + cand.report.ColdLeft
 	}
 	cand.cold = s.coldUntil > now
-	if cand.cold != wasCold {
-		g.logChange("msg", "target's cold state changed", "target", cand.target.ID, "cold", cand.cold, "left_ms", cand.report.ColdLeft.Milliseconds())
-	}
 	running := max(cand.report.Running+s.sentSinceReport, s.inFlight)
 	slots := max(1, cand.report.Slots)
 	if cand.report.Slots == 0 {
@@ -50,6 +54,7 @@
 		expected += unhealthyPenalty
 	}
 	cand.expected = expected
+	return cand.cold != wasCold
 }
 
 // recordReport updates a target's last load report with the one in its response to a
