pimentogate: a panic in one request ends that request only

The worker pool recovers from panics and prints them itself, so that a panic while a request was handled left its caller without a response, and the connection waiting, for good; one while a caller's bytes were read ended the process. Goroutines of sends, of crash checks and of the platform's reader have no such guard.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -73,7 +73,7 @@
 	g.conns.add(cc)
 	var wg sync.WaitGroup
 	wg.Go(cc.writeResponses)
-	cc.readRequests()
+	cc.readSafely()
 	close(cc.pending)
 	wg.Wait()
 	cc.linger()
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -11,7 +11,7 @@
 
 // serveRequest handles one request, counts and logs it.
 func (g *Gate) serveRequest(c *call) *response {
-	resp := g.handle(c)
+	resp := g.handleSafely(c)
 	took := time.Since(c.received)
 	status := resp.http.StatusCode()
 	if c.service != nil && resp.reason == reasonNone {
