--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -90,7 +90,7 @@
 func (cc *callerConn) serve() {
 	var wg sync.WaitGroup
 	wg.Go(cc.writeResponses)
-	cc.readRequests()
+	cc.readSafely()
 	close(cc.pending)
 	wg.Wait()
 	if !cc.endedIdle || unacknowledged(cc.Conn) > 0 {
