--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -174,8 +174,8 @@
 	return &Error{Op: "listen for " + who, Kind: KindListen, Err: err}
 }
 
-// serveAll serves on the listeners, and operators once their port is free, until the planned stop after stop is closed has
-// ended, or the cleanup function of New is called.
+// serveAll serves on the listeners, and operators once their port is free, until the
+// planned stop after stop is closed has ended, or the cleanup function of New is called.
 func (e *Entry) serveAll(stop <-chan struct{}, callers, peerLn net.Listener) error {
 	ctx := e.ctx
 	adminServer := e.adminServer()
--- a/pimentoentry/stop_queue_test.go
+++ b/pimentoentry/stop_queue_test.go
@@ -35,13 +35,14 @@
 	s.Region, s.Domain, s.Name = "west", "west-a", "entry-0"
 	s.Platform = []string{f.address}
 	s.Grace, s.Drain = 300, 5000
-	s.Peers = pimentofake.UniqueAddresses(1)[0]
+	addrs := pimentofake.UniqueAddresses(2)
+	s.Peers, s.Admin = addrs[0], addrs[1]
 	e, cleanup, err := New(s, log.NewNopLogger())
 	is.NoErr(err)
 	t.Cleanup(cleanup)
 	callers := &slowListener{TCPListener: f.listen().(*net.TCPListener), acceptTime: 25 * time.Millisecond}
 	stop, done := make(chan struct{}), make(chan error, 1)
-	go func() { done <- e.serveAll(stop, callers, f.listen(), f.listen()) }()
+	go func() { done <- e.serveAll(stop, callers, f.listen()) }()
 	time.Sleep(100 * time.Millisecond) // Until the entry serves.
 	close(stop)
 	time.Sleep(250 * time.Millisecond)
