pimentogate: an invalid body is refused, and requests before it keep their responses

Cause: a body that broke its framing or came too slowly ended the connection like a caller that has left: requests before it, already at targets, were cancelled. Callers that send ahead saw all of them end without a response.

It is refused as an invalid head is: 400, or 408 for one that came too slowly, after the responses before it. While the connection closes, what is cut short isn't logged as an invalid request any more.

--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -247,7 +247,7 @@
 	_ = cc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req := new(fasthttp.Request)
 	if err := req.Header.Read(cc.r); err != nil {
-		return nil, time.Time{}, headError(err)
+		return nil, time.Time{}, readError(err)
 	}
 	received := time.Now()
 	if err := checkHead(&req.Header, limits); err != nil {
@@ -263,7 +263,7 @@
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 			return nil, received, &badRequest{status: fasthttp.StatusRequestEntityTooLarge, err: err}
 		}
-		return nil, received, err
+		return nil, received, readError(err)
 	}
 	return req, received, nil
 }
@@ -318,7 +318,7 @@
 func (cc *callerConn) handleReadError(err error) {
 	var bad *badRequest
 	switch {
-	case errors.As(err, &bad):
+	case errors.As(err, &bad) && !cc.isClosing():
 		cc.setReadEnd(endInvalid)
 		cc.refuseInvalid(bad)
 	case errors.Is(err, errIdle), errors.Is(err, errClosing), cc.isClosing():
--- a/pimentogate/head.go
+++ b/pimentogate/head.go
@@ -25,9 +25,9 @@
 // Unwrap returns the cause.
 func (b *badRequest) Unwrap() error { return b.err }
 
-// headError converts an error of reading a request head to a badRequest. Errors due
+// readError converts an error of reading a request to a badRequest. Errors due
 // to a closed connection stay as they are.
-func headError(err error) error {
+func readError(err error) error {
 	var small *fasthttp.ErrSmallBuffer
 	var ne net.Error
 	switch {
