--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -250,7 +250,7 @@
 	_ = cc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req := new(fasthttp.Request)
 	if err := req.Header.Read(cc.r); err != nil {
-		return nil, headError(err)
+		return nil, readError(err)
 	}
 	c := newCall(req, &cc.gate.dialect, cc.callerIP, time.Now())
 	if err := checkHead(&req.Header, limits); err != nil {
@@ -258,8 +258,11 @@
 	}
 	c.memory, c.releaseMemory = cc.gate.memory.NewGrant()
 	err := cc.readBody(c, limits.BodyBytes)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		err = &badRequest{status: fasthttp.StatusRequestEntityTooLarge, err: err}
+	case err != nil && !errors.Is(err, errNoMemory):
+		err = readError(err)
 	}
 	return c, err
 }
@@ -312,7 +315,7 @@
 func (cc *callerConn) handleReadError(c *call, err error) {
 	var bad *badRequest
 	switch {
-	case errors.As(err, &bad):
+	case errors.As(err, &bad) && !cc.isClosing():
 		cc.setReadEnd(endInvalid)
 		cc.refuseInvalid(bad)
 	case errors.Is(err, errNoMemory):
