pimentogate: a response without the request's id is never the response to it

A target's late second copy of a failure without an id, read where the next response is expected, was forwarded to another caller (400, 404, 429, 500), or was the reason of a retry of a request that ran. Now it counts as incomplete: retried if that is safe, else 502. A refusal without an id still lets safe requests be retried.

Evidence, go test -race ./platform -run TestLateFailureWithoutID: before, 400, 404, 429 and 500 fail (10, 16, 7 and 8 of 16 requests get the copy), 421 and 503 pass; after, all six pass, twice. go test -race ./pimentohttp ./pimentogate ./platform ./pimentoentry: pass.

--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -40,6 +40,9 @@
 	switch {
 	case g.dialect.NotExecuted(resp) && (c.retryable() || g.echoesID(c, resp)):
 		return outcomeNotExecuted
+	case !g.echoesID(c, resp): // Of any status: it may be a late one to another request.
+		s.err = errNotAuthentic
+		return outcomeIncomplete
 	case impliesNotExecuted(resp.StatusCode()) && !c.retryable():
 		// The status implies that a request wasn't executed, but the target gives no
 		// proof that it was this one.
