pimentogate: a paused target is probed for its body's end once the pause is over

confirmAlive gave up at once if the target had asked for a pause; now it probes again within the 500 ms if the pause ends. The probe allowance is no longer charged for such rounds.

Ruled out, with the way in docs/design/platform.md: waiting until the deadline for requests that can't be sent again.

go test -race ./platform -count 2 -run 'TestTargetProcessKilledInBodies|TestEndWithoutLength| TestAnswersUnder|TestResponseCut': passes.

--- a/pimentogate/confirm.go
+++ b/pimentogate/confirm.go
@@ -29,7 +29,7 @@
 
 const (
 	// confirmTimeout bounds the time for which the target of a body without a length is
-	// probed.
+	// probed. It must be less than the time in which a target starts again under its id.
 	confirmTimeout = 500 * time.Millisecond
 	// confirmRetryPause is the pause before another probe after one without a result.
 	confirmRetryPause = 20 * time.Millisecond
@@ -119,6 +119,9 @@
 // confirmAlive probes a target until it is known whether the target is alive.
 func (g *Gate) confirmAlive(c *call, tg *pimentoroute.Target) bodyEnd {
 	for limit := time.Now().Add(confirmTimeout); time.Now().Before(limit); time.Sleep(confirmRetryPause) {
+		if !g.admitsProbes(tg) {
+			continue // A paused target isn't probed.
+		}
 		g.chargeProbe()
 		cand := &candidate{target: tg}
 		g.sendProbe(c, cand, true)
@@ -128,8 +131,6 @@
 			return endConfirmed
 		case cand.report.Target != "", errors.Is(cand.err, syscall.ECONNREFUSED):
 			return endGone
-		case errors.Is(cand.err, errWithdrawn):
-			return endUnknown // The target is paused, so it isn't probed.
 		}
 	}
 	return endUnknown
