pimentogate: in a large fleet few starts retry before they know their share

Cause: while its share is unknown an entry may send one retry for each service. Now it may if the fleet is certainly small: in a fleet whose targets are many, only a drawn part of the starts may, so that their retries stay within half of the used limit. With up to 24 targets and a limit of 64 each start may, as before; Allowance itself is unchanged without NoAdvance.

Cost: in a fleet with 46 targets and a limit of 64, about half of the starts have no retry for 1.8 s at most but what their requests earn.

--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -62,6 +62,9 @@
 	workers        *ants.Pool
 	conns          connSet
 
+	// advanceDraw, from 0 to 1, decides whether this start may send retries before it
+	// knows the size of the fleet.
+	advanceDraw float64
 	clusterSize atomic.Int64 // The value of clusterState.size; 0 while unknown.
 	// domainSize is one more than the recent peak number of entries in this entry's
 	// domain; 0 while unknown.
@@ -124,6 +127,7 @@
 
 		cutoffReached: make(chan struct{}),
 		workers:       workers,
+		advanceDraw:   rand.Float64(),
 	}
 	g.logBudget.linesPerSecond = s.LogLineRate
 	g.cluster = newClusterState(pimentopeer.Member{
--- a/pimentogate/retries.go
+++ b/pimentogate/retries.go
@@ -63,7 +63,10 @@
 	}
 	a := ts.retries[s]
 	if a == nil {
-		a = &retryShare{Allowance: pimentoretry.Allowance{Ratio: g.settings.RetryRatio * retryLimitFraction, Window: time.Duration(g.settings.RetryWindow)}}
+		a = &retryShare{Allowance: pimentoretry.Allowance{
+			Ratio: g.settings.RetryRatio * retryLimitFraction, Window: time.Duration(g.settings.RetryWindow),
+			NoAdvance: g.advanceDraw >= advanceFraction(g.settings.RetryBase, g.table.Load().TargetCount()),
+		}}
 		ts.retries[s] = a
 		g.addRetryGauges(s)
 	}
@@ -74,6 +77,17 @@
 	return a
 }
 
+// advanceFraction returns the fraction of entries that may send a retry before they know
+// the size of the fleet, so that the advances of a fleet that starts again as a whole stay
+// within half of the limit that is used. It takes the fleet to be no larger than the number
+// of targets.
+func advanceFraction(base float64, targets int) float64 {
+	if base == 0 {
+		return 1
+	}
+	return base * retryLimitFraction / 2 / float64(max(1, targets))
+}
+
 // retryStatus returns the shares of all services. It is called with trafficStats.mu held.
 func (g *Gate) retryStatus() map[pimentoregister.ServiceName]RetryStatus {
 	all := make(map[pimentoregister.ServiceName]RetryStatus, len(g.traffic.retries))
--- a/pimentogate/retries_test.go
+++ b/pimentogate/retries_test.go
@@ -46,3 +46,19 @@
 		is.True(strings.Contains(w.String(), line))
 	}
 }
+
+// Entries of a fleet that is certainly small may send a retry before they know its size; of
+// a large one, only some.
+func TestAdvanceFraction(t *testing.T) {
+	is := is.New(t)
+	is.True(advanceFraction(64, 2) >= 1)
+	is.True(advanceFraction(64, 24) >= 1)
+	is.Equal(advanceFraction(200, 150), 0.5)
+	is.True(advanceFraction(0, 150) >= 1) // No limit is set.
+	for _, draw := range []float64{0.1, 0.9} {
+		g := fleetGate(0, 30) // With 60 targets.
+		g.settings.RetryBase = 80
+		g.advanceDraw = draw
+		is.Equal(g.spendRetry(retryCall(g)), draw < 0.5)
+	}
+}
--- a/pimentoretry/allowance.go
+++ b/pimentoretry/allowance.go
@@ -14,6 +14,9 @@
 	Fixed float64
 	// Window is the time over which the limit applies.
 	Window time.Duration
+	// NoAdvance is set if the entry may not send a retry in advance while its share is
+	// unknown, that is, while Fixed is 0.
+	NoAdvance bool
 
 	tokens     float64 // Negative while an advance has to be paid back.
 	refilledAt time.Duration
@@ -56,7 +59,7 @@
 // its share is unknown, it may send one retry, which it pays back afterwards.
 func (a *Allowance) refill(now time.Duration) {
 	switch {
-	case !a.started && a.Fixed == 0:
+	case !a.started && a.Fixed == 0 && !a.NoAdvance:
 		a.tokens, a.advanced = 1, true
 	case a.advanced && a.Fixed > 0:
 		a.tokens--
--- a/pimentoretry/fleet_test.go
+++ b/pimentoretry/fleet_test.go
@@ -145,6 +145,38 @@
 	}
 }
 
+// The same for kills of all entries whose new starts don't know their shares for some time,
+// where only some of them may send a retry in advance, as in pimentogate.
+func TestUnknownSharesKeepTheLimit(t *testing.T) {
+	const (
+		perRequest   = 2
+		unknownSteps = 4
+		targets      = 1.8 // For each entry.
+	)
+	steps := int(fleetLimits[0].window / fleetStep)
+	for _, l := range fleetLimits {
+		may := int(usedFraction * l.fixed / 2 / targets) // Of all entries.
+		for kills := 1; kills <= 4; kills++ {
+			f := quietFleet(l)
+			known := 0
+			for step := range steps {
+				if step > 0 && step%(steps/(kills+1)) == 0 {
+					f.restartAll()
+					known = step + unknownSteps
+				}
+				for i := range f.shares {
+					f.shares[i].Fixed = usedFraction * l.fixed / float64(l.entries)
+					if step < known {
+						f.shares[i].Fixed, f.shares[i].NoAdvance = 0, i >= may
+					}
+				}
+				f.step(l.entries*(step%2), perRequest)
+			}
+			f.check(t, fmt.Sprint(kills, " kills"))
+		}
+	}
+}
+
 // quietFleet returns a fleet that has saved what it can save.
 func quietFleet(l fleetLimit) *fleet {
 	f := newFleet(l)
