pimentogate: callers' connections leave descriptors for the rest

Connections that only stay open could take all descriptors of a gate. Every dial to a target then failed ("send failed", outcome unsent, "too many open files"), which also put sound targets into backoff, and callers got 503 "busy" after 150 to 200 ms although targets were idle. Callers now get half of the process's limit; a connection beyond it is closed at once, so that its caller can use another entry, and counted (pimento_callers_turned_away_total). A bound that was compared with the number of registered connections was tried first and still failed: they are registered after the accept.

TestServingAfterDescriptorsRanOut opened 60 connections to callers only, which no longer reaches the limit; it now opens 60 to each port, and still fails without the change that it was written for. pimentoentry has no such bound.

--- a/cmd/pimentoarch/descriptors_test.go
+++ b/cmd/pimentoarch/descriptors_test.go
@@ -14,7 +14,7 @@
 	// lowDescriptors is the limit of descriptors of the process in
 	// TestServingAfterDescriptorsRanOut.
 	lowDescriptors = "40"
-	// manyCallers is the number of connections that exhausts it.
+	// manyCallers is the number of connections to each port. They exhaust it.
 	manyCallers = 60
 )
 
@@ -33,15 +33,11 @@
 		}
 		var conns []net.Conn
 		for range manyCallers {
-			c, err := net.Dial("tcp", p.addresses[0])
-			is.NoErr(err)
-			conns = append(conns, c)
-		}
-		time.Sleep(heldTime)
-		for _, a := range ports {
-			c, err := net.Dial("tcp", a)
-			is.NoErr(err)
-			conns = append(conns, c)
+			for _, a := range ports {
+				c, err := net.Dial("tcp", a)
+				is.NoErr(err)
+				conns = append(conns, c)
+			}
 		}
 		p.awaitText("too many open files")
 		time.Sleep(heldTime)
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -60,6 +60,7 @@
 	node           pimentolink.Node
 	workers        *ants.Pool
 	conns          connSet
+	callers        callerLimit
 
 	clusterSize atomic.Int64 // Most entries seen at a time; 0 while unknown.
 	// domainSize is one more than the recent peak number of entries in this entry's
@@ -113,6 +114,7 @@
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
 		workers:    workers,
+		callers:    callerLimit{most: maxCallerConns()},
 	}
 	g.logBudget.linesPerSecond = s.LogLineRate
 	g.cluster = newClusterState(pimentopeer.Member{
@@ -229,7 +231,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go g.serveConn(nc)
+		g.admitCaller(nc)
 	}
 }
 
