--- a/pimentogate/conns.go
+++ b/pimentogate/conns.go
@@ -8,16 +8,22 @@
 
 // connSet is the set of open connections of callers.
 type connSet struct {
+	most  int        // Bound on count, set before the first call. 0 means none.
 	mu    sync.Mutex // Guards the fields below.
 	open  map[*callerConn]struct{}
 	count int // Connections that were accepted and not removed yet.
 }
 
-// accept counts a connection that will be added, so that size includes it at once.
-func (s *connSet) accept() {
+// accept counts a connection that will be added, so that size includes it at once. It
+// reports false if there are too many.
+func (s *connSet) accept() bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.most > 0 && s.count >= s.most {
+		return false
+	}
 	s.count++
-	s.mu.Unlock()
+	return true
 }
 
 // add adds a connection that accept has counted.
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -125,9 +125,10 @@
 		memory:     pimentomemory.NewBudget(s.heldBytes()),
 		startedAt:  time.Now(),
 		configured: make(chan struct{}),
+		workers:    workers,
+		conns:      connSet{most: maxCallerConns()},
 
 		cutoffReached: make(chan struct{}),
-		workers:       workers,
 		advanceDraw:   rand.Float64(),
 	}
 	g.logBudget.linesPerSecond = s.LogLineRate
@@ -252,8 +253,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		g.conns.accept()
-		go g.serveConn(nc)
+		g.admitCaller(nc)
 	}
 }
 
