pimentoentry: one bound on the bodies of requests that are held

An entry of this package held the body of each request whole, up to 4 MiB, for any number of requests at a time. Setting `held` (64 MiB by default) now bounds them together. What doesn't fit is refused with 503, reason `memory`, Pimento-Run: no (unknown with a key, as for other refusals before the key is looked up) and Retry-After: by its length before it is read, in chunks when it grows. Messages of peers have a bound of the same size beside it.

Responses aren't counted: those with a length of up to 64 KiB are buffered, all others are streamed, as before.

The reader that counts what it reads has moved to pimentomemory.

--- a/pimentoentry/call.go
+++ b/pimentoentry/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"strconv"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentoregister"
 )
 
@@ -48,6 +50,7 @@
 
 	req    *fasthttp.Request
 	source io.Reader // Unread body of the request; nil if req holds it.
+	memory *pimentomemory.Budget
 	body   *body
 	resp   *fasthttp.Response
 	ctx    context.Context // Ends when the caller disconnects.
@@ -58,6 +61,8 @@
 type body struct {
 	buf  *bytebufferpool.ByteBuffer
 	refs atomic.Int32
+	// releaseMemory gives back the memory in which the body is counted.
+	releaseMemory func()
 }
 
 func (b *body) retain() *body {
@@ -68,6 +73,7 @@
 func (b *body) release() {
 	if b.refs.Add(-1) == 0 {
 		bytebufferpool.Put(b.buf)
+		b.releaseMemory()
 	}
 }
 
@@ -164,16 +170,27 @@
 	b := &body{buf: bytebufferpool.Get()}
 	b.refs.Store(1)
 	c.body = b
+	var memory *pimentomemory.Grant
+	memory, b.releaseMemory = c.memory.NewGrant()
 	size := c.req.Header.ContentLength()
 	if size > maxBody {
 		return refuse(ReasonLarge, RunNo, "the body has more than "+strconv.Itoa(maxBody)+" bytes")
 	}
+	if size > 0 && !memory.Grow(size) {
+		return refuseMemory()
+	}
 	if c.source == nil {
 		_, _ = b.buf.Write(c.req.Body())
 		return nil
 	}
-	n, err := b.buf.ReadFrom(io.LimitReader(c.source, maxBody+1))
+	source := c.source
+	if size < 0 {
+		source = memory.NewReader(source)
+	}
+	n, err := b.buf.ReadFrom(io.LimitReader(source, maxBody+1))
 	switch {
+	case errors.Is(err, pimentomemory.ErrUsedUp):
+		return refuseMemory()
 	case n > maxBody:
 		return refuse(ReasonLarge, RunNo, "the body has more than "+strconv.Itoa(maxBody)+" bytes")
 	case err != nil:
@@ -184,6 +201,17 @@
 	return nil
 }
 
+// retryAfterMemory is the Retry-After time of requests whose body doesn't fit.
+const retryAfterMemory = 500 * time.Millisecond
+
+// refuseMemory returns the refusal of a request whose body doesn't fit beside those that are
+// held.
+func refuseMemory() *refusal {
+	f := refuse(ReasonMemory, RunNo, "the body doesn't fit in the memory for bodies now")
+	f.retryAfter = retryAfterMemory
+	return f
+}
+
 // contentHash hashes the method, path, query and body, so that another request
 // under the same key is detected.
 func (c *call) contentHash() uint64 {
--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -16,6 +16,7 @@
 	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentolink"
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentotarget"
@@ -28,6 +29,7 @@
 	incarnation pimentokey.Incarnation
 	startTime   time.Time
 	counters    *counters
+	memory      *pimentomemory.Budget // For the bodies of requests.
 
 	store       pimentoregister.Store
 	services    atomic.Pointer[map[pimentoregister.ServiceName]*service]
@@ -103,6 +105,7 @@
 		incarnation: pimentokey.Incarnation(rand.Uint64() | 1),
 		startTime:   time.Now(),
 		counters:    newCounters(),
+		memory:      pimentomemory.NewBudget(s.HeldMiB << 20),
 		workers:     workers,
 		queueSignal: make(chan struct{}, 1),
 	}
@@ -133,6 +136,7 @@
 func (e *Entry) setNodeHandlers(streams *ants.Pool) {
 	e.node.Log = e.log
 	e.node.Workers = streams
+	e.node.Memory = pimentomemory.NewBudget(e.memory.Limit())
 	e.node.OnHeartbeat = e.onHeartbeat
 	e.node.OnForward = e.serveForwarded
 	e.node.OnFetchConfig = e.store.Data
--- a/pimentoentry/forward.go
+++ b/pimentoentry/forward.go
@@ -95,6 +95,7 @@
 		deadline: in.Deadline,
 		req:      in.Req,
 		source:   in.Body,
+		memory:   e.memory,
 		resp:     resp,
 		ctx:      ctx,
 	}
--- a/pimentoentry/refusal.go
+++ b/pimentoentry/refusal.go
@@ -36,6 +36,7 @@
 	ReasonLong         Reason = "long"         // The head of the request is too long.
 	ReasonBody         Reason = "body"         // The request is incomplete.
 	ReasonLarge        Reason = "large"        // The body of the request is too large.
+	ReasonMemory       Reason = "memory"       // Its body doesn't fit in the memory now.
 	ReasonConfig       Reason = "config"       // No configuration is active yet.
 	ReasonHome         Reason = "home"         // No entry of a home region can serve it.
 	ReasonNoKey        Reason = "nokey"        // The route needs a key.
@@ -73,6 +74,7 @@
 	ReasonLong:         fasthttp.StatusRequestHeaderFieldsTooLarge,
 	ReasonBody:         fasthttp.StatusBadRequest,
 	ReasonLarge:        fasthttp.StatusRequestEntityTooLarge,
+	ReasonMemory:       fasthttp.StatusServiceUnavailable,
 	ReasonConfig:       fasthttp.StatusServiceUnavailable,
 	ReasonHome:         fasthttp.StatusMisdirectedRequest,
 	ReasonNoKey:        fasthttp.StatusPreconditionRequired,
--- a/pimentoentry/serve.go
+++ b/pimentoentry/serve.go
@@ -96,6 +96,7 @@
 	c := &call{
 		req:    &ctx.Request,
 		source: ctx.RequestBodyStream(),
+		memory: e.memory,
 		resp:   &ctx.Response,
 		ctx:    callCtx,
 	}
--- a/pimentoentry/settings.go
+++ b/pimentoentry/settings.go
@@ -39,6 +39,8 @@
 	// MaxLedgerBytes bounds the memory in bytes of key records and of the responses
 	// that are stored for resends.
 	MaxLedgerBytes int `json:"answers"`
+	// HeldMiB bounds in MiB the bodies of requests that are held at a time.
+	HeldMiB int `json:"held"`
 	// MaxQueue bounds the requests that wait for a target, for each service.
 	MaxQueue int `json:"queue"`
 	// MaxListLag is the maximum lag in milliseconds of the platform's list of VMs.
@@ -53,6 +55,7 @@
 		Grace:          3000,
 		Drain:          90_000,
 		MaxLedgerBytes: 16 << 20,
+		HeldMiB:        64,
 		MaxQueue:       256,
 		MaxListLag:     5000,
 	}
@@ -108,6 +111,7 @@
 		pimentosettings.AtLeast("grace", s.Grace, 0),
 		pimentosettings.AtLeast("drain", s.Drain, 1),
 		pimentosettings.AtLeast("answers", s.MaxLedgerBytes, 1),
+		pimentosettings.AtLeast("held", s.HeldMiB, 1),
 		pimentosettings.AtLeast("queue", s.MaxQueue, 1),
 		pimentosettings.AtLeast("lag", s.MaxListLag, 0),
 	)
--- a/pimentoentry/status.go
+++ b/pimentoentry/status.go
@@ -171,6 +171,9 @@
 	set.NewGauge("pimento_target_connections", func() float64 { return float64(e.client.OpenConns()) })
 	set.NewGauge("pimento_platform_calls", func() float64 { return float64(e.platform.Calls()) })
 	set.NewGauge("pimento_peer_sessions", func() float64 { return float64(e.node.SessionCount()) })
+	set.NewGauge("pimento_memory_held_bytes", func() float64 { return float64(e.memory.Used()) })
+	set.NewGauge("pimento_memory_limit_bytes", func() float64 { return float64(e.memory.Limit()) })
+	set.NewGauge("pimento_memory_denied_total", func() float64 { return float64(e.memory.Denied()) })
 	set.NewGauge("pimento_key_bytes", func() float64 {
 		e.keys.mu.Lock()
 		defer e.keys.mu.Unlock()
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentoroute"
 )
 
@@ -283,7 +284,7 @@
 	switch {
 	case errors.As(err, &bad):
 		cc.refuseInvalid(bad)
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, pimentomemory.ErrUsedUp):
 		cc.refuseUnread(c)
 	case errors.Is(err, errIdle), errors.Is(err, errClosing), cc.isClosing():
 		// Outstanding responses are still written.
--- a/pimentogate/upload.go
+++ b/pimentogate/upload.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentomemory"
 )
 
 const (
@@ -18,8 +20,6 @@
 	retryAfterMemory = 500 * time.Millisecond
 )
 
-var errNoMemory = errors.New("the body doesn't fit in the memory for bodies")
-
 // readBody reads the body of a request of up to limit bytes, and counts it in the call's
 // memory. A body with a length that doesn't fit isn't read at all.
 func (cc *callerConn) readBody(c *call, limit int) error {
@@ -28,7 +28,7 @@
 		return fasthttp.ErrBodyTooLarge
 	}
 	if !c.growBody(size) {
-		return errNoMemory
+		return pimentomemory.ErrUsedUp
 	}
 	if c.req.MayContinue() {
 		if _, err := cc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
@@ -53,7 +53,7 @@
 		if len(body) == cap(body) {
 			more := max(chunkedReadSize, len(body))
 			if !c.growBody(more) {
-				return errNoMemory
+				return pimentomemory.ErrUsedUp
 			}
 			body = append(make([]byte, 0, len(body)+more), body...)
 		}
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -295,7 +295,7 @@
 		_ = cn.SetReadDeadline(x.BodyDeadline)
 	}
 	if size < -1 {
-		body, err := io.ReadAll(io.LimitReader(&countedReader{r: cn.r, memory: x.Memory}, int64(x.MaxBuffered)+1))
+		body, err := io.ReadAll(io.LimitReader(x.Memory.NewReader(cn.r), int64(x.MaxBuffered)+1))
 		if err == nil && len(body) > x.MaxBuffered {
 			err = fasthttp.ErrBodyTooLarge
 		}
--- a/pimentolink/frame.go
+++ b/pimentolink/frame.go
@@ -24,9 +24,6 @@
 	return err
 }
 
-// errNoMemory is returned for a message that doesn't fit in the memory for messages.
-var errNoMemory = errors.New("message doesn't fit in the memory for messages")
-
 // readMessage reads one message that writeMessage wrote, and counts it in memory.
 func readMessage(r *bufio.Reader, memory *pimentomemory.Grant) ([]byte, error) {
 	size, err := binary.ReadUvarint(r)
@@ -50,7 +47,7 @@
 		if len(msg) == cap(msg) {
 			more := min(size-len(msg), max(initialAlloc, len(msg)))
 			if !memory.Grow(more) {
-				return nil, errNoMemory
+				return nil, pimentomemory.ErrUsedUp
 			}
 			grown := make([]byte, len(msg), len(msg)+more)
 			copy(grown, msg)
