pimentogate: the ports of the balancer and of operators take no bodies

Each connection to them could make an entry hold a body of up to 4 MiB. They now refuse bodies above 1 KiB before they are read.

TestSidePortsTakeNoBodies, before: both ports waited for the 4,000,000 bytes that were announced ("i/o timeout, response """). After: 400 and a closed connection.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -16,10 +16,14 @@
 	return !g.stopping.Load() && t != nil && t.Config != nil && len(t.Targets) > 0
 }
 
+// maxSideBody bounds in bytes the body of a request of the balancer or of operators.
+const maxSideBody = 1 << 10
+
 // readyServer returns the server for the balancer's readiness checks.
 func (g *Gate) readyServer() *fasthttp.Server {
 	return &fasthttp.Server{
 		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    maxSideBody,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			switch {
 			case string(ctx.Path()) != g.dialect.ReadyPath:
@@ -35,6 +39,7 @@
 func (g *Gate) adminServer() *fasthttp.Server {
 	return &fasthttp.Server{
 		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    maxSideBody,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			switch string(ctx.Path()) {
 			case "/metrics":
