--- a/pimentoentry/entry.go
+++ b/pimentoentry/entry.go
@@ -17,6 +17,7 @@
 	"pimentoarch/pimentokey"
 	"pimentoarch/pimentolink"
 	"pimentoarch/pimentolisten"
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentoplatform"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentotarget"
@@ -29,6 +30,7 @@
 	incarnation pimentokey.Incarnation
 	startTime   time.Time
 	counters    *counters
+	memory      *pimentomemory.Budget // For the bodies of requests.
 
 	store       pimentoregister.Store
 	services    atomic.Pointer[map[pimentoregister.ServiceName]*service]
@@ -104,6 +106,7 @@
 		incarnation: pimentokey.Incarnation(rand.Uint64() | 1),
 		startTime:   time.Now(),
 		counters:    newCounters(),
+		memory:      pimentomemory.NewBudget(s.HeldMiB << 20),
 		workers:     workers,
 		queueSignal: make(chan struct{}, 1),
 	}
@@ -134,6 +137,7 @@
 func (e *Entry) setNodeHandlers(streams *ants.Pool) {
 	e.node.Log = e.log
 	e.node.Workers = streams
+	e.node.Memory = pimentomemory.NewBudget(e.memory.Limit())
 	e.node.OnHeartbeat = e.onHeartbeat
 	e.node.OnForward = e.serveForwarded
 	e.node.OnFetchConfig = e.store.Data
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentoroute"
 )
 
@@ -261,7 +262,7 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		err = &badRequest{status: fasthttp.StatusRequestEntityTooLarge, err: err}
-	case err != nil && !errors.Is(err, errNoMemory):
+	case err != nil && !errors.Is(err, pimentomemory.ErrUsedUp):
 		err = readError(err)
 	}
 	return c, err
@@ -318,7 +319,7 @@
 	case errors.As(err, &bad) && !cc.isClosing():
 		cc.setReadEnd(endInvalid)
 		cc.refuseInvalid(bad)
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, pimentomemory.ErrUsedUp):
 		cc.refuseUnread(c)
 	case errors.Is(err, errIdle), errors.Is(err, errClosing), cc.isClosing():
 		cc.setReadEnd(endIdle)
