pimentogate: bodies of probes' replies count in the memory for bodies

A reply may have 64 KiB and thousands of probes may run at a time. A body that doesn't fit is dropped with its connection; what a probe reads is in the head. The mechanism is that of TestBodyMemory (pimentohttp); there is no test of its own.

--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -270,7 +270,9 @@
 	req.Header.SetHost(tg.Address)
 	req.Header.SetRequestURI(c.service.Health)
 	req.Header.SetNoDefaultContentType(true)
-	x := &pimentohttp.Exchange{Address: tg.Address, Req: req, Resp: resp, UseConn: cand.conn, Deadline: deadline, MaxBuffered: maxReportBytes, EchoHeader: g.dialect.RequestID}
+	memory, releaseMemory := g.memory.NewGrant()
+	defer releaseMemory()
+	x := &pimentohttp.Exchange{Address: tg.Address, Req: req, Resp: resp, UseConn: cand.conn, Deadline: deadline, MaxBuffered: maxReportBytes, Memory: memory, EchoHeader: g.dialect.RequestID}
 	g.metrics.count("pimento_questions_total")
 	cand.err = g.client.Do(x)
 	if cand.err != nil {
