pimentogate: a reply that names no target doesn't show that it crashed

What callers saw: nothing yet. Since probes must name their target, a live target that refuses the probe of a crash check without its id, as one that is rejected like any other request may, counted as crashed, and a request that lost its connection there was on its way to be refused everywhere. Cause: one error for two findings. Now another target's reply counts as before, and one without a name is no evidence. Found by reading; go test ./pimentogate passed.

--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -96,6 +96,8 @@
 	switch {
 	case isConnLimit(cand.err), errors.Is(cand.err, errWithdrawn):
 		g.logNoCrash(c, tg, "not probed: "+cand.err.Error())
+	case errors.Is(cand.err, errUnidentified):
+		g.logNoCrash(c, tg, cand.err.Error())
 	case cand.err == nil && !(s.outcome == outcomeTimeout && g.unreachableSince(tg, s.started)):
 		g.logNoCrash(c, tg, "target replied")
 	default:
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -290,6 +290,7 @@
 		g.metrics.count("pimento_probes_unidentified_total")
 		cand.err = errOtherTarget
 		if cand.report.Target == "" {
+			cand.err = errUnidentified
 			g.recordBareRefusal(cand, resp)
 		}
 		cand.release()
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -14,7 +14,10 @@
 	"pimentoarch/pimentoroute"
 )
 
-var errOtherTarget = errors.New("the reply to the probe doesn't name the target")
+var (
+	errOtherTarget  = errors.New("another target replied to the probe")
+	errUnidentified = errors.New("the reply to the probe names no target")
+)
 
 // send is one attempt: a request sent to one target.
 type send struct {
