pimentolog: a line longer than the buffer doesn't end the log

What operators would have seen: no more lines. A line above 256 KiB was counted as dropped while nothing waited to be written, so that nothing ever reset the count, and all later lines were dropped. Found by reading. TestTooLongLine failed before (no line at all) and passes.

--- a/pimentolog/writer.go
+++ b/pimentolog/writer.go
@@ -29,7 +29,7 @@
 	pending []byte
 	lines   int // In pending.
 	dropped int // For lack of room, since the last batch.
-	lost    int // In batches that couldn't be written, and not reported yet.
+	lost    int // That were too long, or in batches that couldn't be written.
 	closed  bool
 }
 
@@ -44,7 +44,12 @@
 // Write adds one line. It never fails, and doesn't keep line.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
-	if w.dropped > 0 || len(w.pending)+len(line) > bufferBytes {
+	switch {
+	case len(line) > bufferBytes: // There is never room for it.
+		w.lost++
+		w.mu.Unlock()
+		return len(line), nil
+	case w.dropped > 0 || len(w.pending)+len(line) > bufferBytes:
 		w.dropped++
 		w.mu.Unlock()
 		return len(line), nil
--- a/pimentolog/writer_test.go
+++ b/pimentolog/writer_test.go
@@ -79,6 +79,20 @@
 	is.True(kept*97 <= 2*bufferBytes)
 }
 
+// A line that is longer than the buffer is counted, and the next ones are written.
+func TestTooLongLine(t *testing.T) {
+	is := is.New(t)
+	var r reader
+	w, flush := New(&r, flushTime)
+	_, err := w.Write(make([]byte, bufferBytes+1))
+	is.NoErr(err)
+	_, err = io.WriteString(w, "kept\n")
+	is.NoErr(err)
+	flush()
+	is.True(strings.HasPrefix(r.text(), "kept\n"))
+	is.True(strings.HasSuffix(r.text(), "lines=1\n"))
+}
+
 // Lines that can't be written are counted, and the count is written when lines can be.
 func TestFailedWrites(t *testing.T) {
 	is := is.New(t)
