pimentogate: the tests of the stop don't race with their own goroutines

TestStopAwaitsAcceptedConnections failed 1 of 12 runs (-race -cpu 1,4): the stop's end and the response were both there, and select took either. It now waits for the end and then for the response, which the fault gives 0.9 s later; with the fault put back it fails as before. TestIdleCloseReadsNothing waits for up to 400 ms, below the 500 ms of a connection that lingers; with the fault put back it fails. Connections end within their test.

--- a/pimentogate/accept_test.go
+++ b/pimentogate/accept_test.go
@@ -64,10 +64,11 @@
 	is.NoErr(err)
 	answered := make(chan int, 1)
 	go func() { answered <- readStatus(c) }()
+	<-done
 	select {
 	case status := <-answered:
 		is.Equal(status, fasthttp.StatusServiceUnavailable)
-	case <-done:
+	case <-time.After(300 * time.Millisecond): // For the caller's goroutine.
 		t.Error("the stop ended before an accepted request was answered")
 	}
 }
--- a/pimentogate/connend_test.go
+++ b/pimentogate/connend_test.go
@@ -38,7 +38,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = ln.Close() })
+	t.Cleanup(func() {
+		_ = ln.Close()
+		awaitConns(t, g, 0) // So that nothing runs beside the next test.
+	})
 	go g.acceptCallers(ln)
 	return g, lines, ln.Addr().String()
 }
--- a/pimentogate/linger_test.go
+++ b/pimentogate/linger_test.go
@@ -117,8 +117,10 @@
 	_, err := c.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 	_, _ = io.WriteString(c, shortRequest)
-	time.Sleep(100 * time.Millisecond)
-	is.Equal(g.conns.size(), 0)
+	for end := time.Now().Add(lingerTime * 4 / 5); g.conns.size() > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // The connection lingers.
+	}
+	time.Sleep(100 * time.Millisecond) // Until the reset has arrived.
 	_, err = io.WriteString(c, shortRequest)
 	is.True(err != nil) // The connection was reset.
 	is.True(!strings.Contains(lines.String(), "unanswered"))
