pimentogate: waiting for a target ends at the request's deadline

What callers saw: no response until after the route's timeout, where it is short beside the latency objective and no target reports its load: the wait looked at the objective only (the review's report, by reading). Now it ends at the deadline, with 503 as the request wasn't sent.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -31,12 +31,16 @@
 			return nil, reasonBusy
 		}
 		best.releaseIfAny()
+		left := time.Until(c.deadline)
+		if left <= 0 {
+			return nil, reasonTimeout
+		}
 		select {
 		case <-c.done:
 			return nil, reasonCallerGone
 		case <-g.cutoffReached:
 			return nil, reasonStopping
-		case <-time.After(wait):
+		case <-time.After(min(wait, left)):
 		}
 	}
 }
