--- a/cmd/pimentoarch/memory_test.go
+++ b/cmd/pimentoarch/memory_test.go
@@ -74,6 +74,7 @@
 	pid     int
 	callers string // The gate's address.
 	client  http.Client
+	body    []byte // Of which requests send the start.
 
 	mu      sync.Mutex // Guards the fields below.
 	results map[string]int
@@ -82,7 +83,7 @@
 
 // newMemoryRun starts a store, a target and a gate.
 func newMemoryRun(t *testing.T, bin string, load memoryLoad) *memoryRun {
-	m := &memoryRun{t: t, load: load, results: make(map[string]int)}
+	m := &memoryRun{t: t, load: load, results: make(map[string]int), body: make([]byte, 1000+load.upload)}
 	m.client.Transport = &http.Transport{MaxIdleConnsPerHost: -1, DisableCompression: true}
 	store := new(standin.Store)
 	storeAddr := m.listen(store.Serve)
@@ -248,7 +249,7 @@
 		case <-time.After(5 * time.Millisecond):
 		}
 		began := time.Now()
-		if m.send("small", i, bytes.NewReader(make([]byte, 100*(i%10)))) {
+		if m.send("small", i, bytes.NewReader(m.body[:100*(i%10)])) {
 			m.mu.Lock()
 			m.small = append(m.small, time.Since(began))
 			m.mu.Unlock()
@@ -259,7 +260,7 @@
 // sendLarge sends a large request, with a body of size bytes. It sends it again while it is
 // refused.
 func (m *memoryRun) sendLarge(path string, i, size int) {
-	for try := 0; try < 20 && !m.send(path, 1000*try+i, bytes.NewReader(make([]byte, size))); try++ {
+	for try := 0; try < 20 && !m.send(path, 1000*try+i, bytes.NewReader(m.body[:size])); try++ {
 		time.Sleep(500 * time.Millisecond)
 	}
 }
