pimentoentry: the test of the accept queue bounds its requests' time

Trace (goroutines 2.5 s after the stop): the requests were accepted, and waited for a target that this entry, 0.1 s after its start, may not use yet, by design up to their deadline, which they didn't state; in the other runs the entry had no configuration and refused them at once. They now state 1 s.

--- a/pimentoentry/stop_queue_test.go
+++ b/pimentoentry/stop_queue_test.go
@@ -53,7 +53,7 @@
 		is.NoErr(err)
 		t.Cleanup(func() { _ = c.Close() })
 		wg.Go(func() {
-			write(t, c, "GET /charts/x HTTP/1.1\r\nHost: x\r\nPimento-Org: any\r\n\r\n")
+			write(t, c, "GET /charts/x HTTP/1.1\r\nHost: x\r\nPimento-Org: any\r\nPimento-Timeout: 1000\r\n\r\n")
 			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 			if new(fasthttp.Response).Read(bufio.NewReader(c)) != nil {
 				unanswered.Add(1)
