pimentogate: the end of a race cancels its own sends, all of them and no others

Cause: the end of a race cancelled the call's registered exchanges. A send that still waited for its connection wasn't among them and was made afterwards: a target ran a request that had already been answered (a hedge that had lost, or one after its timeout). And a streamed failure of an earlier attempt was among them: forwarded when a later attempt got no response, it broke off. A race now cancels the sends that it launched, but for its result. A race that ends without a result (a panic) no longer needs one.

Evidence: TestSendIsNotMadeAfterTheRace: before, the target got 73 bytes and the connection stayed open (first case; the whole test didn't end orderly); TestEarlierFailureOutlivesLaterRace: 8,093 of 4,194,305 bytes before, with a closed pipe.

--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -114,17 +114,6 @@
 	return true
 }
 
-// cancelExchanges cancels all exchanges but one, which may be nil.
-func (c *call) cancelExchanges(except *pimentohttp.Exchange) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, x := range c.exchanges {
-		if x != except {
-			x.Cancel()
-		}
-	}
-}
-
 // isAbandoned reports whether abandon was called.
 func (c *call) isAbandoned() bool {
 	c.mu.Lock()
--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -16,6 +16,7 @@
 	started time.Time
 	ended   chan *send
 	hedges  chan *candidate // Receives the result of a search, nil if it found no target.
+	sends   []*send         // All that were launched.
 	// running is the number of sends that haven't been received from ended.
 	running int
 	// searching is set while a second target is searched for.
@@ -33,6 +34,7 @@
 		gate: g, call: c, first: first, started: time.Now(),
 		ended:  make(chan *send, maxSendsAtOnce),
 		hedges: make(chan *candidate, 1),
+		result: &send{candidate: first, outcome: outcomeIncomplete}, // Until it is known.
 	}
 	return r, r.cleanUp
 }
@@ -55,6 +57,7 @@
 	c.tried = append(c.tried, cand.target.ID)
 	c.lastCandidate, c.lastSentAt = cand, time.Now()
 	s := r.gate.newSend(c, cand)
+	r.sends = append(r.sends, s)
 	go func() {
 		r.gate.runSend(c, s)
 		r.ended <- s
@@ -123,7 +126,11 @@
 	if r.running == 0 {
 		return
 	}
-	r.call.cancelExchanges(r.result.exchange)
+	for _, s := range r.sends {
+		if s != r.result {
+			s.exchange.Cancel() // Also if it still waits for its connection.
+		}
+	}
 	go func() {
 		for range r.running {
 			s := <-r.ended
