pimentogate, pimentoentry: two findings of the review

A leaving target that is gone right after a body without a length counted as crashed by the request: TestLeavingTargetIsNoCrash failed before (1 crash for 0). A panic in pimentoentry kept the request's body and its share of the memory for bodies: the release is deferred now (by reading; no test).

--- a/pimentoentry/serve.go
+++ b/pimentoentry/serve.go
@@ -23,6 +23,11 @@
 	e.counters.requests.Inc()
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	defer func() { // After recover, so that a panic keeps no body.
+		if c.body != nil {
+			c.body.release()
+		}
+	}()
 	defer e.recover(c)
 	start := time.Now()
 	wantsKeys, f := e.handleByKind(c)
@@ -32,9 +37,6 @@
 	if wantsKeys {
 		e.addKeys(c)
 	}
-	if c.body != nil {
-		c.body.release()
-	}
 	e.counters.latency.UpdateDuration(start)
 }
 
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -85,7 +85,11 @@
 // the target was unreachable meanwhile: then it has restarted.
 func (g *Gate) checkCrash(c *call, s *send) {
 	tg := s.candidate.target
-	if s.end == endGone {
+	switch {
+	case s.end == endGone && g.isLeaving(tg):
+		g.logNoCrash(c, tg, "target was leaving")
+		return
+	case s.end == endGone:
 		g.recordCrash(c, tg)
 		return
 	}
--- a/pimentogate/crash_test.go
+++ b/pimentogate/crash_test.go
@@ -53,3 +53,20 @@
 		is.True(!later.passesQuarantine(copyOfRequest()))
 	})
 }
+
+// A target that was leaving and is gone after its response wasn't crashed by the request.
+func TestLeavingTargetIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	g := gateInRegion(t, 1, 0)
+	c := copyOfRequest()
+	c.fingerprint = c.computeFingerprint()
+	tg := &pimentoroute.Target{ID: "i-1"}
+	gone := &send{candidate: &candidate{target: tg}, outcome: outcomeIncomplete, end: endGone}
+	g.recordNotice(tg, c.id, new(fasthttp.Response), Notice{Leaving: true})
+	g.checkCrash(c, gone)
+	is.Equal(g.crashCount(c), 0)
+	other := &pimentoroute.Target{ID: "i-2"}
+	gone.candidate = &candidate{target: other}
+	g.checkCrash(c, gone)
+	is.Equal(g.crashCount(c), 1)
+}
