pimentogate: announced bodies take no memory until they arrive

Cause: the stated length was counted before the first byte. It is now checked then, so that what can't fit is refused at once, and counted when the body begins to arrive. Not covered: a caller that sends one byte and stops; pimentoentry. Beside it: a condition that stood twice, and a counter that doubled pimento_strays_total.

--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -50,7 +50,7 @@
 		return outcomeIncomplete
 	case resp.StatusCode() >= 500:
 		return outcomeFailed
-	case resp.StatusCode() < 300 && !g.isAuthentic(c, resp), !g.echoesID(c, resp):
+	case resp.StatusCode() < 300 && !g.isAuthentic(c, resp):
 		s.err = errNotAuthentic
 		return outcomeIncomplete
 	}
--- a/pimentogate/upload.go
+++ b/pimentogate/upload.go
@@ -21,13 +21,14 @@
 )
 
 // readBody reads the body of a request of up to limit bytes, and counts it in the call's
-// memory. A body with a length that doesn't fit isn't read at all.
+// memory. A body with a length that doesn't fit isn't read at all. One that fits is counted
+// once it begins to arrive, so that bodies that are only announced take no memory.
 func (cc *callerConn) readBody(c *call, limit int) error {
 	size := max(0, c.req.Header.ContentLength())
 	if size > limit {
 		return fasthttp.ErrBodyTooLarge
 	}
-	if !c.growBody(size) {
+	if !c.memory.Fits(size) {
 		return pimentomemory.ErrUsedUp
 	}
 	if c.req.MayContinue() {
@@ -39,6 +40,14 @@
 	if c.req.Header.ContentLength() == -1 {
 		return cc.readChunked(c, limit)
 	}
+	if size > 0 {
+		if _, err := cc.r.Peek(1); err != nil {
+			return err
+		}
+	}
+	if !c.growBody(size) {
+		return pimentomemory.ErrUsedUp
+	}
 	return c.req.ContinueReadBody(cc.r, limit, false)
 }
 
--- a/pimentogate/withdrawal.go
+++ b/pimentogate/withdrawal.go
@@ -87,7 +87,6 @@
 // recordSkipped counts a response of a target that belongs to another request, and logs
 // what it says about new requests, which isn't applied.
 func (g *Gate) recordSkipped(tg *pimentoroute.Target, id string, resp *fasthttp.Response) {
-	g.metrics.count("pimento_responses_skipped_total")
 	n := g.dialect.ParseNotice(resp)
 	if !n.Leaving && n.Pause <= 0 {
 		return
--- a/pimentomemory/budget.go
+++ b/pimentomemory/budget.go
@@ -76,11 +76,7 @@
 	b := g.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limit := b.limit
-	if g.size+n > smallGrant {
-		limit -= b.limit / smallShare
-	}
-	if g.ended || n > limit-b.used {
+	if !g.fits(n) {
 		b.denied++
 		return false
 	}
@@ -89,6 +85,30 @@
 	return true
 }
 
+// Fits reports whether Grow would add n bytes now. A negative answer counts as denied.
+func (g *Grant) Fits(n int) bool {
+	if g == nil {
+		return true
+	}
+	b := g.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !g.fits(n) {
+		b.denied++
+		return false
+	}
+	return true
+}
+
+// fits reports whether n more bytes fit. It is called with the budget's mu held.
+func (g *Grant) fits(n int) bool {
+	limit := g.budget.limit
+	if g.size+n > smallGrant {
+		limit -= g.budget.limit / smallShare
+	}
+	return !g.ended && n <= limit-g.budget.used
+}
+
 // Shrink gives n bytes back. It has no effect on a grant that was given back.
 func (g *Grant) Shrink(n int) {
 	if g == nil {
