platform, pimentoroute: uploads are unsafe, and an unknown kind costs only its route

Uploads are now a kind of their own, executed at most once. A kind that isn't known counts as unsafe, is logged with its route and counted in pimento_unknown_kinds_total. A route without a kind is still an error.

--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -122,7 +122,7 @@
 }
 
 // retryable reports whether the request may be executed more than once.
-func (c *call) retryable() bool { return c.route.Kind != pimentoroute.KindUnsafe }
+func (c *call) retryable() bool { return c.route.Kind.Idempotent() }
 
 // serviceName returns the name of the request's service.
 func (c *call) serviceName() pimentoregister.ServiceName { return c.service.Name }
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -50,11 +50,25 @@
 	}
 	cs.records[it.Key] = r
 	cs.tableChanges.add(inUse, r)
+	if r.Config != nil {
+		g.logUnknownKinds(r.Config)
+	}
 	if r.Target != nil && r.Target.ColdLeft > 0 {
 		g.recordCold(now, r.Target)
 	}
 }
 
+// logUnknownKinds logs and counts the routes of a new configuration whose kind isn't known.
+func (g *Gate) logUnknownKinds(cfg *pimentoroute.Config) {
+	for _, r := range cfg.Routes {
+		if r.UnknownKind == "" {
+			continue
+		}
+		g.metrics.count("pimento_unknown_kinds_total")
+		g.logLine(level.WarnValue(), "msg", "route of an unknown kind counts as unsafe", "route", r.Name, "kind", r.UnknownKind, "version", cfg.Version)
+	}
+}
+
 // recordCold records that a target was published as cold.
 func (g *Gate) recordCold(now time.Duration, t *pimentoroute.Target) {
 	ts := &g.traffic
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -29,8 +29,14 @@
 	KindUnsafe
 	// KindBulk requests are safe and have large responses.
 	KindBulk
+	// KindUpload requests are unsafe and have large bodies.
+	KindUpload
 )
 
+// Idempotent reports whether requests of the kind may be executed more than once. Those of a
+// kind that isn't known may not.
+func (k Kind) Idempotent() bool { return k == KindSafe || k == KindBulk }
+
 // String returns the name of the kind, as logs and metrics have it.
 func (k Kind) String() string {
 	switch k {
@@ -40,6 +46,8 @@
 		return "unsafe"
 	case KindBulk:
 		return "bulk"
+	case KindUpload:
+		return "upload"
 	}
 	return "unknown"
 }
@@ -50,6 +58,9 @@
 	Host   string // Lower case, without a port.
 	Prefix string // Begins and ends with a slash.
 	Kind   Kind
+	// UnknownKind is the kind that the configuration states if it isn't known. Kind is
+	// KindUnsafe then. Otherwise it is empty.
+	UnknownKind string
 	// Timeout is the longest time that a caller waits for a response.
 	Timeout time.Duration
 	// Objective is the latency objective: the time within which a response has its
