pimentoroute, pimentogate: organisations, their keys and home regions

The configuration's organisations are decoded and indexed by key. A request's key names its organisation; the target gets the name in place of the key and of whatever the caller stated. A request without a valid key gets 401 from its head, before its body is read; the body is skipped so that its connection goes on. Home regions of route and organisation both bind, and the organisation's priority goes first. Without organisations nothing changes.

--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -28,9 +28,13 @@
 	// passesQuarantine.
 	fingerprint pimentoretry.Fingerprint
 
-	table    *pimentoroute.Table
-	route    *pimentoroute.Route
-	service  *pimentoroute.Service
+	table   *pimentoroute.Table
+	route   *pimentoroute.Route
+	service *pimentoroute.Service
+	// organisation is the one that the request acts for, or nil.
+	organisation *pimentoroute.Organisation
+	// early is the response to a request that was refused by its head. Its body wasn't read.
+	early    *response
 	urgent   bool      // Requests to the service with a lower priority came lately.
 	repeat   bool      // Its caller has probably sent it before.
 	deadline time.Time // When the final response is due.
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -134,6 +134,12 @@
 			cc.awaitResponses()
 			return
 		}
+		if c.early != nil {
+			if !cc.respondEarly(c) {
+				return
+			}
+			continue
+		}
 		p := &pendingResponse{call: c, done: make(chan *response, 1)}
 		cc.pending <- p
 		if err := cc.gate.workers.Submit(func() { p.done <- cc.gate.serveRequest(c) }); err != nil {
@@ -257,6 +263,9 @@
 	if err := checkHead(&req.Header, limits); err != nil {
 		return c, err
 	}
+	if c.early = cc.gate.refuseByHead(c); c.early != nil {
+		return c, nil
+	}
 	c.memory, c.releaseMemory = cc.gate.memory.NewGrant()
 	err := cc.readBody(c, limits.BodyBytes)
 	switch {
--- a/pimentogate/dialect.go
+++ b/pimentogate/dialect.go
@@ -18,6 +18,11 @@
 	// ExpectedTarget is the header that names the only target that may execute a
 	// request.
 	ExpectedTarget string
+	// Organisation is the header with the name of the organisation that a request acts for.
+	// Targets receive it in place of the caller's key.
+	Organisation string
+	// KeyScheme is the scheme of the Authorization header with the caller's key.
+	KeyScheme string
 	// Signature is the header with the target's signature of its response.
 	Signature string
 	// InternalHeaders are response headers of targets that are removed for callers.
--- a/pimentogate/rank.go
+++ b/pimentogate/rank.go
@@ -107,7 +107,7 @@
 // add adds a target if it may be used and the limit isn't reached.
 func (r *ranking) add(tg *pimentoroute.Target, d distance, limit int) {
 	g := r.gate
-	if len(r.targets) >= limit || slices.Contains(r.tried, tg.ID) || !r.call.route.Allows(tg.Region) {
+	if len(r.targets) >= limit || slices.Contains(r.tried, tg.ID) || !r.call.allows(tg.Region) {
 		return
 	}
 	now := g.now()
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -15,6 +15,7 @@
 	reasonNone         reason = ""
 	reasonUnconfigured reason = "unconfigured" // No configuration is known yet.
 	reasonRoute        reason = "route"        // No route matches.
+	reasonKey          reason = "key"          // No organisation has its key.
 	reasonInvalid      reason = "invalid"      // The request isn't valid or is too large.
 	reasonLarge        reason = "large"        // Unused: see reasonInvalid.
 	reasonTargets      reason = "targets"      // No target may be used.
@@ -51,6 +52,8 @@
 	switch r {
 	case reasonRoute:
 		return fasthttp.StatusNotFound
+	case reasonKey:
+		return fasthttp.StatusUnauthorized
 	case reasonInvalid:
 		return fasthttp.StatusBadRequest
 	case reasonLarge:
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -198,6 +198,7 @@
 	req.SetBodyRaw(c.useBody())
 	left := max(time.Millisecond, time.Until(c.deadline))
 	req.Header.Set(g.dialect.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	g.setOrganisation(c, &req.Header)
 	req.Header.Set(g.dialect.ExpectedTarget, string(cand.target.ID))
 	return &send{
 		candidate: cand,
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -100,11 +100,14 @@
 		resp.closeConn = true
 		return resp
 	}
-	route := t.Match(string(c.req.Header.Host()), path)
+	route := matchRoute(t, c)
 	if route == nil {
 		return g.refusal(c, reasonRoute, 0)
 	}
 	c.setRoute(route)
+	if why := g.identify(c); why != reasonNone {
+		return g.refusal(c, why, 0)
+	}
 	split := g.traffic.nextSplitService(route)
 	if split == nil {
 		return g.refusal(c, reasonTargets, retryAfterBusy)
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -234,7 +234,7 @@
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	g.retryAllowance(c.serviceName()).Earn(g.now())
-	c.urgent = ts.service(c.serviceName()).urgency.IsUrgent(g.now(), c.route.Priority)
+	c.urgent = ts.service(c.serviceName()).urgency.IsUrgent(g.now(), c.priority())
 	if !c.callerDeadline.IsZero() {
 		calm := ts.service(c.serviceName()).pressure < calmPressure
 		c.repeat = ts.repeatsOf(c.route.Name).IsRepeat(c.callerDeadline.Sub(c.received), calm)
--- a/pimentogate/withdrawal.go
+++ b/pimentogate/withdrawal.go
@@ -163,10 +163,10 @@
 	ts.mu.Lock()
 	for _, tg := range g.serviceTargets(c) {
 		left := ts.target(tg.ID).withdrawal.PauseLeft(now)
-		if left > 0 && (!paused || left < first) && c.route.Allows(tg.Region) {
+		if left > 0 && (!paused || left < first) && c.allows(tg.Region) {
 			first, paused = left, true
 		}
 	}
 	ts.mu.Unlock()
-	return first + time.Duration(max(0, c.route.Priority))*pauseSpread + randomUpTo(pauseSpread), paused
+	return first + time.Duration(max(0, c.priority()))*pauseSpread + randomUpTo(pauseSpread), paused
 }
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -74,6 +74,8 @@
 	Attempts int
 	// Homes are the home regions, which may serve the requests. Empty means all.
 	Homes []pimentoregister.RegionName
+	// Public is set if requests need no key of an organisation.
+	Public bool
 }
 
 // Allows reports whether the region may serve the route's requests.
@@ -116,6 +118,8 @@
 	Routes   []*Route
 	Services map[pimentoregister.ServiceName]*Service
 	Limits   Limits
+	// Organisations are those whose requests are served. Without any, requests need no key.
+	Organisations map[pimentoregister.OrganisationName]*Organisation
 }
 
 // Target is one published target.
@@ -155,7 +159,9 @@
 	// domains has the lists of Targets split by domain.
 	domains      map[pimentoregister.ServiceName]domainLists
 	routesByHost map[string][]*Route // Longest prefix first.
-	targetCount  int
+	// organisations has the organisation of each key.
+	organisations map[Key]*Organisation
+	targetCount   int
 }
 
 // domainLists has the targets of one service by domain, sorted by ID.
@@ -206,6 +212,7 @@
 	}
 	if t.Config != nil {
 		t.indexRoutes()
+		t.indexKeys()
 	}
 	return t
 }
@@ -240,6 +247,25 @@
 	}
 }
 
+// indexKeys fills organisations.
+func (t *Table) indexKeys() {
+	if len(t.Config.Organisations) == 0 {
+		return
+	}
+	t.organisations = make(map[Key]*Organisation)
+	for _, o := range t.Config.Organisations {
+		for _, key := range o.Keys {
+			t.organisations[key] = o
+		}
+	}
+}
+
+// Organisation returns the organisation that a key belongs to, or nil.
+func (t *Table) Organisation(key Key) *Organisation { return t.organisations[key] }
+
+// NeedsKey reports whether requests of a route need the key of an organisation.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Config.Organisations) > 0 && !r.Public }
+
 // Match returns the route of a request, or nil if none matches. The host may have a
 // port, and the path a query.
 func (t *Table) Match(host, path string) *Route {
