pimentogate: keys that are taken away reach no target after a stated time

With settings.revoke in force, an entry knew only an age that counts from arrivals, and took it for 0 while it read. Now the age of the keys counts from when the answered question was sent, over all entries (field 14 of the sync messages), in time that counts suspension; stale reads confirm nothing. The key is looked up in the newest table before each choice, send and hedge, and again once the connection is there: 401 if the request never ran.

Errors about a head no longer quote it, since the quote may hold a key and reached the logs.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -13,7 +13,7 @@
 // ready reports whether the balancer may send callers here.
 func (g *Gate) ready() bool {
 	t := g.table.Load()
-	return !g.stopping.Load() && t != nil && t.Config != nil && len(t.Targets) > 0
+	return !g.stopping.Load() && t != nil && t.Config != nil && len(t.Targets) > 0 && !g.awaitsKeys(t.Config)
 }
 
 // maxSideBody bounds in bytes the body of a request of the balancer or of operators.
@@ -79,6 +79,14 @@
 	ShareEntries int64 `json:"share"`
 	// Retries has this entry's share of the retry limit of each service that had requests.
 	Retries map[pimentoregister.ServiceName]RetryStatus `json:"retries"`
+	// Organisations is the number of organisations of the configuration.
+	Organisations int `json:"organisations"`
+	// KeysAgeMillis is the age in ms of the known keys at most, -1 if unknown. KeysLimitMillis
+	// is the age above which requests with a key are refused, 0 without a limit, and
+	// KeysRefused is set while they are.
+	KeysAgeMillis   int64 `json:"keysage"`
+	KeysLimitMillis int64 `json:"keyslimit"`
+	KeysRefused     bool  `json:"keysrefused"`
 	// OutDomains lists the failure domains that are out of service.
 	OutDomains []pimentoregister.DomainName `json:"out"`
 }
@@ -103,11 +111,11 @@
 }
 
 func (g *Gate) status() Status {
-	now := g.now()
+	now, ready := g.now(), g.ready()
 	cs := g.cluster
 	cs.mu.Lock()
 	v := Status{
-		Name: g.settings.Name, Ready: g.ready(), Revision: uint64(cs.feed.AsOf()), AgeMillis: -1, ReadsPlatform: cs.reading,
+		Name: g.settings.Name, Ready: ready, Revision: uint64(cs.feed.AsOf()), AgeMillis: -1, ReadsPlatform: cs.reading,
 		Entries: cs.members.LiveCount(), DomainEntries: len(cs.members.DomainMembers(g.settings.Domain)),
 		Targets: make(map[pimentoregister.ServiceName][]TargetStatus),
 		Run:     cs.members.Self().RunID, UpMillis: now.Milliseconds(), ShareEntries: g.clusterSize.Load(),
@@ -116,6 +124,10 @@
 		v.AgeMillis = age.Milliseconds()
 	}
 	cs.mu.Unlock()
+	v.KeysAgeMillis, v.KeysLimitMillis, v.KeysRefused = -1, g.revocation.Limit().Milliseconds(), !g.keysConfirmed()
+	if age, known := g.feedAge(); known {
+		v.KeysAgeMillis = age.Milliseconds()
+	}
 	g.traffic.mu.Lock()
 	v.Retries = g.retryStatus()
 	g.traffic.mu.Unlock()
@@ -125,6 +137,7 @@
 	}
 	if t.Config != nil {
 		v.ConfigVersion = t.Config.Version
+		v.Organisations = len(t.Config.Organisations)
 	}
 	for domain := range t.OutDomains {
 		v.OutDomains = append(v.OutDomains, domain)
@@ -162,6 +175,13 @@
 		}
 		return age.Seconds()
 	})
+	gauge("pimento_keys_age_seconds", func() float64 {
+		age, known := g.feedAge()
+		if !known {
+			return -1
+		}
+		return age.Seconds()
+	})
 	gauge("pimento_entries", func() float64 { return float64(g.clusterSize.Load()) })
 	gauge("pimento_callers_open", func() float64 { return float64(g.conns.size()) })
 	gauge("pimento_targets_open", func() float64 { return float64(g.client.OpenConns()) })
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -33,6 +33,9 @@
 	service *pimentoroute.Service
 	// organisation is the one that the request acts for, or nil.
 	organisation *pimentoroute.Organisation
+	// key is the digest of the request's key, if hasKey is set.
+	key    pimentoroute.Digest
+	hasKey bool
 	// early is the response to a request that was refused by its head. Its body wasn't read.
 	early    *response
 	urgent   bool      // Requests to the service with a lower priority came lately.
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -257,7 +257,7 @@
 	_ = cc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req := new(fasthttp.Request)
 	if err := req.Header.Read(cc.r); err != nil {
-		return nil, readError(err)
+		return nil, readError(&hiddenError{err})
 	}
 	c := newCall(req, &cc.gate.dialect, cc.callerIP, time.Now())
 	if err := checkHead(&req.Header, limits); err != nil {
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -42,6 +42,16 @@
 	// confirmedBy is sourcePlatform or the name of the entry that last confirmed the feed.
 	confirmedBy string
 	changed     chan struct{} // Closed and replaced when peers are to be sent something.
+	// freshness bounds the age of the feed, in time of bootTime. It is used while keys that
+	// are taken away must be refused, see Settings.Revocation.
+	freshness pimentofeed.Freshness
+	stamps    pimentofeed.Stamps
+	// undecoded is set while the newest published configuration can't be decoded, so that
+	// its keys aren't known.
+	undecoded bool
+	// answerDue is the time after an answer of the platform within which the next one comes:
+	// the duration of a watch, and a margin for the way there and back.
+	answerDue time.Duration
 	// confirmed is closed and replaced when the age of the feed becomes known or drops
 	// by more than confirmGain, or an answer of the platform is due much later.
 	confirmed chan struct{}
@@ -72,6 +82,8 @@
 		readings:    make(map[uint64]reading),
 		changed:     make(chan struct{}),
 		confirmed:   make(chan struct{}),
+		stamps:      pimentofeed.Stamps{Nonce: rand.Uint64()},
+		answerDue:   maxAnswerDue,
 	}
 }
 
@@ -124,7 +136,7 @@
 // readsNow reports whether this entry reads the platform successfully. It is called with
 // mu held.
 func (cs *clusterState) readsNow(now time.Duration) bool {
-	return cs.reading && now-cs.lastRead < answerDue
+	return cs.reading && now-cs.lastRead < cs.answerDue
 }
 
 // sourcePlatform is the name of the platform as a source of updates, beside the names
--- a/pimentogate/early.go
+++ b/pimentogate/early.go
@@ -23,7 +23,7 @@
 	c.table = t
 	c.setRoute(route)
 	if why := g.identify(c); why != reasonNone {
-		return g.refusal(c, why, 0)
+		return g.refusal(c, why, retryAfterUnconfirmed) // Only stated where a later try may succeed.
 	}
 	return nil
 }
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -49,7 +49,11 @@
 	logBudget lineBudget
 	metrics   *gateMetrics
 	memory    *pimentomemory.Budget // For bodies and messages that are held.
-	startedAt time.Time
+
+	revocation pimentofeed.RevocationBound
+	watchWait  time.Duration // The time for which a watch of the platform waits.
+	askedAt    time.Duration // When the platform was asked last. Of the follower's goroutine.
+	startedAt  time.Time
 
 	table atomic.Pointer[pimentoroute.Table]
 	// configured is closed when there is a first active configuration.
@@ -135,6 +139,7 @@
 		Name: s.Name, Address: s.PeersAddr, Region: g.region, Domain: s.Domain,
 		RunID: rand.Uint64() | 1, Version: uint64(time.Now().UnixMilli()),
 	})
+	g.limitFreshness()
 	g.seedAddrs.Store(&s.Seeds)
 	if s.FirstStart && len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.PeersAddr) {
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
@@ -237,6 +242,9 @@
 		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, sourcePlatform) },
 		OnReading:  g.setReading,
 		OnFailure:  func() { g.metrics.count("pimento_platform_failures_total") },
+		OnAsk:      g.noteAsked,
+		OnCurrent:  g.noteCurrent,
+		WatchWait:  g.watchWait,
 	}
 	f.Run(ctx)
 }
--- a/pimentogate/head.go
+++ b/pimentogate/head.go
@@ -41,6 +41,16 @@
 	return &badRequest{status: fasthttp.StatusBadRequest, err: err}
 }
 
+// hiddenError is an error about the head of a request whose text may quote the head, and with
+// it a key.
+type hiddenError struct{ err error }
+
+// Error implements error. It says nothing of the head.
+func (h *hiddenError) Error() string { return "pimentogate: the head of the request can't be read" }
+
+// Unwrap returns the cause.
+func (h *hiddenError) Unwrap() error { return h.err }
+
 // checkHead refuses request heads above the limit, and ambiguous ones, which would
 // allow request smuggling.
 func checkHead(h *fasthttp.RequestHeader, limits pimentoroute.Limits) error {
@@ -56,7 +66,7 @@
 		}
 		name, value, ok := bytes.Cut(line, []byte(":"))
 		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t\r") || bytes.ContainsAny(value, "\r\x00") {
-			return invalid("malformed header line %q", line)
+			return invalid("malformed header line of %d bytes", len(line)) // It may hold a key.
 		}
 		switch {
 		case bytes.EqualFold(name, []byte("Content-Length")):
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -36,6 +36,7 @@
 	}
 	r, err := g.decode(it.Key, it.Value)
 	if err != nil {
+		cs.undecoded = cs.undecoded || hasActiveConfig
 		if !hasActiveConfig {
 			delete(cs.records, it.Key)
 			cs.tableChanges.add(inUse, pimentoroute.Record{})
@@ -51,6 +52,7 @@
 	cs.records[it.Key] = r
 	cs.tableChanges.add(inUse, r)
 	if r.Config != nil {
+		cs.undecoded = false
 		g.logUnknownKinds(r.Config)
 	}
 	if r.Target != nil && r.Target.ColdLeft > 0 {
--- a/pimentogate/organisation.go
+++ b/pimentogate/organisation.go
@@ -12,19 +12,47 @@
 // identify sets the organisation that a request acts for. It returns why the request is
 // refused, or reasonNone. The call's table and route are set.
 func (g *Gate) identify(c *call) reason {
-	c.organisation = nil
+	c.organisation, c.hasKey = nil, false
 	if len(c.table.Config.Organisations) == 0 {
 		return reasonNone
 	}
 	if key, ok := callerKey(&c.req.Header, g.dialect.KeyScheme); ok {
-		c.organisation = c.table.Organisation(key)
+		c.key, c.hasKey = key.Digest(), true
+		c.organisation = c.table.Organisation(c.key)
 	}
-	if c.organisation == nil && c.table.NeedsKey(c.route) {
+	switch {
+	case !c.table.NeedsKey(c.route):
+		return reasonNone
+	case c.hasKey && !g.keysConfirmed(): // Also an unknown key: it may be a new one.
+		return reasonUnconfirmed
+	case c.organisation == nil:
 		return reasonKey
 	}
 	return reasonNone
 }
 
+// checkKey returns why a request whose organisation was known before may not be sent to a
+// target any more, by the newest configuration. It doesn't change the call, and may be called
+// by the sends of a request at the same time.
+func (g *Gate) checkKey(c *call, tg *pimentoroute.Target) reason {
+	t := g.table.Load()
+	if c.organisation == nil || !t.NeedsKey(c.route) {
+		return reasonNone
+	}
+	if !g.keysConfirmed() {
+		return reasonUnconfirmed
+	}
+	// Loaded again, because the confirmation may be that of a newer table.
+	o := g.table.Load().Organisation(c.key)
+	switch {
+	case o == nil:
+		return reasonKey
+	case o.Name != c.organisation.Name, tg != nil && !o.Allows(tg.Region):
+		return reasonMoved
+	}
+	return reasonNone
+}
+
 // callerKey returns the key in a request's Authorization header, and false if there isn't
 // exactly one such header with one key.
 func callerKey(h *fasthttp.RequestHeader, scheme string) (pimentoroute.Key, bool) {
@@ -47,8 +75,12 @@
 	}
 	h.Del(fasthttp.HeaderAuthorization)
 	h.Del(g.dialect.Organisation)
-	if c.organisation != nil {
-		h.Set(g.dialect.Organisation, string(c.organisation.Name))
+	o := c.organisation
+	if o != nil && !c.table.NeedsKey(c.route) {
+		o = g.table.Load().Organisation(c.key) // No check before the send refuses the request.
+	}
+	if o != nil {
+		h.Set(g.dialect.Organisation, string(o.Name))
 	}
 }
 
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -125,7 +125,9 @@
 		return
 	case outcomeUnsent:
 		c.sends--
-		g.backOff(tg, failureBackoff)
+		if !errors.Is(s.err, errKeyRefused) { // Then it isn't for the target.
+			g.backOff(tg, failureBackoff)
+		}
 		return
 	case outcomeCallerGone:
 		return
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -127,13 +127,16 @@
 		cs.lastRead = g.now()
 		cs.feed.Confirm(cs.lastRead, 0)
 		cs.confirmedBy = sourcePlatform
-		cs.extendDue(cs.lastRead + answerDue)
+		cs.extendDue(cs.lastRead + cs.answerDue)
 	}
 }
 
-// answerDue is the time after an answer of the platform within which the next one comes: the
-// duration of a watch, and a margin for the way there and back.
-const answerDue = pimentoplatform.WatchWait + 150*time.Millisecond
+// answerMargin is the time for the way to the platform and back, and maxAnswerDue the time
+// after an answer within which the next one comes while watches wait for the usual time.
+const (
+	answerMargin = 150 * time.Millisecond
+	maxAnswerDue = pimentoplatform.WatchWait + answerMargin
+)
 
 // overdue returns the time since the last moment at which an answer to an entry that reads
 // the platform was due, as far as this entry knows. It is 0 if it knows of none. It is
@@ -179,7 +182,7 @@
 func (cs *clusterState) currentReadings(now time.Duration) []reading {
 	if cs.readsNow(now) {
 		run := cs.members.Self().RunID
-		cs.readings[run] = reading{run: run, number: cs.readings[run].number + 1, at: now, due: cs.lastRead + answerDue}
+		cs.readings[run] = reading{run: run, number: cs.readings[run].number + 1, at: now, due: cs.lastRead + cs.answerDue}
 	}
 	var list []reading
 	for run, r := range cs.readings {
--- a/pimentogate/reading_test.go
+++ b/pimentogate/reading_test.go
@@ -67,10 +67,10 @@
 		start := time.Now()
 		for range exchanges {
 			time.Sleep(domainSyncInterval)
-			msg := a.newSyncMessage(0, nil)
+			msg := a.newSyncMessage(0, nil, 0)
 			time.Sleep(transit)
 			b.applySyncMessage(msg)
-			reply := b.newSyncMessage(0, nil)
+			reply := b.newSyncMessage(0, nil, 0)
 			time.Sleep(transit)
 			a.applySyncMessage(reply)
 		}
@@ -89,8 +89,8 @@
 	between, last := gateInRegion(t, 2, time.Second), gateInRegion(t, 3, time.Second)
 	reader := gateInRegion(t, 1, time.Second)
 	reader.setReading(true)
-	between.applySyncMessage(reader.newSyncMessage(0, nil))
-	last.applySyncMessage(between.newSyncMessage(0, nil))
+	between.applySyncMessage(reader.newSyncMessage(0, nil, 0))
+	last.applySyncMessage(between.newSyncMessage(0, nil, 0))
 	age, known := last.cluster.age(last.now())
 	is.True(known && age < 100*time.Millisecond)
 	_, precedingReads := last.position(last.now())
@@ -115,7 +115,7 @@
 				for step := 0; time.Since(start) < 2*lastLimit; step++ {
 					for _, g := range []*Gate{first, last} {
 						if step%5 == 0 {
-							g.applySyncMessage(reader.newSyncMessage(0, nil))
+							g.applySyncMessage(reader.newSyncMessage(0, nil, 0))
 						}
 						if began[g] == 0 && g.decideReading() {
 							began[g] = time.Since(start)
@@ -142,7 +142,7 @@
 			reader.setReading(true)
 			for step := range 20 {
 				if step%5 == 0 {
-					other.applySyncMessage(reader.newSyncMessage(0, nil))
+					other.applySyncMessage(reader.newSyncMessage(0, nil, 0))
 				}
 				time.Sleep(100 * time.Millisecond)
 				if other.decideReading() {
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -16,6 +16,8 @@
 	reasonUnconfigured reason = "unconfigured" // No configuration is known yet.
 	reasonRoute        reason = "route"        // No route matches.
 	reasonKey          reason = "key"          // No organisation has its key.
+	reasonUnconfirmed  reason = "unconfirmed"  // Whether its key is still valid isn't known.
+	reasonMoved        reason = "moved"        // Its key or its home regions have changed.
 	reasonInvalid      reason = "invalid"      // The request isn't valid or is too large.
 	reasonLarge        reason = "large"        // Unused: see reasonInvalid.
 	reasonTargets      reason = "targets"      // No target may be used.
@@ -53,6 +55,9 @@
 	case reasonRoute:
 		return fasthttp.StatusNotFound
 	case reasonKey:
+		if mayHaveRun {
+			return fasthttp.StatusBadGateway
+		}
 		return fasthttp.StatusUnauthorized
 	case reasonInvalid:
 		return fasthttp.StatusBadRequest
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -59,6 +59,9 @@
 		if g.outlastsStop(c, nil) {
 			return g.failRequest(c, failed, reasonStopping)
 		}
+		if why := g.checkKey(c, nil); why != reasonNone {
+			return g.failRequest(c, failed, why)
+		}
 		if isRetry && !g.spendRetry(c) {
 			return g.failRequest(c, failed, reasonBudget)
 		}
@@ -112,7 +115,7 @@
 	case g.outlastsStop(c, cand):
 		return reasonStopping
 	}
-	return reasonNone
+	return g.checkKey(c, cand.target)
 }
 
 // releaseIfAny releases a candidate that may be nil.
@@ -162,8 +165,11 @@
 	if after, paused := g.returnAfterPause(c); paused && why == reasonTargets {
 		return g.refusal(c, reasonPaused, after)
 	}
-	if why == reasonStopping {
+	switch why {
+	case reasonStopping:
 		return g.refusal(c, why, retryAfterStop)
+	case reasonUnconfirmed, reasonMoved:
+		return g.refusal(c, why, retryAfterUnconfirmed)
 	}
 	return g.refusal(c, why, g.returnAfter(c, why))
 }
@@ -233,6 +239,12 @@
 		s.outcome = outcomeUnsent
 		return
 	}
+	// A connection may have taken a while, and the machine may have been suspended.
+	if g.checkKey(c, s.candidate.target) != reasonNone {
+		s.err, s.outcome = errKeyRefused, outcomeUnsent
+		s.candidate.release()
+		return
+	}
 	s.exchange.UseConn = s.candidate.conn
 	if !c.addExchange(s.exchange) {
 		s.outcome = outcomeCallerGone
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -106,7 +106,7 @@
 	}
 	c.setRoute(route)
 	if why := g.identify(c); why != reasonNone {
-		return g.refusal(c, why, 0)
+		return g.refusal(c, why, retryAfterUnconfirmed)
 	}
 	split := g.traffic.nextSplitService(route)
 	if split == nil {
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -70,6 +70,10 @@
 	// HeldMiB bounds the bodies and messages that are held at a time, in MiB. 0 means
 	// heldPercent of the VM's memory.
 	HeldMiB int `json:"held"`
+	// Revocation bounds the time from the acknowledgement of a configuration until no request
+	// is sent any more with a key that it took away. An entry that can't be sure of that
+	// refuses requests that need a key. 0 means no bound.
+	Revocation Duration `json:"revoke"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log"`
 	// LogLineRate bounds the log lines per second about successful requests.
@@ -156,6 +160,18 @@
 		pimentosettings.AtLeast("questions", s.ProbeRate, 0),
 		pimentosettings.AtLeast("memory", s.MemoryMiB, 16),
 		pimentosettings.AtLeast("held", s.HeldMiB, 0),
+		checkRevocation(time.Duration(s.Revocation)),
 		pimentosettings.AtLeast("lines", s.LogLineRate, 0),
 	)
 }
+
+// minRevocation is the shortest bound of Settings.Revocation that the messages between entries
+// can keep up with.
+const minRevocation = time.Second
+
+func checkRevocation(d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	return pimentosettings.AtLeast("revoke", d.Seconds(), minRevocation.Seconds())
+}
--- a/pimentogate/settings_test.go
+++ b/pimentogate/settings_test.go
@@ -39,6 +39,8 @@
 		{`"window": "10s"`, `"window": "0s"`, "window"},
 		{`"unknown": 5`, `"log": "loud"`, "log"},
 		{`"unknown": 5`, `"memory": 1`, "memory"},
+		{`"unknown": 5`, `"revoke": "1ms"`, "revoke"},
+		{`"unknown": 5`, `"revoke": "-5s"`, "revoke"},
 	} {
 		t.Run(tc.changed, func(t *testing.T) {
 			is := is.New(t)
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -54,6 +54,8 @@
 	cancel context.CancelFunc
 
 	peerHash uint64 // Hash of the peer's membership, 0 if unknown.
+	// peerStamp is that of the peer's last reply, 0 without one.
+	peerStamp uint64
 }
 
 // runPeerSyncs starts and ends sync loops as members come and go, until ctx ends.
@@ -217,9 +219,9 @@
 // membership if that differs, so that nothing is sent that the peer has already.
 func (ps *peerSync) syncOnce(exchange func([]byte) ([]byte, error)) bool {
 	g := ps.gate
-	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil))
+	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil, ps.peerStamp))
 	if ok && (msg.revision < g.knownRevision() || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
-		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg))
+		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums, ps.peerStamp), msg))
 	}
 	return ok
 }
@@ -239,7 +241,7 @@
 		g.logLine(level.WarnValue(), "msg", "invalid sync message ignored", "peer", ps.address, "err", err)
 		return nil, false
 	}
-	ps.peerHash = msg.membersHash
+	ps.peerHash, ps.peerStamp = msg.membersHash, msg.stamp()
 	g.applySyncMessage(msg)
 	return msg, true
 }
@@ -251,7 +253,7 @@
 		return nil, err
 	}
 	g.applySyncMessage(msg)
-	return g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg).marshal(), nil
+	return g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums, msg.stamp()), msg).marshal(), nil
 }
 
 // membersHash returns a hash of all that this entry knows about members.
@@ -265,14 +267,15 @@
 
 // newSyncMessage returns a sync message without an update. peerHash is the hash of
 // the peer's membership, and peerSums its checksums, nil if unknown. A peer with the
-// same membership gets only a short record of this entry.
-func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums) *syncMessage {
+// same membership gets only a short record of this entry. peerStamp is the stamp of the
+// peer's last message.
+func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums, peerStamp uint64) *syncMessage {
 	now, digest := g.now(), g.crashDigest()
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own()}
+	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own(), confirmation: g.statement(peerStamp)}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
@@ -338,6 +341,7 @@
 		}
 		cs.mu.Unlock()
 	}
+	g.applyConfirmation(msg)
 	g.mergeCrashes(msg.crashes, msg.sender.Name)
 }
 
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -30,6 +30,8 @@
 	crashDigest uint64
 	crashes     []pimentoretry.Report
 	entries     int // The size of the fleet that the sender has seen, 0 if unknown.
+	// confirmation bounds the age of the sender's items. It is left out where no bound is set.
+	confirmation *pimentofeed.Statement
 }
 
 var (
@@ -43,7 +45,7 @@
 //   Member sender = 1; fixed64 members_hash = 2; repeated Member members = 3;
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
-//   fixed64 crash_digest = 11; uint64 entries = 12;
+//   fixed64 crash_digest = 11; uint64 entries = 12; Confirmation confirmation = 14;
 // }
 //
 // Field 7 was used for another purpose.
@@ -73,6 +75,9 @@
 	}
 	mm.AppendFixed64(11, msg.crashDigest)
 	mm.AppendUint64(12, uint64(msg.entries))
+	if msg.confirmation != nil {
+		marshalConfirmation(mm.AppendMessage(14), msg.confirmation)
+	}
 	return m.Marshal(nil)
 }
 
@@ -132,7 +137,7 @@
 		case 4:
 			var ms int64
 			ms, ok = fc.Sint64()
-			r.due = time.Duration(min(max(ms, -maxAgeMillis), answerDue.Milliseconds())) * time.Millisecond
+			r.due = time.Duration(min(max(ms, -maxAgeMillis), maxAnswerDue.Milliseconds())) * time.Millisecond
 		default:
 			ok = true
 		}
@@ -190,6 +195,12 @@
 			var n uint64
 			n, ok = fc.Uint64()
 			msg.entries = int(min(n, maxStatedEntries))
+		case 14:
+			var data []byte
+			if data, ok = fc.MessageData(); ok {
+				msg.confirmation = new(pimentofeed.Statement)
+				ok = unmarshalConfirmation(data, msg.confirmation) == nil
+			}
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -25,6 +25,8 @@
 		crashes:     []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
 		crashDigest: 99,
 		entries:     140,
+
+		confirmation: &pimentofeed.Statement{Stamp: 1 << 60, Echo: 9, Age: 1234 * time.Millisecond, Known: true},
 	}
 }
 
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -1,6 +1,7 @@
 package pimentoplatform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -65,6 +66,14 @@
 	OnReading func(bool)
 	// OnFailure is called after each failure of a read.
 	OnFailure func()
+	// OnAsk, if set, is called right before each request to the source, and OnCurrent after
+	// the OnUpdate of a response that wasn't allowed to be stale: the source had no higher
+	// revision than asOf when OnAsk was called.
+	OnAsk     func()
+	OnCurrent func(asOf pimentofeed.Revision)
+	// WatchWait takes the place of the constant WatchWait if it isn't 0. It is at most as
+	// long.
+	WatchWait time.Duration
 
 	failures int  // Since the last success.
 	watching bool // A read has succeeded since ShouldRead last returned false.
@@ -91,21 +100,16 @@
 // readOnce reads once and returns the pause until the next read.
 func (f *Follower) readOnce() time.Duration {
 	after := f.AsOf()
+	if f.OnAsk != nil {
+		f.OnAsk()
+	}
 	var u pimentofeed.Update
 	var err error
+	stale := after == 0 && !f.readAll
 	if after == 0 || f.readAll {
-		u, err = f.Source.Read(!f.readAll)
+		u, err = f.Source.Read(stale)
 	} else {
-		wait := WatchWait
-		switch {
-		case f.failures > 0:
-			wait = retryWatchWait
-		case !f.watching:
-			wait = firstWatchWait
-		case f.batching:
-			wait = WatchWait - batchPause
-		}
-		u, err = f.Source.Watch(after, wait)
+		u, err = f.Source.Watch(after, f.nextWait())
 	}
 	if err != nil {
 		return f.handleError(after, err)
@@ -117,6 +121,9 @@
 		f.failures = 0
 	}
 	f.OnUpdate(u)
+	if f.OnCurrent != nil && !stale {
+		f.OnCurrent(u.AsOf)
+	}
 	f.OnReading(true)
 	f.batching = !u.Full && len(u.Items) > 0
 	if f.batching {
@@ -125,6 +132,20 @@
 	return 0
 }
 
+// nextWait returns the time for which the next watch waits.
+func (f *Follower) nextWait() time.Duration {
+	usual := cmp.Or(f.WatchWait, WatchWait)
+	switch {
+	case f.failures > 0:
+		return min(usual, retryWatchWait)
+	case !f.watching:
+		return min(usual, firstWatchWait)
+	case f.batching:
+		return max(firstWatchWait, usual-batchPause)
+	}
+	return usual
+}
+
 // handleError handles a failed read, and returns the pause until the next one.
 func (f *Follower) handleError(after pimentofeed.Revision, err error) time.Duration {
 	var e *Error
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"pimentoarch/pimentoregister"
@@ -120,6 +121,9 @@
 	Limits   Limits
 	// Organisations are those whose requests are served. Without any, requests need no key.
 	Organisations map[pimentoregister.OrganisationName]*Organisation
+
+	index sync.Once // Guards keys: many tables may have the same configuration.
+	keys  keyIndex
 }
 
 // Target is one published target.
@@ -159,9 +163,8 @@
 	// domains has the lists of Targets split by domain.
 	domains      map[pimentoregister.ServiceName]domainLists
 	routesByHost map[string][]*Route // Longest prefix first.
-	// organisations has the organisation of each key.
-	organisations map[Key]*Organisation
-	targetCount   int
+	keys         keyIndex
+	targetCount  int
 }
 
 // domainLists has the targets of one service by domain, sorted by ID.
@@ -212,7 +215,8 @@
 	}
 	if t.Config != nil {
 		t.indexRoutes()
-		t.indexKeys()
+		t.Config.index.Do(func() { t.Config.keys = newKeyIndex(t.Config) })
+		t.keys = t.Config.keys
 	}
 	return t
 }
@@ -247,21 +251,8 @@
 	}
 }
 
-// indexKeys fills organisations.
-func (t *Table) indexKeys() {
-	if len(t.Config.Organisations) == 0 {
-		return
-	}
-	t.organisations = make(map[Key]*Organisation)
-	for _, o := range t.Config.Organisations {
-		for _, key := range o.Keys {
-			t.organisations[key] = o
-		}
-	}
-}
-
-// Organisation returns the organisation that a key belongs to, or nil.
-func (t *Table) Organisation(key Key) *Organisation { return t.organisations[key] }
+// Organisation returns the organisation that holds a key, or nil.
+func (t *Table) Organisation(d Digest) *Organisation { return t.keys.find(d) }
 
 // NeedsKey reports whether requests of a route need the key of an organisation.
 func (t *Table) NeedsKey(r *Route) bool { return len(t.Config.Organisations) > 0 && !r.Public }
