pimentofeed: a store that comes back from an older copy takes nothing back

After a restore, revisions are given out again and changes that the store had acknowledged are missing. A state that merged by revision alone would take old values for new ones and drop what it knew. Revisions now count within an era. Disputes travel with updates, so that entries which restarted learn them.

Ruled out: trusting the store's first answer (older configurations and targets that left came back), keeping last values of removed items to compare them (a drawn history showed that a copy may have a later value than the entry had seen).

--- /dev/null
+++ b/pimentofeed/era_test.go
@@ -0,0 +1,227 @@
+package pimentofeed
+
+import (
+	"maps"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// writtenItem is one write of an item by its owner.
+type writtenItem struct {
+	number int // Increases with each write of the item.
+	value  string
+}
+
+// restorable models a store that comes back from copies of itself, and the owners of its
+// items, which write again what they have written. It is the oracle of the test.
+type restorable struct {
+	publisher
+	era    Era
+	copied publisher
+	// written has all writes of each item. Values are their numbers, "" for a removal.
+	written map[string][]writtenItem
+}
+
+// write changes an item as its owner does.
+func (s *restorable) write(key string, remove bool) {
+	n := len(s.written[key]) + 1
+	value := strconv.Itoa(n)
+	if remove {
+		value = ""
+	}
+	s.written[key] = append(s.written[key], writtenItem{n, value})
+	s.change(key, value)
+}
+
+// copyNow makes a copy from which the store may come back.
+func (s *restorable) copyNow() {
+	s.copied = publisher{items: maps.Clone(s.items), history: append([]Item(nil), s.history...), rev: s.rev, compactedTo: s.compactedTo}
+}
+
+// restore brings the store back from its copy.
+func (s *restorable) restore() {
+	s.publisher = publisher{items: maps.Clone(s.copied.items), history: append([]Item(nil), s.copied.history...), rev: s.copied.rev, compactedTo: s.copied.compactedTo}
+	s.era++
+}
+
+// rewrite writes again the last writes that the store has lost.
+func (s *restorable) rewrite() {
+	for key, writes := range s.written {
+		last := writes[len(writes)-1].value
+		if string(s.items[key].Value) != last {
+			s.change(key, last)
+		}
+	}
+}
+
+func (s *restorable) readNow() Update {
+	u := s.read()
+	u.Era = s.era
+	return u
+}
+
+// observer follows what one state shows of the items, and fails if it goes back.
+type observer struct {
+	state *State
+	// reached is the number of the last write of each item that the state is known to have.
+	reached map[string]int
+}
+
+func newObserver() *observer {
+	newer := func(_ string, value, old []byte) bool {
+		a, _ := strconv.Atoi(string(value))
+		b, _ := strconv.Atoi(string(old))
+		return a > b
+	}
+	return &observer{state: &State{Newer: newer}, reached: make(map[string]int)}
+}
+
+func (o *observer) check(t *rapid.T, s *restorable) {
+	shown := contents(o.state)
+	for key, writes := range s.written {
+		if value, ok := shown[key]; ok {
+			n, err := strconv.Atoi(value)
+			if err != nil || n < o.reached[key] {
+				t.Fatalf("item %s shows write %q after write %d", key, value, o.reached[key])
+			}
+			o.reached[key] = n
+			continue
+		}
+		if o.reached[key] == 0 || o.state.isDisputed(key) {
+			continue // It may not have been known, or its removal is kept for a while.
+		}
+		for _, w := range writes { // The removal that it shows is the next one.
+			if w.number >= o.reached[key] && w.value == "" {
+				o.reached[key] = w.number
+				break
+			}
+		}
+		if last := writes[o.reached[key]-1]; last.value != "" {
+			t.Fatalf("item %s is removed after write %d, which no removal followed", key, last.number)
+		}
+	}
+}
+
+// The store comes back from older copies at any moment, also twice in a row, while entries
+// read it, tell each other, replay old messages, are cut off and restart. No entry goes back
+// behind a write that it has shown, and all agree with the store once it was written again.
+func TestNothingGoesBackWithAnOlderCopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		src := &restorable{publisher: publisher{items: make(map[string]Item), rev: 1}, written: make(map[string][]writtenItem)}
+		src.era = 1
+		src.copyNow()
+		entries := make([]*observer, 4)
+		for i := range entries {
+			entries[i] = newObserver()
+		}
+		key := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		index := rapid.IntRange(0, len(entries)-1)
+		now := time.Duration(0)
+		var restoredAt time.Duration = -1
+		var sent []Update
+		merge := func(o *observer, u Update) {
+			before := o.state.At()
+			o.state.Merge(now, transfer(t, u))
+			if o.state.At().Before(before) {
+				t.Fatalf("the state went from %v to %v", before, o.state.At())
+			}
+		}
+		read := func(o *observer) { merge(o, src.readNow()) }
+		tell := func(from, to *observer) {
+			u := from.state.Since(now, to.state.At())
+			if from.state.AsOf() > 0 {
+				sent = append(sent, u)
+				merge(to, u)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write":  func(t *rapid.T) { src.write(key.Draw(t, "key"), false) },
+			"remove": func(t *rapid.T) { src.write(key.Draw(t, "key"), true) },
+			"copy": func(t *rapid.T) {
+				if restoredAt < 0 {
+					src.copyNow()
+				}
+			},
+			"restore": func(t *rapid.T) {
+				src.restore()
+				restoredAt = now
+			},
+			"rewrite": func(t *rapid.T) {
+				src.rewrite()
+				restoredAt = -1
+			},
+			"read": func(t *rapid.T) { read(entries[index.Draw(t, "entry")]) },
+			"watch": func(t *rapid.T) {
+				o := entries[index.Draw(t, "entry")]
+				if u, ok := src.watch(o.state.AsOf()); ok && o.state.At().Era == src.era {
+					u.Era = src.era
+					merge(o, u)
+				}
+			},
+			"tell": func(t *rapid.T) { tell(entries[index.Draw(t, "from")], entries[index.Draw(t, "to")]) },
+			"replay": func(t *rapid.T) {
+				if len(sent) > 0 {
+					merge(entries[index.Draw(t, "to")], sent[rapid.IntRange(0, len(sent)-1).Draw(t, "old")])
+				}
+			},
+			"restart": func(t *rapid.T) { entries[index.Draw(t, "entry")] = newObserver() },
+			"wait": func(t *rapid.T) {
+				if restoredAt >= 0 && now-restoredAt > settleTime/2 {
+					src.rewrite()
+					restoredAt = -1
+				}
+				now += settleTime / 8
+				for _, o := range entries {
+					o.state.Settle()
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, o := range entries {
+					o.check(t, src)
+				}
+			},
+		})
+		src.rewrite()
+		now += 2 * settleTime
+		for _, o := range entries {
+			read(o)
+			now += 2 * settleTime
+			read(o)
+			o.state.Settle()
+			o.check(t, src)
+			if got, want := contents(o.state), src.at(src.rev); !maps.Equal(got, want) {
+				t.Fatalf("a state has %v, the store %v", got, want)
+			}
+		}
+	})
+}
+
+// An entry that has restarted takes over what others keep.
+func TestDisputesReachAFreshState(t *testing.T) {
+	is := is.New(t)
+	src := &restorable{publisher: publisher{items: make(map[string]Item), rev: 1}, written: make(map[string][]writtenItem)}
+	src.write("config", false)
+	src.copyNow()
+	src.write("config", false)
+	src.write("out", false)
+	old, fresh := newObserver().state, newObserver().state
+	old.Merge(0, src.readNow())
+	src.restore()
+	old.Merge(0, src.readNow())
+	fresh.Merge(0, src.readNow())
+	is.Equal(contents(fresh), map[string]string{"config": "1"})
+	is.Equal(contents(old), map[string]string{"config": "2", "out": "1"})
+	is.True(old.DisputeDigest() != fresh.DisputeDigest())
+	fresh.Merge(0, old.Since(0, fresh.At()))
+	is.Equal(contents(fresh), contents(old))
+	is.Equal(old.DisputeDigest(), fresh.DisputeDigest())
+	old.Settle()
+	is.Equal(len(contents(old)), 2)
+	old.Confirm(settleTime, 0)
+	old.Settle()
+	is.Equal(contents(old), map[string]string{"config": "1"})
+}
--- a/pimentofeed/state_test.go
+++ b/pimentofeed/state_test.go
@@ -125,7 +125,7 @@
 			},
 			"tell": func(t *rapid.T) {
 				from, to := copies[copyIndex.Draw(t, "from")], copies[copyIndex.Draw(t, "to")]
-				u := from.Since(now, to.AsOf())
+				u := from.Since(now, to.At())
 				sent = append(sent, u)
 				merge(to, u)
 			},
@@ -157,7 +157,7 @@
 	a.Merge(0, full)
 	b.Merge(0, full)
 	a.Merge(0, Update{Full: true, AsOf: 20, Items: []Item{{Key: "y", Revision: 4}}})
-	u := a.Since(0, b.AsOf())
+	u := a.Since(0, b.At())
 	is.True(u.Full) // a doesn't have the changes between 10 and 20.
 	changed := b.Merge(0, u)
 	is.Equal(len(changed), 1)
@@ -200,8 +200,8 @@
 		s.Merge(0, Update{From: rev, AsOf: rev + 1, Items: []Item{{Key: key, Revision: rev + 1, Removed: true}}})
 	}
 	is.True(len(s.items) <= maxRemoved+1)
-	is.True(s.Since(0, 1).Full)
-	is.True(!s.Since(0, s.AsOf()-2).Full)
+	is.True(s.Since(0, Point{Revision: 1}).Full)
+	is.True(!s.Since(0, Point{Revision: s.AsOf() - 2}).Full)
 }
 
 // The age is the lowest that any update or call of Confirm has given.
@@ -227,7 +227,7 @@
 	is := is.New(t)
 	var s State
 	s.Merge(0, Update{Full: true, AsOf: 9, Items: []Item{{Key: "b", Revision: 7}, {Key: "a", Revision: 3}, {Key: "c", Revision: 5}}})
-	u := s.Since(0, 0)
+	u := s.Since(0, Point{})
 	is.True(slices.IsSortedFunc(u.Items, func(a, b Item) int { return int(a.Revision) - int(b.Revision) }))
 }
 
--- a/pimentofeed/wire.go
+++ b/pimentofeed/wire.go
@@ -10,11 +10,15 @@
 
 // message Update {
 //   uint64 from = 1; uint64 as_of = 2; bool full = 3; uint64 age_ms = 4;
-//   repeated Item items = 5;
+//   repeated Item items = 5; uint64 era = 6; repeated Dispute disputes = 7;
+//   uint64 settles_ms = 8;
 // }
 // message Item {
 //   string key = 1; bytes value = 2; uint64 revision = 3; bool removed = 4;
 // }
+// message Dispute {
+//   Item kept = 1; Item stored = 2; uint64 base = 3; uint64 era = 4;
+// }
 
 // Marshal encodes the update as a protobuf message.
 func (u *Update) Marshal(mm *easyproto.MessageMarshaler) {
@@ -23,13 +27,25 @@
 	mm.AppendBool(3, u.Full)
 	mm.AppendUint64(4, uint64(u.Age.Milliseconds()))
 	for i := range u.Items {
-		it := &u.Items[i]
-		im := mm.AppendMessage(5)
-		im.AppendString(1, it.Key)
-		im.AppendBytes(2, it.Value)
-		im.AppendUint64(3, uint64(it.Revision))
-		im.AppendBool(4, it.Removed)
+		u.Items[i].marshal(mm.AppendMessage(5))
+	}
+	mm.AppendUint64(6, uint64(u.Era))
+	for i := range u.Disputes {
+		d := &u.Disputes[i]
+		dm := mm.AppendMessage(7)
+		d.Kept.marshal(dm.AppendMessage(1))
+		d.Stored.marshal(dm.AppendMessage(2))
+		dm.AppendUint64(3, uint64(d.Base))
+		dm.AppendUint64(4, uint64(d.Era))
 	}
+	mm.AppendUint64(8, uint64(u.SettlesIn.Milliseconds()))
+}
+
+func (it *Item) marshal(mm *easyproto.MessageMarshaler) {
+	mm.AppendString(1, it.Key)
+	mm.AppendBytes(2, it.Value)
+	mm.AppendUint64(3, uint64(it.Revision))
+	mm.AppendBool(4, it.Removed)
 }
 
 // Unmarshal decodes an update from a protobuf message. It keeps no reference to src.
@@ -54,6 +70,18 @@
 				ok = it.unmarshal(data) == nil
 				u.Items = append(u.Items, it)
 			}
+		case 6:
+			return pimentowire.ReadUint64(&u.Era, fc.Uint64)
+		case 7:
+			var data []byte
+			if data, ok = fc.MessageData(); ok {
+				var d Dispute
+				ok = d.unmarshal(data) == nil
+				u.Disputes = append(u.Disputes, d)
+			}
+		case 8:
+			ms, ok = fc.Uint64()
+			u.SettlesIn = time.Duration(min(ms, maxSettlesMillis)) * time.Millisecond
 		default:
 			ok = true
 		}
@@ -61,6 +89,29 @@
 	})
 }
 
+// maxSettlesMillis bounds what a peer may state, so that the time can't overflow.
+const maxSettlesMillis = uint64(settleTime / time.Millisecond)
+
+func (d *Dispute) unmarshal(src []byte) error {
+	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
+		item := func(it *Item) bool {
+			data, ok := fc.MessageData()
+			return ok && it.unmarshal(data) == nil
+		}
+		switch fc.FieldNum {
+		case 1:
+			return item(&d.Kept)
+		case 2:
+			return item(&d.Stored)
+		case 3:
+			return pimentowire.ReadUint64(&d.Base, fc.Uint64)
+		case 4:
+			return pimentowire.ReadUint64(&d.Era, fc.Uint64)
+		}
+		return true
+	})
+}
+
 func (it *Item) unmarshal(src []byte) error {
 	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
 		switch fc.FieldNum {
