pimentogate, platform: entries follow the era of the platform's store

The store states an era in its answers and raises it when it comes back from an older copy. A reader now reads all items again when an answer is of a later era, refuses one of an earlier era, and doesn't continue a watch across eras. Sync messages carry the era and a digest of the disputes, so that an entry which can't reach the store, or has just started, learns both from its peers, and an old reader's messages confirm nothing. Restores are logged and counted; pimento_state_era and pimento_state_disputed show them.

--- a/cmd/pimentoarch/gate.go
+++ b/cmd/pimentoarch/gate.go
@@ -43,6 +43,7 @@
 		Dialect: platform.Dialect(),
 		Source:  platform.Source(client),
 		Decode:  platform.Decode,
+		Newer:   platform.Newer,
 		Reload:  cmd.load,
 	}
 	return runProcess("gate", string(s.Name), logger, func() (func() error, func(), error) {
--- a/pimentofeed/era.go
+++ b/pimentofeed/era.go
@@ -33,7 +33,7 @@
 // if it was surely written after the one that is known. Others are kept, as the store may have
 // lost a change that it has acknowledged. It returns the items that have changed.
 func (s *State) enterEra(now time.Duration, u Update) []Item {
-	known := s.items
+	known, asOf := s.items, s.asOf
 	s.prior, s.written = s.points(), make(map[string]bool)
 	s.items, s.disputes, s.removed = make(map[string]Item), make(map[string]Dispute), 0
 	s.era, s.asOf, s.removalsSince = u.Era, u.AsOf, u.AsOf
@@ -49,10 +49,13 @@
 			continue
 		}
 		s.items[it.Key] = it
-		s.written[it.Key] = ok && !bytes.Equal(old.Value, it.Value)
-		if !ok || old.Removed || !bytes.Equal(old.Value, it.Value) {
-			changed = append(changed, it)
+		if ok && !old.Removed && bytes.Equal(old.Value, it.Value) {
+			continue
 		}
+		changed = append(changed, it)
+		// All changes up to asOf were known, so that a lower revision was given out again.
+		s.written[it.Key] = ok && it.Revision <= asOf
+		s.prior[it.Key] = Point{Revision: it.Revision}
 	}
 	for key, old := range known {
 		stored := Item{Key: key, Revision: u.AsOf, Removed: true}
@@ -153,6 +156,9 @@
 		if known && it.Revision > d.Base || s.written[d.Kept.Key] {
 			continue
 		}
+		if !known && !d.Stored.Removed && s.asOf >= d.Base { // Its owner has removed it since.
+			continue
+		}
 		if s.disputes == nil {
 			s.disputes = make(map[string]Dispute)
 		}
--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -62,7 +62,11 @@
 	Ready         bool                    `json:"ready"`
 	ConfigVersion pimentoroute.Version    `json:"version"`
 	// Revision is the platform's revision up to which the items are complete.
-	Revision  uint64 `json:"asof"`
+	Revision uint64 `json:"asof"`
+	// Era counts how often the platform's store has come back from an older copy. Disputed
+	// is the number of items that are kept although the store has others since.
+	Era       uint64 `json:"era"`
+	Disputed  int    `json:"disputed"`
 	AgeMillis int64  `json:"age"` // Age of the items in ms, -1 if unknown.
 	// ReadsPlatform is set while this entry reads the platform for others.
 	ReadsPlatform bool `json:"reads"`
@@ -107,7 +111,7 @@
 	cs := g.cluster
 	cs.mu.Lock()
 	v := Status{
-		Name: g.settings.Name, Ready: g.ready(), Revision: uint64(cs.feed.AsOf()), AgeMillis: -1, ReadsPlatform: cs.reading,
+		Name: g.settings.Name, Ready: g.ready(), Revision: uint64(cs.feed.AsOf()), AgeMillis: -1, Era: uint64(cs.feed.At().Era), Disputed: cs.feed.Disputed(), ReadsPlatform: cs.reading,
 		Entries: cs.members.LiveCount(), DomainEntries: len(cs.members.DomainMembers(g.settings.Domain)),
 		Targets: make(map[pimentoregister.ServiceName][]TargetStatus),
 		Run:     cs.members.Self().RunID, UpMillis: now.Milliseconds(), ShareEntries: g.clusterSize.Load(),
@@ -151,7 +155,13 @@
 // addGauges registers the gauges of this entry's state.
 func (g *Gate) addGauges() {
 	gauge := func(name string, value func() float64) { g.metrics.set.NewGauge(name, value) }
-	gauge("pimento_state_revision", func() float64 { return float64(g.knownRevision()) })
+	gauge("pimento_state_revision", func() float64 { return float64(g.knownPoint().Revision) })
+	gauge("pimento_state_era", func() float64 { return float64(g.knownPoint().Era) })
+	gauge("pimento_state_disputed", func() float64 {
+		g.cluster.mu.Lock()
+		defer g.cluster.mu.Unlock()
+		return float64(g.cluster.feed.Disputed())
+	})
 	gauge("pimento_state_age_seconds", func() float64 {
 		cs := g.cluster
 		cs.mu.Lock()
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -139,12 +139,15 @@
 	cs.mu.Lock()
 	age, known := cs.age(now)
 	outage := !known || age > outageAge
-	before := cs.feed.AsOf()
+	before := cs.feed.At()
 	changed := cs.feed.Merge(now, u)
 	for _, it := range changed {
-		g.applyItem(now, it, outage && before > 0)
+		g.applyItem(now, it, outage && before.Revision > 0)
 	}
-	advanced := cs.feed.AsOf() != before
+	if before.Revision > 0 && cs.feed.At().Era > before.Era {
+		g.logEra(before, from)
+	}
+	advanced := cs.feed.At() != before
 	if advanced {
 		cs.confirmedBy = from
 		cs.signalChange()
@@ -211,12 +214,12 @@
 	}
 }
 
-// knownRevision returns the revision up to which this entry's items are complete.
-func (g *Gate) knownRevision() pimentofeed.Revision {
+// knownPoint returns the point up to which this entry's items are complete.
+func (g *Gate) knownPoint() pimentofeed.Point {
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.feed.AsOf()
+	return cs.feed.At()
 }
 
 // maintainCluster does the periodic work on the cluster state until stop is closed.
@@ -240,6 +243,7 @@
 			g.resumeAfterPause(paused)
 		}
 		g.updateMembership()
+		g.settleItems()
 		if ticks++; ticks%sweepTicks == 0 {
 			g.client.Prune(time.Now())
 		}
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -33,6 +33,9 @@
 	Source pimentoplatform.Source
 	// Decode decodes a published item.
 	Decode func(key string, value []byte) (pimentoroute.Record, error)
+	// Newer reports whether a value of a published item was surely written after another one.
+	// It may be nil.
+	Newer func(key string, value, old []byte) bool
 	// Reload returns the current settings. It may be nil.
 	Reload func() (Settings, error)
 }
@@ -135,6 +138,7 @@
 		Name: s.Name, Address: s.PeersAddr, Region: g.region, Domain: s.Domain,
 		RunID: rand.Uint64() | 1, Version: uint64(time.Now().UnixMilli()),
 	})
+	g.cluster.feed.Newer = p.Newer
 	g.seedAddrs.Store(&s.Seeds)
 	if s.FirstStart && len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.PeersAddr) {
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
@@ -233,7 +237,7 @@
 		Source:     g.source,
 		Log:        g.log,
 		ShouldRead: g.decideReading,
-		AsOf:       g.knownRevision,
+		At:         g.knownPoint,
 		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, sourcePlatform) },
 		OnReading:  g.setReading,
 		OnFailure:  func() { g.metrics.count("pimento_platform_failures_total") },
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -218,7 +218,7 @@
 func (ps *peerSync) syncOnce(exchange func([]byte) ([]byte, error)) bool {
 	g := ps.gate
 	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil))
-	if ok && (msg.revision < g.knownRevision() || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
+	if ok && (g.lacksItems(msg) || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
 		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg))
 	}
 	return ok
@@ -272,7 +272,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own()}
+	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), at: cs.feed.At(), disputeDigest: cs.feed.DisputeDigest(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own()}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
@@ -301,8 +301,8 @@
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.feed.AsOf() > last.revision {
-		u := cs.feed.Since(g.now(), last.revision)
+	if cs.lacksItems(last) {
+		u := cs.feed.Since(g.now(), last.at)
 		msg.update = &u
 	}
 	return msg
@@ -333,7 +333,7 @@
 		// The age of a newer revision doesn't hold for this entry's items. Their age
 		// isn't changed, so that applyUpdate can detect an outage from it when the
 		// update arrives.
-		if msg.revision == cs.feed.AsOf() {
+		if msg.at == cs.feed.At() {
 			cs.confirm(now, time.Duration(msg.ageMillis)*time.Millisecond, string(msg.sender.Name))
 		}
 		cs.mu.Unlock()
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -19,10 +19,12 @@
 	// sums are the checksums of the sender's membership, if the receiver's may differ.
 	sums *pimentopeer.Checksums
 	// members are the records of the parts in which the receiver's membership differs.
-	members   []pimentopeer.Member
-	revision  pimentofeed.Revision // Up to which the sender's items are complete.
-	update    *pimentofeed.Update  // Items that the receiver lacks. May be nil.
-	ageMillis int64                // Of the sender's feed; negative if unknown.
+	members []pimentopeer.Member
+	at      pimentofeed.Point // Up to which the sender's items are complete.
+	// disputeDigest is that of the items that the sender keeps although the store has others.
+	disputeDigest uint64
+	update        *pimentofeed.Update // Items that the receiver lacks. May be nil.
+	ageMillis     int64               // Of the sender's feed; negative if unknown.
 	// readings are those known to the sender. Their times are relative to the message.
 	readings []reading
 	// crashDigest is that of the crashes that the sender knows of, and crashes are those
@@ -43,7 +45,7 @@
 //   Member sender = 1; fixed64 members_hash = 2; repeated Member members = 3;
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
-//   fixed64 crash_digest = 11; uint64 entries = 12;
+//   fixed64 crash_digest = 11; uint64 entries = 12; Eras eras = 13;
 // }
 //
 // Field 7 was used for another purpose.
@@ -57,7 +59,7 @@
 	for i := range msg.members {
 		marshalMember(mm.AppendMessage(3), &msg.members[i])
 	}
-	mm.AppendUint64(4, uint64(msg.revision))
+	mm.AppendUint64(4, uint64(msg.at.Revision))
 	if msg.update != nil {
 		msg.update.Marshal(mm.AppendMessage(5))
 	}
@@ -73,6 +75,11 @@
 	}
 	mm.AppendFixed64(11, msg.crashDigest)
 	mm.AppendUint64(12, uint64(msg.entries))
+	if msg.at.Era > 0 {
+		em := mm.AppendMessage(13)
+		em.AppendUint64(1, uint64(msg.at.Era))
+		em.AppendFixed64(2, msg.disputeDigest)
+	}
 	return m.Marshal(nil)
 }
 
@@ -158,7 +165,7 @@
 		case 4:
 			var rev uint64
 			rev, ok = fc.Uint64()
-			msg.revision = pimentofeed.Revision(rev)
+			msg.at.Revision = pimentofeed.Revision(rev)
 		case 5:
 			var data []byte
 			if data, ok = fc.MessageData(); ok {
@@ -190,6 +197,11 @@
 			var n uint64
 			n, ok = fc.Uint64()
 			msg.entries = int(min(n, maxStatedEntries))
+		case 13:
+			var data []byte
+			if data, ok = fc.MessageData(); ok {
+				ok = msg.unmarshalEras(data) == nil
+			}
 		default:
 			ok = true
 		}
@@ -204,6 +216,21 @@
 	return msg, nil
 }
 
+// message Eras { uint64 era = 1; fixed64 dispute_digest = 2; }
+
+func (msg *syncMessage) unmarshalEras(src []byte) error {
+	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
+		switch fc.FieldNum {
+		case 1:
+			return pimentowire.ReadUint64(&msg.at.Era, fc.Uint64)
+		case 2:
+			msg.disputeDigest, ok = fc.Fixed64()
+			return ok
+		}
+		return true
+	})
+}
+
 func sumsField(fc *easyproto.FieldContext) (*pimentopeer.Checksums, error) {
 	s := new(pimentopeer.Checksums)
 	list, ok := fc.UnpackFixed32s(nil)
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -18,13 +18,18 @@
 		membersHash: 5,
 		sums:        &pimentopeer.Checksums{1, 0, 7},
 		members:     []pimentopeer.Member{{Name: "b", Version: 3, Down: true}, {Name: "c", RunID: 1}},
-		revision:    12,
-		update:      &pimentofeed.Update{From: 3, AsOf: 12, Items: []pimentofeed.Item{{Key: "k", Value: []byte("v"), Revision: 4}, {Key: "x", Revision: 5, Removed: true}}},
-		ageMillis:   -1,
-		readings:    []reading{{run: 7, number: 3}, {run: 8, number: 1 << 40, at: -1200 * time.Millisecond}},
-		crashes:     []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
-		crashDigest: 99,
-		entries:     140,
+		at:          pimentofeed.Point{Era: 2, Revision: 12},
+		update: &pimentofeed.Update{
+			Era: 2, From: 3, AsOf: 12, Items: []pimentofeed.Item{{Key: "k", Value: []byte("v"), Revision: 4}, {Key: "x", Revision: 5, Removed: true}},
+			Disputes:  []pimentofeed.Dispute{{Kept: pimentofeed.Item{Key: "k", Value: []byte("w"), Revision: 9}, Era: 1, Stored: pimentofeed.Item{Key: "k", Value: []byte("v"), Revision: 4}, Base: 10}},
+			SettlesIn: 3 * time.Second,
+		},
+		disputeDigest: 17,
+		ageMillis:     -1,
+		readings:      []reading{{run: 7, number: 3}, {run: 8, number: 1 << 40, at: -1200 * time.Millisecond}},
+		crashes:       []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
+		crashDigest:   99,
+		entries:       140,
 	}
 }
 
--- a/pimentoplatform/client.go
+++ b/pimentoplatform/client.go
@@ -30,6 +30,9 @@
 	// KindCompacted means that the changes after a revision are no longer kept, so
 	// that everything must be read again.
 	KindCompacted
+	// KindRestored means that the response is of another era than the state that was built
+	// from the ones before.
+	KindRestored
 	// KindTooLarge means that the response has more than maxResponseBytes.
 	KindTooLarge
 )
@@ -61,6 +64,8 @@
 type Client struct {
 	// Addresses are the service's replicas, IP and port each.
 	Addresses []string
+	// EraHeader is the header with the era of the service's state, empty if it states none.
+	EraHeader string
 	// WatchTimeout is the time limit of each read by Value, CurrentValue and VMs,
 	// watches (reads that wait) included. A connection without a response within it
 	// is considered silent.
@@ -151,7 +156,9 @@
 	Status int
 	// Revision is from the revision header, 0 without one.
 	Revision Revision
-	Body     []byte
+	// Era is from the era header, 0 without one.
+	Era  uint64
+	Body []byte
 }
 
 // Get reads a path from one replica. After a failure, the next call uses the next
@@ -183,6 +190,16 @@
 		}
 		result.Revision = Revision(rev)
 	}
+	if c.EraHeader == "" {
+		return result, nil
+	}
+	if text := resp.Header.Peek(c.EraHeader); len(text) > 0 {
+		era, err := strconv.ParseUint(string(text), 10, 64)
+		if err != nil {
+			return Response{}, &Error{Op: path, Kind: KindInvalid, Err: fmt.Errorf("header %s: value %q from %s isn't an era", c.EraHeader, text, address)}
+		}
+		result.Era = era
+	}
 	return result, nil
 }
 
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -54,9 +55,9 @@
 	Log log.Logger
 	// ShouldRead returns whether to read now.
 	ShouldRead func() bool
-	// AsOf returns the revision up to which the state that was built from the updates
-	// is complete, 0 before the first update.
-	AsOf func() pimentofeed.Revision
+	// At returns the point up to which the state that was built from the updates is
+	// complete, the zero value before the first update.
+	At func() pimentofeed.Point
 	// OnUpdate is called with the result of each read.
 	OnUpdate func(pimentofeed.Update)
 	// OnReading is called with true after each successful read, and with false after a
@@ -90,7 +91,8 @@
 
 // readOnce reads once and returns the pause until the next read.
 func (f *Follower) readOnce() time.Duration {
-	after := f.AsOf()
+	at := f.At()
+	after := at.Revision
 	var u pimentofeed.Update
 	var err error
 	if after == 0 || f.readAll {
@@ -107,6 +109,9 @@
 		}
 		u, err = f.Source.Watch(after, wait)
 	}
+	if err == nil {
+		err = checkEra(at, &u)
+	}
 	if err != nil {
 		return f.handleError(after, err)
 	}
@@ -125,10 +130,19 @@
 	return 0
 }
 
+// checkEra returns an error if an update doesn't continue a state: it is of an earlier era, or
+// has only the changes since a revision of another one.
+func checkEra(at pimentofeed.Point, u *pimentofeed.Update) error {
+	if u.Era == at.Era || at.Revision == 0 || u.Full && u.Era > at.Era {
+		return nil
+	}
+	return &Error{Op: "follow", Kind: KindRestored, Err: fmt.Errorf("the state is of era %d, the response of era %d", at.Era, u.Era)}
+}
+
 // handleError handles a failed read, and returns the pause until the next one.
 func (f *Follower) handleError(after pimentofeed.Revision, err error) time.Duration {
 	var e *Error
-	if errors.As(err, &e) && !f.readAll && (e.Kind == KindCompacted || e.Kind == KindTooLarge) {
+	if errors.As(err, &e) && !f.readAll && (e.Kind == KindCompacted || e.Kind == KindTooLarge || e.Kind == KindRestored) {
 		_ = level.Info(f.Log).Log("msg", "reading all items", "after", after, "err", err)
 		f.readAll = true
 		return 0
--- a/pimentoplatform/follow_test.go
+++ b/pimentoplatform/follow_test.go
@@ -32,7 +32,7 @@
 			}},
 			Log:        log.NewNopLogger(),
 			ShouldRead: reads,
-			AsOf:       func() pimentofeed.Revision { return 7 },
+			At:         func() pimentofeed.Point { return pimentofeed.Point{Revision: 7} },
 			OnUpdate:   func(pimentofeed.Update) {},
 			OnReading: func(works bool) {
 				if works {
@@ -77,7 +77,7 @@
 			}},
 			Log:        log.NewNopLogger(),
 			ShouldRead: func() bool { return true },
-			AsOf:       func() pimentofeed.Revision { return 7 },
+			At:         func() pimentofeed.Point { return pimentofeed.Point{Revision: 7} },
 			OnUpdate:   func(pimentofeed.Update) {},
 			OnReading:  func(bool) { answers = append(answers, time.Now()) },
 		}
