pimentohttp: one check of the status line for all readers of responses

A response with status 000 was read as 200 by each reader that uses the library's client or decoder: the reader of the platform's service, the Go package for callers (also for keys), heads that entries forward to each other, and stored heads. Responses of targets and probes were guarded, but statuses of two or four digits and from 600 on passed. checkStatusStart now checks protocol, three digits from 100 to 599 and the byte after them; CheckResponses brings it to connections of the library's client, ReadHead to stored and forwarded heads.

--- a/pimentocaller/client.go
+++ b/pimentocaller/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentohttp"
 )
 
 // Kind classifies an error of this package.
@@ -134,6 +136,13 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       20 * time.Second,
 		MaxConnsPerHost:           4096,
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := fasthttp.Dial(address)
+			if err != nil {
+				return nil, err
+			}
+			return pimentohttp.CheckResponses(conn), nil
+		},
 	}
 	return c, c.http.CloseIdleConnections
 }
--- a/pimentoentry/nonidempotent.go
+++ b/pimentoentry/nonidempotent.go
@@ -1,7 +1,6 @@
 package pimentoentry
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"time"
@@ -274,7 +273,7 @@
 // replayResponse writes a stored response to resp. It returns a refusal if the stored
 // header can't be parsed.
 func replayResponse(resp *fasthttp.Response, stored *pimentokey.Response) *refusal {
-	if err := resp.Header.Read(bufio.NewReaderSize(bytes.NewReader(stored.Header), len(stored.Header)+1)); err != nil {
+	if err := pimentohttp.ReadHead(&resp.Header, stored.Header); err != nil {
 		return refuse(ReasonForgotten, RunYes, "the request has run; its answer is no longer kept")
 	}
 	pimentohttp.DelHopHeaders(&resp.Header)
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -258,23 +258,6 @@
 	return errors.New("too many informational responses")
 }
 
-var errNotHTTP = errors.New("the status line isn't that of an HTTP/1 response")
-
-// checkStatusLine checks the protocol and the status of the next response. fasthttp
-// is too lenient here: it reads a status of 0 as 200.
-func checkStatusLine(r *bufio.Reader) error {
-	const form = "HTTP/1.x 200"
-	start, err := r.Peek(len(form))
-	if err != nil {
-		return err
-	}
-	protocol, status := start[:7], start[9:]
-	if string(protocol) != form[:7] || start[8] != ' ' || status[0] < '1' || status[0] > '9' {
-		return errNotHTTP
-	}
-	return nil
-}
-
 // readBody buffers the body and ends the exchange, or leaves the body as a stream.
 func (x *Exchange) readBody(cn *Conn) error {
 	if x.hasNoBody() {
--- a/pimentolink/forward.go
+++ b/pimentolink/forward.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentowire"
 )
@@ -335,5 +336,5 @@
 	if err != nil {
 		return 0, err
 	}
-	return int(max(size, -1)), resp.Header.Read(bufio.NewReaderSize(bytes.NewReader(head), len(head)+1))
+	return int(max(size, -1)), pimentohttp.ReadHead(&resp.Header, head)
 }
--- a/pimentoplatform/client.go
+++ b/pimentoplatform/client.go
@@ -103,7 +103,7 @@
 				_ = conn.Close()
 				return nil, err
 			}
-			return conn, nil
+			return pimentohttp.CheckResponses(conn), nil
 		},
 	}
 	return c, c.http.CloseIdleConnections
