pimentofeed: a value taken over as newer isn't known to be of the new era

Of two entries whose stores came back three times within seconds, one took a value from a copy for a write of the present era, because its revision lay below what the entry had been told of, and its peer followed it back behind a removal. Only a revision above the known item's, and up to what was known, was surely given out again.

--- a/pimentofeed/era.go
+++ b/pimentofeed/era.go
@@ -53,8 +53,8 @@
 			continue
 		}
 		changed = append(changed, it)
-		// All changes up to asOf were known, so that a lower revision was given out again.
-		s.written[it.Key] = ok && it.Revision <= asOf
+		// All changes up to asOf were known, so that this revision was given out again.
+		s.written[it.Key] = ok && it.Revision > old.Revision && it.Revision <= asOf
 		s.prior[it.Key] = Point{Revision: it.Revision}
 	}
 	for key, old := range known {
