pimentofeed: an update with a dispute between two items is invalid

A dispute is about one item, but nothing checked on decoding that the kept item and the one of the store have the same key. At the end of such a dispute the store's item was put under its own key and the kept one stayed in effect for ever. Entries don't send such updates; the fault was seen by reading. TestDisputeOfTwoKeysIsInvalid failed before. FuzzUpdate gets updates with eras and disputes as seeds, merges each into a fresh state and into states of the same and of an earlier era, and checks the keys and what the state tells.

--- a/pimentofeed/era_test.go
+++ b/pimentofeed/era_test.go
@@ -225,3 +225,11 @@
 	old.Settle()
 	is.Equal(contents(old), map[string]string{"config": "1"})
 }
+
+// An update with a dispute between two different items isn't valid: at its end the one would be
+// kept for ever, and the other one be put into its place.
+func TestDisputeOfTwoKeysIsInvalid(t *testing.T) {
+	is := is.New(t)
+	u := Update{Era: 2, Full: true, AsOf: 9, Disputes: []Dispute{{Kept: Item{Key: "a", Revision: 3}, Stored: Item{Key: "b", Revision: 2}, Base: 2}}}
+	is.True(new(Update).Unmarshal(marshal(u)) != nil)
+}
--- a/pimentofeed/state_test.go
+++ b/pimentofeed/state_test.go
@@ -1,6 +1,7 @@
 package pimentofeed
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
@@ -231,18 +232,61 @@
 	is.True(slices.IsSortedFunc(u.Items, func(a, b Item) int { return int(a.Revision) - int(b.Revision) }))
 }
 
-// FuzzUpdate decodes arbitrary bytes and merges those that are valid updates.
+// FuzzUpdate decodes arbitrary bytes, and merges those that are valid updates into a fresh
+// state, one of the same era and one of an earlier era. Their items stay under their own keys,
+// and what they tell others can be decoded.
 func FuzzUpdate(f *testing.F) {
-	var mp easyproto.MarshalerPool
-	m := mp.Get()
-	u := Update{From: 3, AsOf: 9, Items: []Item{{Key: "k", Value: []byte("v"), Revision: 5}}}
-	u.Marshal(m.MessageMarshaler())
-	f.Add(m.Marshal(nil))
+	config, left := Item{Key: "config", Value: []byte("2"), Revision: 9}, Item{Key: "left", Revision: 8, Removed: true}
+	older, back := Item{Key: "config", Value: []byte("1"), Revision: 3}, Item{Key: "left", Value: []byte("1"), Revision: 4}
+	for _, u := range []Update{
+		{From: 3, AsOf: 9, Items: []Item{{Key: "k", Value: []byte("v"), Revision: 5}}},
+		{Era: 2, Full: true, AsOf: 6, Items: []Item{older, back}},
+		{Era: 2, Full: true, AsOf: 6, Items: []Item{config}, Disputes: []Dispute{{Kept: config, Era: 1, Stored: older, Base: 5}, {Kept: left, Era: 1, Stored: back, Base: 5}}, SettlesIn: time.Second},
+		{Era: 2, From: 5, AsOf: 5, Disputes: []Dispute{{Kept: config, Stored: Item{Key: "config", Revision: 5, Removed: true}, Base: 5}}, SettlesIn: 1 << 60},
+		{Era: 1 << 63, Full: true, AsOf: 1 << 63, Disputes: []Dispute{{Kept: config, Era: 1 << 63, Stored: left, Base: 1 << 63}, {}}},
+	} {
+		f.Add(marshal(u))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var u Update
-		if u.Unmarshal(data) == nil {
-			var s State
+		if u.Unmarshal(data) != nil {
+			return
+		}
+		for _, known := range []Era{0, 1, 2} {
+			s := State{Newer: func(_ string, value, old []byte) bool { return bytes.Compare(value, old) > 0 }}
+			if known > 0 {
+				s.Merge(0, Update{Era: known, Full: true, AsOf: 9, Items: []Item{config, {Key: "new", Value: []byte("1"), Revision: 7}}})
+			}
 			s.Merge(0, u)
+			checkKeys(t, &s)
+			told := s.Since(0, Point{})
+			if err := new(Update).Unmarshal(marshal(told)); err != nil {
+				t.Fatalf("own update: %v", err)
+			}
+			s.Confirm(settleTime, 0)
+			s.Settle()
+			checkKeys(t, &s)
+			if s.Disputed() > 0 {
+				t.Fatal("disputes after the state has settled")
+			}
 		}
 	})
 }
+
+// checkKeys checks that items are under their own keys.
+func checkKeys(t *testing.T, s *State) {
+	t.Helper()
+	for key, it := range s.items {
+		if it.Key != key {
+			t.Fatalf("item %q is under key %q", it.Key, key)
+		}
+	}
+}
+
+// marshal encodes an update.
+func marshal(u Update) []byte {
+	var mp easyproto.MarshalerPool
+	m := mp.Get()
+	u.Marshal(m.MessageMarshaler())
+	return m.Marshal(nil)
+}
--- a/pimentofeed/wire.go
+++ b/pimentofeed/wire.go
@@ -1,6 +1,7 @@
 package pimentofeed
 
 import (
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/easyproto"
@@ -92,8 +93,11 @@
 // maxSettlesMillis bounds what a peer may state, so that the time can't overflow.
 const maxSettlesMillis = uint64(settleTime / time.Millisecond)
 
+// errDisputeKeys is the error of a dispute between two different items.
+var errDisputeKeys = errors.New("the items of a dispute have different keys")
+
 func (d *Dispute) unmarshal(src []byte) error {
-	return pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
+	err := pimentowire.EachField(src, func(fc *easyproto.FieldContext) (ok bool) {
 		item := func(it *Item) bool {
 			data, ok := fc.MessageData()
 			return ok && it.unmarshal(data) == nil
@@ -110,6 +114,10 @@
 		}
 		return true
 	})
+	if err == nil && d.Kept.Key != d.Stored.Key {
+		err = errDisputeKeys
+	}
+	return err
 }
 
 func (it *Item) unmarshal(src []byte) error {
