pimentogate: fuzz seeds with eras and disputes for sync messages

FuzzNote only had one seed, and checked nothing of what it had decoded. It gets messages without an era, with a removal on the store's side and with the highest numbers, and checks that point, digest and update are the same when they are encoded and decoded again.

--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -59,14 +59,35 @@
 }
 
 // FuzzNote decodes arbitrary bytes as a sync message. One without a sender must be
-// refused.
+// refused, and any other keeps its point, digest and disputes when it is encoded again.
 func FuzzNote(f *testing.F) {
 	f.Add(sampleSyncMessage().marshal())
+	noEra, removal, high := sampleSyncMessage(), sampleSyncMessage(), sampleSyncMessage()
+	noEra.at.Era, noEra.disputeDigest, noEra.update = 0, 0, nil
+	removal.update.Disputes[0].Stored = pimentofeed.Item{Key: "k", Revision: 12, Removed: true}
+	high.at, high.update.Era = pimentofeed.Point{Era: 1 << 63, Revision: 1 << 63}, 1<<63
+	high.update.SettlesIn = 1 << 60
+	for _, msg := range []*syncMessage{noEra, removal, high} {
+		f.Add(msg.marshal())
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		msg, err := unmarshalSyncMessage(data)
 		if err == nil && msg.sender.Name == "" {
 			t.Fatal("accepted a sync message without a sender")
 		}
+		if err != nil || msg.at.Era == 0 {
+			return
+		}
+		again, err := unmarshalSyncMessage(msg.marshal())
+		if err != nil {
+			t.Fatalf("own message: %v", err)
+		}
+		if again.at != msg.at || again.disputeDigest != msg.disputeDigest {
+			t.Fatalf("point %v and digest %d became %v and %d", msg.at, msg.disputeDigest, again.at, again.disputeDigest)
+		}
+		if msg.update != nil && !reflect.DeepEqual(again.update, msg.update) {
+			t.Fatalf("update %+v became %+v", msg.update, again.update)
+		}
 	})
 }
 
