pimentoplatform: pauses between reads of all items that don't help

A watch that got 410 made the follower read all items at once, and so did the next one, without a pause: a replica that lags behind, or a store that came back from a copy without stating an era, whose revisions stay below the known one, was read at the rate of its round trips. TestRepeatedCompactionIsPaced failed before: more than 50 reads in 30 s of its time, at a round trip of 1 ms.

--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -62,7 +62,8 @@
 	OnUpdate func(pimentofeed.Update)
 	// OnReading is called with true after each successful read, and with false after a
 	// failure or while ShouldRead returns false. A watch's error of KindCompacted or
-	// KindTooLarge isn't a failure: all items are read at once instead.
+	// KindTooLarge isn't a failure: all items are read instead, at once if a watch has
+	// succeeded since the last time.
 	OnReading func(bool)
 	// OnFailure is called after each failure of a read.
 	OnFailure func()
@@ -71,6 +72,7 @@
 	watching bool // A read has succeeded since ShouldRead last returned false.
 	batching bool // The last read returned changes, and batchPause followed.
 	readAll  bool // All items must be read again, and not stale.
+	rereads  int  // Times since the last successful watch that readAll was set.
 }
 
 // pollInterval is the time between two calls of ShouldRead while it returns false.
@@ -121,6 +123,9 @@
 		_ = level.Info(f.Log).Log("msg", "platform regained", "failures", f.failures, "revision", u.AsOf)
 		f.failures = 0
 	}
+	if !u.Full {
+		f.rereads = 0
+	}
 	f.OnUpdate(u)
 	f.OnReading(true)
 	f.batching = !u.Full && len(u.Items) > 0
@@ -145,14 +150,24 @@
 	if errors.As(err, &e) && !f.readAll && (e.Kind == KindCompacted || e.Kind == KindTooLarge || e.Kind == KindRestored) {
 		_ = level.Info(f.Log).Log("msg", "reading all items", "after", after, "err", err)
 		f.readAll = true
-		return 0
+		f.rereads++
+		if f.rereads == 1 {
+			return 0
+		}
+		return retryPause(f.rereads - 2) // The last read of all items didn't help.
 	}
 	f.OnReading(false)
 	f.OnFailure()
 	if f.failures == 0 {
 		_ = level.Warn(f.Log).Log("msg", "platform lost", "after", after, "err", err)
 	}
-	pause := min(maxRetryPause, minRetryPause<<min(f.failures, 8))
+	pause := retryPause(f.failures)
 	f.failures++
+	return pause
+}
+
+// retryPause returns the pause after a number of earlier failures.
+func retryPause(failures int) time.Duration {
+	pause := min(maxRetryPause, minRetryPause<<min(failures, 8))
 	return pause + time.Duration(rand.Float64()*float64(pause)/2)
 }
--- a/pimentoplatform/follow_test.go
+++ b/pimentoplatform/follow_test.go
@@ -93,3 +93,48 @@
 		is.Equal(answers[3].Sub(answers[2]), WatchWait)
 	})
 }
+
+// A replica that lags, or a store that came back from a copy without stating an era, answers
+// each watch with status 410. All items are then read again with pauses between the reads, and
+// without one once a watch has succeeded.
+func TestRepeatedCompactionIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		var reads []time.Duration
+		f := &Follower{
+			Source: Source{
+				Watch: func(after pimentofeed.Revision, wait time.Duration) (pimentofeed.Update, error) {
+					time.Sleep(time.Millisecond)
+					if s := time.Since(start); s > 20*time.Second && s < 25*time.Second {
+						time.Sleep(wait)
+						return pimentofeed.Update{From: after, AsOf: after}, nil
+					}
+					return pimentofeed.Update{}, &Error{Op: "watch", Kind: KindCompacted}
+				},
+				Read: func(bool) (pimentofeed.Update, error) {
+					time.Sleep(time.Millisecond)
+					reads = append(reads, time.Since(start))
+					return pimentofeed.Update{Full: true, AsOf: 7}, nil
+				},
+			},
+			Log:        log.NewNopLogger(),
+			ShouldRead: func() bool { return true },
+			At:         func() pimentofeed.Point { return pimentofeed.Point{Revision: 7} },
+			OnUpdate:   func(pimentofeed.Update) {},
+			OnReading:  func(bool) {},
+			OnFailure:  func() {},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(30 * time.Second)
+		cancel()
+		<-done
+		is.True(reads[0] < 10*time.Millisecond)
+		is.True(len(reads) < 50)
+	})
+}
