pimentofeed: an item that counts again after a pruned removal has a revision

A removal may be kept in place of an item of the copy. If more than 4,096 removals follow, its mark is pruned, and at the end of the dispute the item of the store was put into effect with revision 0: a fresh state that was told all items left it out, as it takes only revisions above 0. It now has at least the revision at which the store had it. The new test failed before: the fresh state had nothing.

--- a/pimentofeed/era.go
+++ b/pimentofeed/era.go
@@ -235,7 +235,7 @@
 	}
 	var changed []Item
 	for _, d := range s.listDisputes() {
-		s.putKept(d.Stored, s.items[d.Kept.Key].Revision)
+		s.putKept(d.Stored, max(s.items[d.Kept.Key].Revision, d.Base)) // The kept removal may be pruned.
 		changed = append(changed, s.items[d.Kept.Key])
 	}
 	s.disputes, s.prior, s.written = nil, nil, nil
--- a/pimentofeed/era_test.go
+++ b/pimentofeed/era_test.go
@@ -233,3 +233,25 @@
 	u := Update{Era: 2, Full: true, AsOf: 9, Disputes: []Dispute{{Kept: Item{Key: "a", Revision: 3}, Stored: Item{Key: "b", Revision: 2}, Base: 2}}}
 	is.True(new(Update).Unmarshal(marshal(u)) != nil)
 }
+
+// A removal is kept in place of an item of the copy, and pruned with others meanwhile. At the
+// end of the dispute a fresh state gets the item as well.
+func TestSettledItemReachesAFreshState(t *testing.T) {
+	is := is.New(t)
+	s := &State{}
+	s.Merge(0, Update{Era: 1, Full: true, AsOf: 10, Items: []Item{{Key: "a", Value: []byte("1"), Revision: 5}}})
+	s.Merge(0, Update{Era: 1, From: 10, AsOf: 11, Items: []Item{{Key: "a", Revision: 11, Removed: true}}})
+	s.Merge(0, Update{Era: 2, Full: true, AsOf: 10, Items: []Item{{Key: "a", Value: []byte("1"), Revision: 5}}})
+	is.Equal(s.Disputed(), 1)
+	var removals []Item
+	for i := range maxRemoved + 1 {
+		removals = append(removals, Item{Key: strconv.Itoa(i), Revision: Revision(11 + i), Removed: true})
+	}
+	s.Merge(0, Update{Era: 2, From: 10, AsOf: 11 + maxRemoved, Items: removals})
+	s.Confirm(settleTime, 0)
+	s.Settle()
+	is.Equal(contents(s), map[string]string{"a": "1"})
+	fresh := &State{}
+	fresh.Merge(0, s.Since(0, Point{}))
+	is.Equal(contents(fresh), contents(s))
+}
