--- a/cmd/pimentoarch/soak_test.go
+++ b/cmd/pimentoarch/soak_test.go
@@ -71,7 +71,10 @@
 	// proxies has one proxy for each target, then one to the store for each gate.
 	proxies []*standin.Proxy
 	gates   []*soakGate
-	version int
+
+	configMu sync.Mutex // Guards version, and writes of the configuration.
+	version  int
+	restores int // How often the store came back from a copy. Written by one goroutine at a time.
 
 	mu               sync.Mutex // Guards outcomes.
 	outcomes         map[string]outcome
@@ -90,6 +93,7 @@
 type soakGate struct {
 	name, settingsFile                string
 	callersAddr, readyAddr, storeAddr string
+	adminAddr                         string
 	log                               *os.File
 	mu                                sync.Mutex // Guards cmd.
 	cmd                               *exec.Cmd
@@ -155,7 +159,15 @@
 
 // publishConfig stores the configuration under a new version.
 func (s *soak) publishConfig() {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
 	s.version++
+	s.writeConfig()
+}
+
+// writeConfig stores the configuration under its present version. It is called with configMu
+// held.
+func (s *soak) writeConfig() {
 	route := func(prefix, kind string) map[string]any {
 		return map[string]any{"host": "seats.example", "pathPrefix": prefix, "kind": kind, "timeout": "1500ms", "targetLatency": "300ms", "priority": 1, "service": "seats", "maxAttempts": 2}
 	}
@@ -172,7 +184,7 @@
 func (s *soak) newGate(i int, store string) *soakGate {
 	g := &soakGate{name: fmt.Sprint("g", i), storeAddr: store, settingsFile: filepath.Join(s.dir, fmt.Sprint("g", i, ".json"))}
 	addrs := pimentofake.UniqueAddresses(4)
-	g.callersAddr, g.readyAddr = addrs[0], addrs[1]
+	g.callersAddr, g.readyAddr, g.adminAddr = addrs[0], addrs[1], addrs[3]
 	var seeds []string
 	if i > 0 {
 		var first map[string]any
@@ -257,6 +269,7 @@
 	}
 	s.injectFaults(time.Now().Add(duration))
 	s.awaitServing("after the faults")
+	s.awaitEra()
 	s.runMaintenance()
 	close(stop)
 	wg.Wait()
@@ -284,6 +297,7 @@
 func (s *soak) injectFaults(until time.Time) {
 	var wg sync.WaitGroup
 	restarting := make([]atomic.Bool, len(s.gates))
+	var restoring atomic.Bool
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(50+s.rng.IntN(350)) * time.Millisecond)
 		i, p := s.rng.IntN(len(s.gates)), s.proxies[s.rng.IntN(len(s.proxies))]
@@ -302,7 +316,7 @@
 				undo()
 			})
 		}
-		switch s.rng.IntN(9) {
+		switch s.rng.IntN(10) {
 		case 0:
 			restart(syscall.SIGKILL)
 		case 1:
@@ -322,6 +336,14 @@
 			s.publishConfig()
 		case 8:
 			s.store.Compact()
+		case 9:
+			lost := time.Duration(s.rng.IntN(2000)) * time.Millisecond
+			if restoring.CompareAndSwap(false, true) {
+				wg.Go(func() {
+					s.restoreStore(d, lost)
+					restoring.Store(false)
+				})
+			}
 		}
 	}
 	wg.Wait()
@@ -449,5 +471,5 @@
 		}
 	}
 	s.checkMaintenance(runs)
-	s.t.Logf("%d requests, by status: %v", len(s.outcomes), byStatus)
+	s.t.Logf("%d requests, by status: %v; the store came back from a copy %d times", len(s.outcomes), byStatus, s.restores)
 }
