--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -64,13 +64,12 @@
 // noteAsked records when a question was sent to the platform.
 func (g *Gate) noteAsked() { g.askedAt = bootTime() }
 
-// noteCurrent records that the platform had no higher revision than asOf when the last
-// question was sent.
-func (g *Gate) noteCurrent(asOf pimentofeed.Revision) {
+// noteCurrent records that the platform was not past a point when the last question was sent.
+func (g *Gate) noteCurrent(at pimentofeed.Point) {
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.feed.AsOf() >= asOf {
+	if !cs.feed.At().Before(at) {
 		cs.freshness.Confirm(g.askedAt)
 	}
 }
@@ -97,7 +96,7 @@
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.feed.AsOf() < msg.revision {
+	if at := cs.feed.At(); at.Era != msg.at.Era || at.Before(msg.at) {
 		return
 	}
 	if at, ok := cs.stamps.ConfirmedAt(*msg.confirmation, bootTime()); ok {
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -55,22 +56,23 @@
 	Log log.Logger
 	// ShouldRead returns whether to read now.
 	ShouldRead func() bool
-	// AsOf returns the revision up to which the state that was built from the updates
-	// is complete, 0 before the first update.
-	AsOf func() pimentofeed.Revision
+	// At returns the point up to which the state that was built from the updates is
+	// complete, the zero value before the first update.
+	At func() pimentofeed.Point
 	// OnUpdate is called with the result of each read.
 	OnUpdate func(pimentofeed.Update)
 	// OnReading is called with true after each successful read, and with false after a
 	// failure or while ShouldRead returns false. A watch's error of KindCompacted or
-	// KindTooLarge isn't a failure: all items are read at once instead.
+	// KindTooLarge isn't a failure: all items are read instead, at once if a watch has
+	// succeeded since the last time.
 	OnReading func(bool)
 	// OnFailure is called after each failure of a read.
 	OnFailure func()
 	// OnAsk, if set, is called right before each request to the source, and OnCurrent after
-	// the OnUpdate of a response that wasn't allowed to be stale: the source had no higher
-	// revision than asOf when OnAsk was called.
+	// the OnUpdate of a response that wasn't allowed to be stale: the source was not past
+	// the point when OnAsk was called.
 	OnAsk     func()
-	OnCurrent func(asOf pimentofeed.Revision)
+	OnCurrent func(pimentofeed.Point)
 	// WatchWait takes the place of the constant WatchWait if it isn't 0. It is at most as
 	// long.
 	WatchWait time.Duration
@@ -79,6 +81,7 @@
 	watching bool // A read has succeeded since ShouldRead last returned false.
 	batching bool // The last read returned changes, and batchPause followed.
 	readAll  bool // All items must be read again, and not stale.
+	rereads  int  // Times since the last successful watch that readAll was set.
 }
 
 // pollInterval is the time between two calls of ShouldRead while it returns false.
@@ -99,7 +102,8 @@
 
 // readOnce reads once and returns the pause until the next read.
 func (f *Follower) readOnce() time.Duration {
-	after := f.AsOf()
+	at := f.At()
+	after := at.Revision
 	if f.OnAsk != nil {
 		f.OnAsk()
 	}
@@ -111,6 +115,9 @@
 	} else {
 		u, err = f.Source.Watch(after, f.nextWait())
 	}
+	if err == nil {
+		err = checkEra(at, &u)
+	}
 	if err != nil {
 		return f.handleError(after, err)
 	}
@@ -120,9 +127,12 @@
 		_ = level.Info(f.Log).Log("msg", "platform regained", "failures", f.failures, "revision", u.AsOf)
 		f.failures = 0
 	}
+	if !u.Full {
+		f.rereads = 0
+	}
 	f.OnUpdate(u)
 	if f.OnCurrent != nil && !stale {
-		f.OnCurrent(u.AsOf)
+		f.OnCurrent(pimentofeed.Point{Era: u.Era, Revision: u.AsOf})
 	}
 	f.OnReading(true)
 	f.batching = !u.Full && len(u.Items) > 0
@@ -146,20 +156,39 @@
 	return usual
 }
 
+// checkEra returns an error if an update doesn't continue a state: it is of an earlier era, or
+// has only the changes since a revision of another one.
+func checkEra(at pimentofeed.Point, u *pimentofeed.Update) error {
+	if u.Era == at.Era || at.Revision == 0 || u.Full && u.Era > at.Era {
+		return nil
+	}
+	return &Error{Op: "follow", Kind: KindRestored, Err: fmt.Errorf("the state is of era %d, the response of era %d", at.Era, u.Era)}
+}
+
 // handleError handles a failed read, and returns the pause until the next one.
 func (f *Follower) handleError(after pimentofeed.Revision, err error) time.Duration {
 	var e *Error
-	if errors.As(err, &e) && !f.readAll && (e.Kind == KindCompacted || e.Kind == KindTooLarge) {
+	if errors.As(err, &e) && !f.readAll && (e.Kind == KindCompacted || e.Kind == KindTooLarge || e.Kind == KindRestored) {
 		_ = level.Info(f.Log).Log("msg", "reading all items", "after", after, "err", err)
 		f.readAll = true
-		return 0
+		f.rereads++
+		if f.rereads == 1 {
+			return 0
+		}
+		return retryPause(f.rereads - 2) // The last read of all items didn't help.
 	}
 	f.OnReading(false)
 	f.OnFailure()
 	if f.failures == 0 {
 		_ = level.Warn(f.Log).Log("msg", "platform lost", "after", after, "err", err)
 	}
-	pause := min(maxRetryPause, minRetryPause<<min(f.failures, 8))
+	pause := retryPause(f.failures)
 	f.failures++
+	return pause
+}
+
+// retryPause returns the pause after a number of earlier failures.
+func retryPause(failures int) time.Duration {
+	pause := min(maxRetryPause, minRetryPause<<min(failures, 8))
 	return pause + time.Duration(rand.Float64()*float64(pause)/2)
 }
