pimentoload, pimentogate: one line for the requests to a service that others share

Each waiting request polled targets for itself, so whoever asked at the right moment got the room, and the order among waiting requests was that of their timers. Requests to a service that routes or organisations of different priority or home regions share now wait in one line: more urgent first, then callers that send or hold no more than others, then those that few regions may serve; longest wait first, and under overload who can still be in time. Targets are asked once for those that wait, and an offer that one can't use goes to the next. What can't be in time, by the backlog and the rate of room, is refused at once, and Retry-After follows that rate. Other services are served as before.

--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -52,7 +52,9 @@
 	retryReason   reason     // Why the last send needed a retry.
 	lastCandidate *candidate // The last chosen target.
 	// rejected is the best target found when the request was refused, nil without one.
-	rejected   *candidate
+	rejected *candidate
+	// waiter is the call in the line of its service, nil if it hasn't been there.
+	waiter     *lineCall
 	lastSentAt time.Time
 	lastSend   *send // The last send whose outcome counted.
 
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -17,6 +17,9 @@
 // targets. It doesn't wait while the service is overloaded: slots that become free
 // then are taken by newer requests.
 func (g *Gate) chooseTarget(c *call, tried []pimentoroute.TargetID) (*candidate, reason) {
+	if l := g.lineOf(c); l != nil {
+		return g.chooseInLine(l, c, tried)
+	}
 	for wait := firstWait; ; wait = min(2*wait, maxWait) {
 		best, why := g.probeNearest(c, tried)
 		if why == reasonTargets {
@@ -55,7 +58,12 @@
 // decide returns what to do with a request, given its best target at the moment. cand is nil
 // if no target reported its load in time, or none that did may be used at the moment.
 func (g *Gate) decide(c *call, cand *candidate) pimentoload.Decision {
-	r := pimentoload.Request{
+	return pimentoload.Decide(g.loadRequest(c), cand.offer())
+}
+
+// loadRequest returns what is known about a request that is to be sent.
+func (g *Gate) loadRequest(c *call) pimentoload.Request {
+	return pimentoload.Request{
 		Waited:     time.Since(c.received),
 		Objective:  c.route.Objective,
 		Usual:      g.usualWork(c),
@@ -64,10 +72,14 @@
 		Pressure:   g.traffic.pressure(c.serviceName()),
 		Overloaded: g.traffic.overloaded(c.serviceName()),
 	}
+}
+
+// offer returns what a candidate offers, nil for none.
+func (cand *candidate) offer() *pimentoload.Offer {
 	if cand == nil {
-		return pimentoload.Decide(r, nil)
+		return nil
 	}
-	return pimentoload.Decide(r, &pimentoload.Offer{Expected: cand.expected, Queued: cand.queued, Idle: cand.idle, Room: cand.room})
+	return &pimentoload.Offer{Expected: cand.expected, Queued: cand.queued, Idle: cand.idle, Room: cand.room}
 }
 
 // probeNearest probes targets in rounds, nearest first, and returns the best one,
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -57,6 +57,8 @@
 	onceConfigured sync.Once
 	cluster        *clusterState
 	traffic        trafficStats
+	linesMu        sync.Mutex // Guards lines. Taken before their own mutexes.
+	lines          map[pimentoregister.ServiceName]*serviceLine
 	client         pimentohttp.Client
 	node           pimentolink.Node
 	workers        *ants.Pool
@@ -75,6 +77,8 @@
 	domainNames atomic.Pointer[[]pimentotarget.EntryName]
 	// domains are the domains at each distance.
 	domains [otherRegion + 1][]pimentoregister.DomainName
+	// regionNames are the names of all regions, sorted.
+	regionNames []pimentoregister.RegionName
 	// firstReadAt is the time since startedAt after which the platform is read if no
 	// items were received.
 	firstReadAt time.Duration
@@ -112,20 +116,21 @@
 		return nil, nil, fmt.Errorf("create pool of %d workers: %w", maxWorkers, err)
 	}
 	g := &Gate{
-		settings:   s,
-		region:     s.Region(),
-		domains:    domainsByDistance(s.Regions, s.Domain),
-		dialect:    p.Dialect,
-		decode:     p.Decode,
-		source:     p.Source,
-		reload:     p.Reload,
-		log:        logger,
-		metrics:    newGateMetrics(),
-		memory:     pimentomemory.NewBudget(s.heldBytes()),
-		startedAt:  time.Now(),
-		configured: make(chan struct{}),
-		workers:    workers,
-		conns:      connSet{most: maxCallerConns()},
+		settings:    s,
+		region:      s.Region(),
+		domains:     domainsByDistance(s.Regions, s.Domain),
+		regionNames: regionNames(s.Regions),
+		dialect:     p.Dialect,
+		decode:      p.Decode,
+		source:      p.Source,
+		reload:      p.Reload,
+		log:         logger,
+		metrics:     newGateMetrics(),
+		memory:      pimentomemory.NewBudget(s.heldBytes()),
+		startedAt:   time.Now(),
+		configured:  make(chan struct{}),
+		workers:     workers,
+		conns:       connSet{most: maxCallerConns()},
 
 		cutoffReached: make(chan struct{}),
 		advanceDraw:   rand.Float64(),
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -21,6 +21,8 @@
 	reasonTargets      reason = "targets"      // No target may be used.
 	reasonPaused       reason = "paused"       // All targets asked for a pause.
 	reasonBusy         reason = "busy"         // No target or worker can take it now.
+	reasonLineFull     reason = "line_full"    // Requests that cost callers more fill the line.
+	reasonLineLate     reason = "line_late"    // Room would come too late for it.
 	reasonBudget       reason = "budget"       // The retry allowance is spent.
 	reasonAttempts     reason = "attempts"     // The route's attempts are used up.
 	reasonTimeout      reason = "timeout"      // The deadline has passed.
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -176,6 +176,9 @@
 	}
 	shed := (why == reasonBudget || why == reasonAttempts) && c.retryReason == retryNotExecuted && c.lastCandidate.room > 0
 	r := pimentoload.Refusal{Left: left, Pressure: g.traffic.pressure(c.serviceName()), Urgent: c.urgent, Shed: shed}
+	if !shed {
+		r.Room = g.roomFor(c)
+	}
 	return r.ReturnAfter(rand.Float64())
 }
 
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -50,6 +50,7 @@
 		fields = append(fields, c.lastSend.bodyFields()...)
 	}
 	fields = append(fields, c.candidateFields()...)
+	fields = append(fields, c.lineFields()...)
 	if resp.reason == reasonBudget {
 		fields = append(fields, g.retryFields(c)...)
 	}
--- a/pimentoload/decide.go
+++ b/pimentoload/decide.go
@@ -104,6 +104,19 @@
 	return Send
 }
 
+// IsPressing reports whether so many requests are refused that others wait for room.
+func IsPressing(pressure float64) bool { return pressure > highPressure }
+
+// WaitLimit returns the time for which a request waits at most: while many are refused, that
+// after which it is refused without room, and else that after which a late response is better
+// than a longer wait.
+func WaitLimit(objective time.Duration, pressure float64) time.Duration {
+	if IsPressing(pressure) {
+		return time.Duration(crowdWaitFraction * float64(objective))
+	}
+	return time.Duration(waitFraction * float64(objective))
+}
+
 // Numbers of requests for which a target must have room.
 const (
 	urgentRoom     = math.MinInt // None: urgent requests crowd targets.
--- a/pimentoload/return.go
+++ b/pimentoload/return.go
@@ -27,6 +27,8 @@
 	// Shed is set if a target refused the request although it had room, so that another
 	// attempt may succeed at once.
 	Shed bool
+	// Room is the time until there is room for the caller, 0 if it isn't known.
+	Room time.Duration
 }
 
 // ReturnAfter returns the time after which the caller is to return. spread, from 0 up to 1,
@@ -42,6 +44,22 @@
 	}
 	if r.Shed {
 		mean = float64(shedReturn)
+	} else if r.Room > 0 {
+		return r.afterRoom(spread)
 	}
 	return time.Duration(mean * (0.5 + spread))
 }
+
+// roomSpread is the fraction of the time until there is room by which callers that return
+// for it are spread at most, because that time is an estimate.
+const roomSpread = 0.25
+
+// afterRoom returns the time after which the caller returns for room that is known to come,
+// as far as its time allows.
+func (r *Refusal) afterRoom(spread float64) time.Duration {
+	after := max(float64(r.Room), float64(shedReturn)) * (1 + roomSpread*(spread-0.5))
+	if latest := callerShare * float64(r.Left); latest > float64(shedReturn) {
+		after = min(after, latest*(1-roomSpread*spread))
+	}
+	return time.Duration(after)
+}
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -161,7 +161,9 @@
 	routesByHost map[string][]*Route // Longest prefix first.
 	// organisations has the organisation of each key.
 	organisations map[Key]*Organisation
-	targetCount   int
+	// shared has the services that requests of different classes go to.
+	shared      map[pimentoregister.ServiceName]bool
+	targetCount int
 }
 
 // domainLists has the targets of one service by domain, sorted by ID.
@@ -213,6 +215,7 @@
 	if t.Config != nil {
 		t.indexRoutes()
 		t.indexKeys()
+		t.indexShared()
 	}
 	return t
 }
