pimentoload, pimentogate: room by priority, returns in the fleet, new requests before returned ones

The time to return follows the backlog and the rate here and, from field 19 of the sync message, at the peers; figures older than two seconds don't count.

--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -59,6 +59,7 @@
 	traffic        trafficStats
 	linesMu        sync.Mutex // Guards lines. Taken before their own mutexes.
 	lines          map[pimentoregister.ServiceName]*serviceLine
+	peerBacklogs   peerBacklogs
 	client         pimentohttp.Client
 	node           pimentolink.Node
 	workers        *ants.Pool
--- a/pimentogate/line.go
+++ b/pimentogate/line.go
@@ -31,8 +31,10 @@
 	line    pimentoload.Line
 	waiting map[*pimentoload.Waiter]*lineCall
 	asking  int // Waiting requests for which targets are looked for.
-	pause   time.Duration
-	timer   *time.Timer // Wakes the line after a pause. nil without one.
+	// pause is the time after which targets are looked for again, and pausedUntil the end of
+	// the last one.
+	pause, pausedUntil time.Duration
+	timer              *time.Timer // Wakes the line after a pause. nil without one.
 }
 
 // lineCall is a call that may wait in a line.
@@ -157,7 +159,10 @@
 		}
 		return (g.now() - since).Seconds()
 	})
-	gauge("pimento_line_rate", func(l *pimentoload.Line) float64 { return l.Backlog(g.now()).Rate })
+	gauge("pimento_line_rate", func(l *pimentoload.Line) float64 {
+		b, _ := l.Backlog(g.now())
+		return b.Rate
+	})
 }
 
 // maxLineGauges bounds the services whose lines have gauges of their own.
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -267,12 +267,12 @@
 // the peer's membership, and peerSums its checksums, nil if unknown. A peer with the
 // same membership gets only a short record of this entry.
 func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums) *syncMessage {
-	now, digest := g.now(), g.crashDigest()
+	now, digest, backlogs := g.now(), g.crashDigest(), g.ownBacklogs()
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own()}
+	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own(), backlogs: backlogs}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
@@ -311,6 +311,7 @@
 // applySyncMessage merges a peer's sync message into the cluster state.
 func (g *Gate) applySyncMessage(msg *syncMessage) {
 	now := g.now()
+	g.peerBacklogs.set(now, msg.sender.Name, msg.backlogs)
 	cs := g.cluster
 	cs.mu.Lock()
 	cs.members.MergeDirect(now, msg.sender)
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -30,6 +30,8 @@
 	crashDigest uint64
 	crashes     []pimentoretry.Report
 	entries     int // The size of the fleet that the sender has seen, 0 if unknown.
+	// backlogs are those of the sender's lines.
+	backlogs []serviceBacklog
 }
 
 var (
@@ -43,7 +45,7 @@
 //   Member sender = 1; fixed64 members_hash = 2; repeated Member members = 3;
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
-//   fixed64 crash_digest = 11; uint64 entries = 12;
+//   fixed64 crash_digest = 11; uint64 entries = 12; repeated Backlog backlogs = 19;
 // }
 //
 // Field 7 was used for another purpose.
@@ -73,6 +75,9 @@
 	}
 	mm.AppendFixed64(11, msg.crashDigest)
 	mm.AppendUint64(12, uint64(msg.entries))
+	for i := range msg.backlogs {
+		marshalBacklog(mm.AppendMessage(19), &msg.backlogs[i])
+	}
 	return m.Marshal(nil)
 }
 
@@ -190,6 +195,10 @@
 			var n uint64
 			n, ok = fc.Uint64()
 			msg.entries = int(min(n, maxStatedEntries))
+		case 19:
+			var b serviceBacklog
+			b, ok = backlogField(fc)
+			msg.backlogs = append(msg.backlogs, b)
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"pimentoarch/pimentofeed"
+	"pimentoarch/pimentoload"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoretry"
 )
@@ -25,6 +26,7 @@
 		crashes:     []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
 		crashDigest: 99,
 		entries:     140,
+		backlogs:    []serviceBacklog{{"s", pimentoload.Backlog{Waiting: 2.5, Rate: 17.25}, 300 * time.Millisecond}, {service: "t"}},
 	}
 }
 
--- a/pimentogate/waiting.go
+++ b/pimentogate/waiting.go
@@ -153,7 +153,10 @@
 		l.giveTurn(&taker.Waiter, best)
 	} else {
 		best.releaseIfAny()
-		l.pause = min(max(2*l.pause, firstWait), maxWait)
+		if now >= l.pausedUntil { // Of several at a time, one makes the pause longer.
+			l.pause = min(max(2*l.pause, firstWait), maxWait)
+			l.pausedUntil = now + l.pause
+		}
 		l.line.Pause(now, w.Regions, now+l.pause)
 		g.wakeAfter(l, l.pause)
 	}
@@ -279,9 +282,11 @@
 	if l == nil {
 		return 0
 	}
+	now := g.now()
+	elsewhere := g.peerBacklogs.of(now, l.service)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.line.Return(g.now(), c.priority(), pimentoload.Backlog{})
+	return l.line.Return(now, c.priority(), elsewhere)
 }
 
 // lineFields returns log fields with the place that a call last had in a line.
--- /dev/null
+++ b/pimentogate/waiting_test.go
@@ -0,0 +1,181 @@
+package pimentogate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentoload"
+	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
+)
+
+// lineGate returns a gate with two routes of different priority that share a service.
+func lineGate(t *testing.T) (*Gate, *pimentoroute.Table) {
+	t.Helper()
+	s := DefaultSettings()
+	g, cleanUp, err := New(s, PlatformAdapter{}, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanUp)
+	parts := []pimentoroute.SplitService{{Service: "s", Weight: 1}}
+	cfg := &pimentoroute.Config{Routes: []*pimentoroute.Route{
+		{Name: "urgent", Parts: parts, Priority: 0, Objective: 400 * time.Millisecond, Timeout: 2 * time.Second},
+		{Name: "other", Parts: parts, Priority: 1, Objective: 400 * time.Millisecond, Timeout: 2 * time.Second},
+	}}
+	table := pimentoroute.Build([]pimentoroute.Record{{Config: cfg}}, nil)
+	g.table.Store(table)
+	return g, table
+}
+
+// lineTestCall returns a call that comes now.
+func lineTestCall(table *pimentoroute.Table, route int, caller string) *call {
+	c := newCall(new(fasthttp.Request), &Dialect{}, caller, time.Now())
+	c.table, c.service = table, &pimentoroute.Service{Name: "s"}
+	c.setRoute(table.Config.Routes[route])
+	return c
+}
+
+// Whatever becomes of calls in a line, each ends within its limit, and nothing of it stays:
+// callers leave, targets have room or not, and turns meet limits.
+func TestLineOfCalls(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	const calls = 400
+	var wg sync.WaitGroup
+	var sent, refused atomic.Int64
+	for i := range calls {
+		c := lineTestCall(table, i%2, fmt.Sprint(i%7))
+		if i%10 == 0 {
+			time.AfterFunc(time.Duration(rand.IntN(200))*time.Millisecond, c.abandon)
+		}
+		wg.Go(func() {
+			l := g.lineOf(c)
+			w, asks := g.arrive(l, c)
+			for {
+				if !asks {
+					if turn := g.awaitTurn(l, w); turn.why != reasonNone {
+						refused.Add(1)
+						return
+					}
+				}
+				asks = false
+				time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
+				if rand.IntN(3) == 0 {
+					sent.Add(1)
+					g.endTurn(l, w, true)
+					return
+				}
+				if time.Since(c.received) > time.Second {
+					g.endTurn(l, w, false)
+					return
+				}
+				g.rejoin(l, w, nil)
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("calls still wait")
+	}
+	l := g.lines["s"]
+	is.Equal(l.line.Length(), 0)
+	is.Equal(len(l.waiting), 0)
+	is.Equal(l.asking, 0)
+	is.True(sent.Load() > 0)
+	t.Logf("%d sent, %d refused", sent.Load(), refused.Load())
+}
+
+// Calls wait in a line only where the configuration calls for it.
+func TestLineOnlyWhereShared(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	is.True(g.lineOf(lineTestCall(table, 0, "a")) != nil)
+	table.Config.Routes[1].Priority = 0
+	g.table.Store(pimentoroute.Build([]pimentoroute.Record{{Config: table.Config}}, nil))
+	is.True(g.lineOf(lineTestCall(table, 0, "a")) == nil)
+}
+
+// While one call looks for a target, others of its rank and below wait and don't ask, too.
+func TestOneAsksForAll(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	first := lineTestCall(table, 0, "a")
+	l := g.lineOf(first)
+	w, asks := g.arrive(l, first)
+	is.True(asks)
+	g.rejoin(l, w, nil) // There was no room.
+	for i := range 5 {
+		_, asks := g.arrive(l, lineTestCall(table, 1, fmt.Sprint(i)))
+		is.True(!asks)
+	}
+	is.Equal(l.asking, 0)
+	is.Equal(l.line.Length(), 6)
+	turn := g.awaitTurn(l, w) // After the pause.
+	is.Equal(turn, lineTurn{})
+}
+
+func TestPeerBacklogs(t *testing.T) {
+	is := is.New(t)
+	var p peerBacklogs
+	b := func(waiting, rate float64, age time.Duration) []serviceBacklog {
+		return []serviceBacklog{{"s", pimentoload.Backlog{Waiting: waiting, Rate: rate}, age}}
+	}
+	p.set(0, "a", b(3, 10, 0))
+	p.set(0, "b", b(1, 5, time.Second))
+	p.set(0, "a", b(4, 10, 0)) // Replaces the first.
+	is.Equal(p.of(0, "s"), pimentoload.Backlog{Waiting: 5, Rate: 15})
+	is.Equal(p.of(0, "t"), pimentoload.Backlog{})
+	is.Equal(p.of(1500*time.Millisecond, "s"), pimentoload.Backlog{Waiting: 4, Rate: 10}) // The other is too old.
+	is.Equal(p.of(backlogMemory+1, "s"), pimentoload.Backlog{})
+	p.set(time.Second, "a", nil)
+	is.Equal(p.of(time.Second, "s"), pimentoload.Backlog{Waiting: 1, Rate: 5})
+	for i := range 2 * maxBacklogEntries {
+		p.set(2*time.Second, pimentotarget.EntryName(fmt.Sprint(i)), b(1, 1, 0))
+	}
+	is.True(len(p.entries) <= maxBacklogEntries)
+	p.set(10*time.Second, "c", b(1, 1, 0))
+	is.Equal(len(p.entries), 1)
+}
+
+// A message has no backlogs without a line that knows its rate, and few of them, so that it
+// stays small.
+func TestBacklogsOfMessage(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	is.Equal(len(g.ownBacklogs()), 0)
+	l := g.lineOf(lineTestCall(table, 0, "a"))
+	now := g.now()
+	for i := range 40 {
+		c := lineTestCall(table, 0, "a")
+		w := g.newLineCall(c)
+		l.line.Arrive(now, &w.Waiter)
+		at := now + time.Duration(i)*20*time.Millisecond
+		if i == 0 {
+			l.line.Join(at, &w.Waiter)
+			continue
+		}
+		l.line.Claim(at, &w.Waiter)
+		l.line.Ended(at, &w.Waiter, true)
+	}
+	g.startedAt = g.startedAt.Add(-800 * time.Millisecond)
+	list := g.ownBacklogs()
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Waiting, 1.0)
+	is.True(list[0].Rate > 40 && list[0].Rate < 60)
+	empty := (&syncMessage{sender: pimentopeer.Member{Name: "a"}}).marshal()
+	full := (&syncMessage{sender: pimentopeer.Member{Name: "a"}, backlogs: list}).marshal()
+	is.True(len(full)-len(empty) <= 16)
+}
--- a/pimentoload/callers.go
+++ b/pimentoload/callers.go
@@ -57,6 +57,6 @@
 }
 
 // isGreedy reports whether a caller holds or sends far more requests than others.
-func (l *Line) isGreedy(_ time.Duration, caller string) bool {
+func (l *Line) isGreedy(caller string) bool {
 	return l.callers.SendsMost(caller) || exceeds(l.held[caller], l.length, len(l.held), greedyHeld)
 }
--- a/pimentoload/line.go
+++ b/pimentoload/line.go
@@ -41,7 +41,8 @@
 // is next. The zero value has no bounds. It isn't safe for concurrent use.
 //
 // More urgent requests come first, then callers that hold or send no more than others, then
-// requests that fewer regions may serve. Among equals, it is the one that has waited longest,
+// requests that are new, since others are late anyway, then those that fewer regions may
+// serve. Among equals, it is the one that has waited longest,
 // and under overload the one with the least time left among those that can be in time. Each
 // fairEvery-th turn goes to the kind that was passed over most often.
 type Line struct {
@@ -73,6 +74,7 @@
 type classKey struct {
 	priority int
 	greedy   bool
+	returned bool
 	regions  RegionSet
 }
 
@@ -93,14 +95,19 @@
 )
 
 func compareKeys(a, b classKey) int {
-	greedy := func(k classKey) int {
-		if k.greedy {
-			return 1
-		}
+	return cmp.Or(cmp.Compare(a.priority, b.priority), compareFlags(a.greedy, b.greedy), compareFlags(a.returned, b.returned),
+		cmp.Compare(bits.OnesCount64(uint64(a.regions)), bits.OnesCount64(uint64(b.regions))), cmp.Compare(a.regions, b.regions))
+}
+
+// compareFlags compares two flags; a set one comes later.
+func compareFlags(a, b bool) int {
+	switch {
+	case a == b:
 		return 0
+	case a:
+		return 1
 	}
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(greedy(a), greedy(b)),
-		cmp.Compare(bits.OnesCount64(uint64(a.regions)), bits.OnesCount64(uint64(b.regions))), cmp.Compare(a.regions, b.regions))
+	return -1
 }
 
 func compareAges(a, b *Waiter) int {
@@ -134,7 +141,7 @@
 	l.seq++
 	w.seq = l.seq
 	l.callers.Observe(now, w.Caller)
-	w.class = l.classOf(classKey{w.Priority, l.isGreedy(now, w.Caller), w.Regions})
+	w.class = l.classOf(classKey{w.Priority, l.isGreedy(w.Caller), w.Returned, w.Regions})
 }
 
 // classOf returns the class of a rank.
@@ -272,7 +279,7 @@
 	if !sent {
 		return
 	}
-	l.room.Observe(now, l.length > 0)
+	l.room.Observe(now, w.Priority)
 	if w.class.passed = 0; w.Fair {
 		l.turns = 0
 	} else {
--- a/pimentoload/line_test.go
+++ b/pimentoload/line_test.go
@@ -176,13 +176,13 @@
 // order compares two requests: who comes first under normal load.
 func (o *oracle) order(a, b *Waiter) int {
 	ka, kb := a.class.classKey, b.class.classKey
-	greedy := func(k classKey) int {
-		if k.greedy {
+	flag := func(set bool) int {
+		if set {
 			return 1
 		}
 		return 0
 	}
-	return cmp.Or(ka.priority-kb.priority, greedy(ka)-greedy(kb), bits.OnesCount64(uint64(ka.regions))-bits.OnesCount64(uint64(kb.regions)),
+	return cmp.Or(ka.priority-kb.priority, flag(ka.greedy)-flag(kb.greedy), flag(ka.returned)-flag(kb.returned), bits.OnesCount64(uint64(ka.regions))-bits.OnesCount64(uint64(kb.regions)),
 		cmp.Compare(ka.regions, kb.regions), cmp.Compare(a.Since, b.Since), cmp.Compare(a.seq, b.seq))
 }
 
@@ -232,6 +232,7 @@
 				w.Regions = rapid.SampledFrom([]RegionSet{AllRegions, 1, 2, 3}).Draw(t, "regions")
 				w.Work = time.Duration(rapid.IntRange(10, 400).Draw(t, "work")) * ms
 				w.Bytes = rapid.IntRange(0, 10).Draw(t, "bytes")
+				w.Returned = rapid.Bool().Draw(t, "returned")
 				l.Arrive(now, w)
 				l.Join(now, w)
 				o.waiting = append(o.waiting, w)
--- a/pimentoload/returns.go
+++ b/pimentoload/returns.go
@@ -6,13 +6,9 @@
 // due yet: room goes to the most urgent first.
 type returnQueue struct {
 	at  time.Duration // Up to which room was taken off.
-	due [returnPriorities]float64
+	due perPriority
 }
 
-// returnPriorities is the number of priorities that are told apart; lower ones count as the
-// lowest.
-const returnPriorities = 8
-
 // advance takes the room off that came since the last call.
 func (q *returnQueue) advance(now time.Duration, rate float64) {
 	room := rate * (now - q.at).Seconds()
@@ -26,34 +22,43 @@
 
 // Return returns the time until there is room for the caller of a refused request when it
 // returns, and reserves it: after the requests that wait, and the callers that return, with
-// the same or a higher priority. elsewhere is the backlog at other entries, with the room
-// that comes there. It returns 0 while the rate at which room comes isn't known.
+// the same or a higher priority. elsewhere is the backlog at other entries, to any of which
+// it may return: the time is longer or shorter as theirs compares with this one. It returns
+// 0 while the rate at which room comes isn't known.
 func (l *Line) Return(now time.Duration, priority int, elsewhere Backlog) time.Duration {
-	rate := l.room.Rate(now)
-	q := &l.returns
-	q.advance(now, rate)
-	if rate <= 0 {
+	own, _ := l.Backlog(now)
+	if own.Rate <= 0 {
 		return 0
 	}
-	p := min(max(priority, 0), returnPriorities-1)
-	before := 0.0
-	for _, n := range q.due[:p+1] {
-		before += n
+	p := priorityIndex(priority)
+	urgent, others := 0.0, l.returns.due[p]+1
+	for _, n := range l.returns.due[:p] {
+		urgent += n
 	}
-	q.due[p]++
 	for _, c := range l.classes {
-		if c.priority <= priority {
-			before += float64(len(c.byAge))
+		switch {
+		case c.priority < priority:
+			urgent += float64(len(c.byAge))
+		case c.priority == priority:
+			others += float64(len(c.byAge))
 		}
 	}
-	return time.Duration((before + 1 + elsewhere.Waiting) / (rate + elsewhere.Rate) * float64(time.Second))
+	l.returns.due[p]++
+	here := (own.Waiting + 1) / own.Rate
+	fleet := (own.Waiting + 1 + elsewhere.Waiting) / (own.Rate + elsewhere.Rate)
+	return time.Duration(fleet / here * float64(l.timeFor(now, priority, urgent, others)))
 }
 
-// Backlog is the number of requests to a service that wait at some entries, and the number
-// for which room comes in a second there.
+// Backlog is the number of requests to a service that wait at some entries or will return to
+// them, and the number for which room comes in a second there.
 type Backlog struct{ Waiting, Rate float64 }
 
-// Backlog returns that of this line.
-func (l *Line) Backlog(now time.Duration) Backlog {
-	return Backlog{float64(l.length), l.room.Rate(now)}
+// Backlog returns that of this line, and the age of its rate. Without a rate, it is empty.
+func (l *Line) Backlog(now time.Duration) (Backlog, time.Duration) {
+	rate := l.room.Rate(now, 0)
+	l.returns.advance(now, rate)
+	if rate <= 0 {
+		return Backlog{}, 0
+	}
+	return Backlog{Waiting: float64(l.length) + l.returns.due.from(0), Rate: rate}, l.room.age(now)
 }
--- a/pimentoload/shed.go
+++ b/pimentoload/shed.go
@@ -19,23 +19,36 @@
 	return n + i
 }
 
-// ExpectedWait returns the time until there is room for a request, by those before it and
-// the rate at which room comes. It is 0 while the rate isn't known.
+// ExpectedWait returns the time until there is room for a request: more urgent ones before it
+// take all the room that comes, and the others what these have left lately. It is 0 while the
+// rate isn't known.
 func (l *Line) ExpectedWait(now time.Duration, w *Waiter) time.Duration {
-	rate := l.room.Rate(now)
-	if rate <= 0 {
+	if l.room.Rate(now, 0) <= 0 {
 		return 0
 	}
-	return time.Duration(float64(l.Position(w)) / rate * float64(time.Second))
+	urgent := 0
+	for _, c := range l.classes {
+		if c.priority < w.Priority {
+			urgent += len(c.byAge) + c.asking
+		}
+	}
+	return l.timeFor(now, w.Priority, float64(urgent), float64(l.Position(w)-urgent))
+}
+
+// timeFor returns the time in which room comes for a number of requests more urgent than a
+// priority, and for others of it. The rate is known.
+func (l *Line) timeFor(now time.Duration, priority int, urgent, others float64) time.Duration {
+	seconds := urgent/l.room.Rate(now, 0) + others/l.room.Rate(now, priority)
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // Hopeless reports whether it is known that a request can't be served in time. That of a
-// caller that was refused before only has to be served before the caller leaves: it was
-// told to return although this was known.
+// caller that was refused before is late in any case. It may wait for its objective once
+// more, as far as its time allows.
 func (l *Line) Hopeless(now time.Duration, w *Waiter) bool {
 	latest := w.latestStart()
 	if w.Returned {
-		latest = w.Deadline - w.Work
+		latest = min(w.Objective, w.Deadline-w.Work)
 	}
 	wait := l.ExpectedWait(now, w)
 	return wait > 0 && now+wait > latest
@@ -52,76 +65,3 @@
 	l.Leave(now, w)
 	return w
 }
-
-// RoomRate learns the number of requests a second that targets take while others wait. The
-// zero value is ready to use. It isn't safe for concurrent use.
-type RoomRate struct {
-	busy    bool // Requests wait since since.
-	since   time.Duration
-	sent    int
-	rate    float64 // Of the last whole window, measured at rateAt.
-	rateAt  time.Duration
-	measure bool // rate is set.
-}
-
-const (
-	// rateWindow is the time over which a rate is measured, and minRateWindow that from
-	// which on it is used.
-	rateWindow    = 500 * time.Millisecond
-	minRateWindow = 150 * time.Millisecond
-	// rateMemory is the age up to which a rate is used.
-	rateMemory = 2 * time.Second
-	// rateWeight is the weight of the newest window.
-	rateWeight = 0.5
-)
-
-// SetBusy records whether requests wait.
-func (r *RoomRate) SetBusy(now time.Duration, busy bool) {
-	if busy && !r.busy {
-		r.since, r.sent = now, 0
-	}
-	if !busy && r.busy {
-		r.closeWindow(now, minRateWindow)
-	}
-	r.busy = busy
-}
-
-// Observe records that a request was sent. waiting is set if others wait.
-func (r *RoomRate) Observe(now time.Duration, waiting bool) {
-	if r.busy || waiting {
-		r.sent++
-		r.closeWindow(now, rateWindow)
-	}
-}
-
-// closeWindow ends the window if it is long enough.
-func (r *RoomRate) closeWindow(now, length time.Duration) {
-	took := now - r.since
-	if took < length {
-		return
-	}
-	rate := float64(r.sent) / took.Seconds()
-	if r.measure && now-r.rateAt < rateMemory {
-		rate = rateWeight*rate + (1-rateWeight)*r.rate
-	}
-	r.rate, r.rateAt, r.measure = rate, now, true
-	r.since, r.sent = now, 0
-}
-
-// Rate returns the requests a second that targets take, or 0 if that isn't known. A window
-// in which none was taken yet counts as one that ends with the first.
-func (r *RoomRate) Rate(now time.Duration) float64 {
-	known := r.measure && now-r.rateAt < rateMemory
-	took := now - r.since
-	if !r.busy || took < minRateWindow {
-		if known {
-			return r.rate
-		}
-		return 0
-	}
-	rate := float64(max(1, r.sent)) / took.Seconds()
-	if known {
-		return rateWeight*rate + (1-rateWeight)*r.rate
-	}
-	return rate
-}
--- a/pimentoload/shed_test.go
+++ b/pimentoload/shed_test.go
@@ -7,11 +7,11 @@
 	"github.com/matryer/is"
 )
 
-// sendAtRate lets n requests be sent in a second while others wait.
-func sendAtRate(l *Line, now time.Duration, n int) {
+// sendAtRate lets n requests of a priority be sent in a second while others wait.
+func sendAtRate(l *Line, now time.Duration, n, priority int) {
 	for i := range n {
 		at := now + time.Duration(i)*time.Second/time.Duration(n)
-		w := newWaiter(at, 0, "a")
+		w := newWaiter(at, priority, "a")
 		l.Arrive(at, w)
 		l.Claim(at, w)
 		l.Ended(at, w, true)
@@ -28,7 +28,7 @@
 		joined(&l, newWaiter(0, 0, "a"))
 	}
 	is.Equal(l.Shed(0), nil) // The rate isn't known.
-	sendAtRate(&l, 0, 20)
+	sendAtRate(&l, 0, 20, 2)
 	w := newWaiter(now, 1, "b") // Ten before it take half a second.
 	joined(&l, w)
 	wait := l.ExpectedWait(now, w)
@@ -59,7 +59,7 @@
 	var l Line
 	is.Equal(l.Return(0, 1, Backlog{}), time.Duration(0)) // The rate isn't known.
 	joined(&l, newWaiter(0, 0, "a"))
-	sendAtRate(&l, 0, 20)
+	sendAtRate(&l, 0, 20, 2)
 	now := time.Second
 	near := func(got, want time.Duration) bool { return got > want*9/10-ms && got < want*11/10+ms }
 	is.True(near(l.Return(now, 1, Backlog{}), 100*ms)) // One waits.
@@ -67,28 +67,41 @@
 	is.True(near(l.Return(now, 0, Backlog{}), 100*ms)) // Before those.
 	is.True(near(l.Return(now, 1, Backlog{}), 250*ms))
 	is.True(near(l.Return(now, 1, Backlog{Waiting: 10, Rate: 80}), 160*ms))
-	sendAtRate(&l, now, 20)
+	sendAtRate(&l, now, 20, 2)
 	now += time.Second
 	is.True(near(l.Return(now, 1, Backlog{}), 100*ms)) // The others are back.
 }
 
+// Room that more urgent requests take isn't expected by less urgent ones.
+func TestRoomTakenByUrgent(t *testing.T) {
+	is := is.New(t)
+	var l Line
+	joined(&l, newWaiter(0, 0, "a"))
+	sendAtRate(&l, 0, 20, 0)
+	sendAtRate(&l, 0, 5, 1)
+	urgent, other := newWaiter(time.Second, 0, "b"), newWaiter(time.Second, 1, "b")
+	joined(&l, newWaiter(time.Second, 1, "a"), urgent, other)
+	is.True(l.ExpectedWait(time.Second, urgent) < 60*ms)
+	is.True(l.ExpectedWait(time.Second, other) > 200*ms)
+}
+
 // The rate of room is that while requests wait.
 func TestRoomRate(t *testing.T) {
 	is := is.New(t)
 	var r RoomRate
-	is.Equal(r.Rate(0), 0.0)
+	is.Equal(r.Rate(0, 0), 0.0)
 	for i := range 100 {
-		r.Observe(time.Duration(i)*ms, false)
+		r.Observe(time.Duration(i)*ms, 1)
 	}
-	is.Equal(r.Rate(100*ms), 0.0)
+	is.Equal(r.Rate(100*ms, 0), 0.0)
 	r.SetBusy(time.Second, true)
-	is.Equal(r.Rate(time.Second+50*ms), 0.0)
-	is.Equal(r.Rate(time.Second+500*ms), 2.0) // None came for half a second.
+	is.Equal(r.Rate(time.Second+50*ms, 0), 0.0)
+	is.Equal(r.Rate(time.Second+500*ms, 0), 2.0) // None came for half a second.
 	for i := range 20 {
-		r.Observe(time.Second+time.Duration(i)*50*ms, true)
+		r.Observe(time.Second+time.Duration(i)*50*ms, 1)
 	}
-	got := r.Rate(2 * time.Second)
+	got := r.Rate(2*time.Second, 0)
 	is.True(got > 17 && got < 23)
 	r.SetBusy(2*time.Second, false)
-	is.Equal(r.Rate(2*time.Second+2*rateMemory), 0.0)
+	is.Equal(r.Rate(2*time.Second+2*rateMemory, 0), 0.0)
 }
