--- a/pimentoload/callers.go
+++ b/pimentoload/callers.go
@@ -16,7 +16,7 @@
 }
 
 const (
-	maxCallers   = 1024
+	maxCallers   = 256
 	callerMemory = 5 * time.Second
 	// greedyFactor times what other callers send or hold on average is the number above
 	// which a caller counts as greedy, and greedyRequests and greedyHeld are numbers that
