pimentoload: the model of the line keeps only requests that haven't ended

The requests of all plays stayed in one map of the package, so that plays couldn't run in parallel and held memory until the end of the test.

--- a/pimentoload/linemodel_test.go
+++ b/pimentoload/linemodel_test.go
@@ -20,6 +20,7 @@
 	// free are the free slots that any request may use, and freeBound those of the regions
 	// that bound requests may use.
 	free, freeBound int
+	requests        map[*Waiter]*lineRequest // That haven't ended.
 	results         []lineResult
 }
 
@@ -69,7 +70,7 @@
 
 // playLine plays a pattern and returns the results by kind.
 func playLine(p linePattern, seed uint64) []lineResult {
-	m := &lineModel{pattern: p, rnd: rand.New(rand.NewPCG(seed, 2)), free: p.slots, freeBound: p.boundSlots, results: make([]lineResult, len(p.kinds))}
+	m := &lineModel{pattern: p, rnd: rand.New(rand.NewPCG(seed, 2)), free: p.slots, freeBound: p.boundSlots, requests: make(map[*Waiter]*lineRequest), results: make([]lineResult, len(p.kinds))}
 	m.line.MaxLength = 1000
 	for k := range p.kinds {
 		m.arrive(k)
@@ -121,7 +122,7 @@
 	if m.pattern.withoutRegions {
 		w.class = m.line.classOf(classKey{w.Priority, w.class.greedy, w.Returned, lineRegions})
 	}
-	requests[w] = r
+	m.requests[w] = r
 	if m.hasRoom(r) && m.line.Ask(m.now, w) {
 		m.run(r)
 		return
@@ -133,13 +134,10 @@
 		}
 	})
 	for out := m.line.Shed(m.now); out != nil; out = m.line.Shed(m.now) {
-		m.refuse(requests[out])
+		m.refuse(m.requests[out])
 	}
 }
 
-// requests has the request of each waiter; tests of the model don't run in parallel.
-var requests = make(map[*Waiter]*lineRequest)
-
 func (m *lineModel) hasRoom(r *lineRequest) bool {
 	return m.freeBound > 0 || (m.free > 0 && !m.pattern.kinds[r.kind].bound)
 }
@@ -153,6 +151,7 @@
 	}
 	*slots--
 	m.line.Ended(m.now, r.Waiter, true)
+	delete(m.requests, r.Waiter)
 	m.after(time.Duration(float64(k.work)*max(0.3, 1+workSpread*m.rnd.NormFloat64())), func() {
 		*slots++
 		res := &m.results[r.kind]
@@ -174,7 +173,7 @@
 		if w == nil {
 			return
 		}
-		if r := requests[w]; m.hasRoom(r) {
+		if r := m.requests[w]; m.hasRoom(r) {
 			m.run(r)
 			continue
 		}
@@ -192,6 +191,7 @@
 	res := &m.results[r.kind]
 	res.held += m.now - r.Since
 	res.attempts++
+	delete(m.requests, r.Waiter)
 	left := r.deadline - m.now
 	refusal := Refusal{Left: left, Pressure: 0.2, Room: m.line.Return(m.now, r.Priority, Backlog{})}
 	if m.pattern.withoutReturn {
