pimentogate: a test that an offer goes to the next request that can use it

The hand-over had no test of its own: a target that the first in line has tried already goes to the next one, and to nobody whose home regions don't allow it.

--- a/pimentogate/waiting_test.go
+++ b/pimentogate/waiting_test.go
@@ -14,6 +14,7 @@
 
 	"pimentoarch/pimentoload"
 	"pimentoarch/pimentopeer"
+	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoroute"
 	"pimentoarch/pimentotarget"
 )
@@ -179,3 +180,32 @@
 	full := (&syncMessage{sender: pimentopeer.Member{Name: "a"}, backlogs: list}).marshal()
 	is.True(len(full)-len(empty) <= 16)
 }
+
+// A target that the first in line can't use goes to the next that can, and to nobody whose
+// home regions don't allow it.
+func TestHandOver(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	cand := &candidate{target: &pimentoroute.Target{ID: "t", Region: "r", Slots: 6}, report: LoadReport{Slots: 6, Healthy: true, Slowdown: 100}}
+	first, second := lineTestCall(table, 0, "a"), lineTestCall(table, 1, "b")
+	first.tried = []pimentoroute.TargetID{"t"}
+	l := g.lineOf(first)
+	for _, c := range []*call{first, second} {
+		c.waiter = g.newLineCall(c)
+		l.waiting[&c.waiter.Waiter] = c.waiter
+		l.line.Arrive(g.now(), &c.waiter.Waiter)
+		l.line.Join(g.now(), &c.waiter.Waiter)
+	}
+	is.Equal(g.findTaker(l, cand), second.waiter)
+	is.Equal(g.findTaker(l, nil), nil)
+	second.organisation = &pimentoroute.Organisation{Homes: []pimentoregister.RegionName{"other"}}
+	is.Equal(g.findTaker(l, cand), nil)
+	second.organisation = nil
+	asker := lineTestCall(table, 0, "c")
+	asker.waiter = g.newLineCall(asker)
+	l.line.Arrive(g.now(), &asker.waiter.Waiter)
+	l.line.Claim(g.now(), &asker.waiter.Waiter)
+	g.rejoin(l, asker.waiter, cand)
+	is.Equal(g.awaitTurn(l, second.waiter).offer, cand)
+	is.Equal(l.asking, maxAskers) // The others ask again: there was room a moment ago.
+}
