--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -270,12 +270,23 @@
 // same membership gets only a short record of this entry. peerStamp is the stamp of the
 // peer's last message.
 func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums, peerStamp uint64) *syncMessage {
-	now, digest := g.now(), g.crashDigest()
+	now, digest, backlogs := g.now(), g.crashDigest(), g.ownBacklogs()
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), at: cs.feed.At(), disputeDigest: cs.feed.DisputeDigest(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own(), confirmation: g.statement(peerStamp)}
+	msg := &syncMessage{
+		sender:        cs.members.Self(),
+		membersHash:   sums.Hash(),
+		at:            cs.feed.At(),
+		disputeDigest: cs.feed.DisputeDigest(),
+		ageMillis:     -1,
+		readings:      cs.currentReadings(now),
+		crashDigest:   digest,
+		entries:       cs.size.own(),
+		confirmation:  g.statement(peerStamp),
+		backlogs:      backlogs,
+	}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
@@ -314,6 +325,7 @@
 // applySyncMessage merges a peer's sync message into the cluster state.
 func (g *Gate) applySyncMessage(msg *syncMessage) {
 	now := g.now()
+	g.peerBacklogs.set(now, msg.sender.Name, msg.backlogs)
 	cs := g.cluster
 	cs.mu.Lock()
 	cs.members.MergeDirect(now, msg.sender)
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -34,6 +34,8 @@
 	entries     int // The size of the fleet that the sender has seen, 0 if unknown.
 	// confirmation bounds the age of the sender's items. It is left out where no bound is set.
 	confirmation *pimentofeed.Statement
+	// backlogs are those of the sender's lines.
+	backlogs []serviceBacklog
 }
 
 var (
@@ -48,7 +50,7 @@
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
 //   fixed64 crash_digest = 11; uint64 entries = 12; Eras eras = 13;
-//   Confirmation confirmation = 14;
+//   Confirmation confirmation = 14; repeated Backlog backlogs = 19;
 // }
 //
 // Field 7 was used for another purpose.
@@ -86,6 +88,9 @@
 	if msg.confirmation != nil {
 		marshalConfirmation(mm.AppendMessage(14), msg.confirmation)
 	}
+	for i := range msg.backlogs {
+		marshalBacklog(mm.AppendMessage(19), &msg.backlogs[i])
+	}
 	return m.Marshal(nil)
 }
 
@@ -214,6 +219,10 @@
 			if data, ok = fc.MessageData(); ok {
 				ok = msg.unmarshalEras(data) == nil
 			}
+		case 19:
+			var b serviceBacklog
+			b, ok = backlogField(fc)
+			msg.backlogs = append(msg.backlogs, b)
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"pimentoarch/pimentofeed"
+	"pimentoarch/pimentoload"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoretry"
 )
@@ -31,6 +32,7 @@
 		crashDigest:   99,
 		entries:       140,
 		confirmation:  &pimentofeed.Statement{Stamp: 1 << 60, Echo: 9, Age: 1234 * time.Millisecond, Known: true},
+		backlogs:      []serviceBacklog{{"s", pimentoload.Backlog{Waiting: 2.5, Rate: 17.25}, 300 * time.Millisecond}, {service: "t"}},
 	}
 }
 
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -164,7 +164,9 @@
 	domains      map[pimentoregister.ServiceName]domainLists
 	routesByHost map[string][]*Route // Longest prefix first.
 	keys         keyIndex
-	targetCount  int
+	// shared has the services that requests of different classes go to.
+	shared      map[pimentoregister.ServiceName]bool
+	targetCount int
 }
 
 // domainLists has the targets of one service by domain, sorted by ID.
@@ -217,6 +219,7 @@
 		t.indexRoutes()
 		t.Config.index.Do(func() { t.Config.keys = newKeyIndex(t.Config) })
 		t.keys = t.Config.keys
+		t.indexShared()
 	}
 	return t
 }
