pimentogate, pimentoload: targets that are silent when full

Targets of some services never respond to a request that they can't queue. Such a request was held until its caller gave up, and the entry went on to send to full targets: no refusal told it the length of their queue. Now a target's longest reported queue is taken as its length once one was silent while its queue was long, room is kept for what other entries may send, and the health path is asked beside sends to long queues.

--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -118,6 +119,13 @@
 	return true
 }
 
+// removeExchange makes a later end of the call leave an exchange open.
+func (c *call) removeExchange(x *pimentohttp.Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchanges = slices.DeleteFunc(c.exchanges, func(other *pimentohttp.Exchange) bool { return other == x })
+}
+
 // isAbandoned reports whether abandon was called.
 func (c *call) isAbandoned() bool {
 	c.mu.Lock()
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -64,7 +64,7 @@
 		Pressure:   g.traffic.pressure(c.serviceName()),
 		Overloaded: g.traffic.overloaded(c.serviceName()),
 	}
-	if cand == nil {
+	if cand == nil || cand.full {
 		return pimentoload.Decide(r, nil)
 	}
 	return pimentoload.Decide(r, &pimentoload.Offer{Expected: cand.expected, Queued: cand.queued, Idle: cand.idle, Room: cand.room})
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -82,16 +82,17 @@
 
 // checkCrash probes the target of a send without a complete, authentic response. If the
 // target replies, it hasn't crashed, unless the request had no response in time and
-// the target was unreachable meanwhile: then it has restarted.
-func (g *Gate) checkCrash(c *call, s *send) {
+// the target was unreachable meanwhile: then it has restarted. It reports whether the target
+// replied and hasn't restarted.
+func (g *Gate) checkCrash(c *call, s *send) (alive bool) {
 	tg := s.candidate.target
 	switch {
 	case s.end == endGone && g.isLeaving(tg):
 		g.logNoCrash(c, tg, "target was leaving")
-		return
+		return false
 	case s.end == endGone:
 		g.recordCrash(c, tg)
-		return
+		return false
 	}
 	time.Sleep(crashProbeDelay)
 	cand := &candidate{target: tg}
@@ -104,22 +105,25 @@
 		g.logNoCrash(c, tg, cand.err.Error())
 	case cand.err == nil && !(s.outcome == outcomeTimeout && g.unreachableSince(tg, s.started)):
 		g.logNoCrash(c, tg, "target replied")
+		return true
 	default:
 		g.recordCrash(c, tg)
 	}
+	return false
 }
 
 // checkCancelled does the same as checkCrash for a send that was cancelled. The target of
 // a request that has crashed others is probed whatever the reason, other targets only if
 // they had all the time that the request had.
-func (g *Gate) checkCancelled(c *call, s *send, why outcome) {
+func (g *Gate) checkCancelled(c *call, s *send, why outcome) (alive bool) {
 	if s.exchange == nil || !s.exchange.Sent() || why == outcomeResponse {
-		return
+		return false
 	}
 	if why == outcomeTimeout || g.crashCount(c) > 0 {
 		s.outcome = why
-		g.checkCrash(c, s)
+		return g.checkCrash(c, s)
 	}
+	return false
 }
 
 // lostConnection reports whether a send ended because its connection failed before a
--- a/pimentogate/hedge.go
+++ b/pimentogate/hedge.go
@@ -39,7 +39,7 @@
 	}
 	elapsed := time.Since(c.received)
 	inTime := elapsed+cand.expected < c.route.Objective || elapsed > c.route.Objective
-	if !inTime || cand.expected > time.Duration(hedgeGainFraction*float64(left)) {
+	if !inTime || cand.full || cand.expected > time.Duration(hedgeGainFraction*float64(left)) {
 		cand.release()
 		return nil
 	}
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -24,11 +24,12 @@
 	outcomeIncomplete                     // No complete and authentic response.
 	outcomeTimeout                        // No response in time.
 	outcomeCallerGone                     // The call was abandoned.
+	outcomeSilent                         // No response will come, see Gate.dropSilent.
 )
 
 // String returns the outcome's name in logs.
 func (o outcome) String() string {
-	return [...]string{"", "answer", "failed", "notrun", "unsent", "broken", "timeout", "left"}[o]
+	return [...]string{"", "answer", "failed", "notrun", "unsent", "broken", "timeout", "left", "silent"}[o]
 }
 
 // classify returns the outcome of an exchange that has ended.
@@ -74,6 +75,8 @@
 		return outcomeUnsent
 	case c.isAbandoned():
 		return outcomeCallerGone
+	case s.silent.Load():
+		return outcomeSilent
 	case errors.As(s.err, &e) && e.Kind == pimentohttp.KindTimeout:
 		return outcomeTimeout
 	}
@@ -129,6 +132,9 @@
 		return
 	case outcomeCallerGone:
 		return
+	case outcomeSilent: // The target is full, and hasn't failed.
+		c.mayHaveRun = true
+		return
 	case outcomeIncomplete:
 		c.mayHaveRun = true
 		s.crashChecked = make(chan struct{})
--- a/pimentogate/overload.go
+++ b/pimentogate/overload.go
@@ -15,6 +15,8 @@
 	refusalRate movingRate
 	// fullQueue is the longest queue at which a target refused a request, 0 if none did.
 	fullQueue int
+	// queue is what is known about targets that are silent when full.
+	queue pimentoload.Queue
 }
 
 // service returns the statistics of a service. It is called with mu held.
@@ -42,14 +44,10 @@
 	*r += movingRate(weight * (x - float64(*r)))
 }
 
-// minFullQueue is the queue length per slot below which a refusal isn't due to a
-// full queue.
-const minFullQueue = 2
-
 // recordFullQueue records the queue length of a target that refused a request
 // because its queue was full.
 func (ts *trafficStats) recordFullQueue(s pimentoregister.ServiceName, r LoadReport) {
-	if r.Slots == 0 || r.Running < r.Slots || r.Waiting < minFullQueue*r.Slots {
+	if !pimentoload.IsLong(r.Running, r.Waiting, r.Slots) {
 		return
 	}
 	ts.mu.Lock()
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -39,6 +39,7 @@
 	cold       bool
 	queued     bool // All its slots are taken.
 	idle       bool // It runs nothing.
+	full       bool // It may not respond at all, see Gate.isFull.
 	room       int  // See pimentoload.Offer.
 	// expected is the time until the response, byteCost the transfer cost of the
 	// response, expressed as a time, and crowdCost the delay of the requests that run at a
--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -22,6 +22,8 @@
 	// searching is set while a second target is searched for.
 	searching bool
 	result    *send
+	watch     *watch
+	stopWatch func() // Cleans up after watch.
 }
 
 // maxSendsAtOnce is the number of sends of a race: the first one and its hedge.
@@ -36,6 +38,7 @@
 		hedges: make(chan *candidate, 1),
 		result: &send{candidate: first, outcome: outcomeIncomplete}, // Until it is known.
 	}
+	r.watch, r.stopWatch = newWatch(c.route.Objective)
 	return r, r.cleanUp
 }
 
@@ -58,6 +61,7 @@
 	c.lastCandidate, c.lastSentAt = cand, time.Now()
 	s := r.gate.newSend(c, cand)
 	r.sends = append(r.sends, s)
+	r.gate.addWatched(c, r.watch, s)
 	go func() {
 		r.gate.runSend(c, s)
 		r.ended <- s
@@ -72,10 +76,12 @@
 	defer hedgeTimer.Stop()
 	deadline := time.NewTimer(time.Until(c.deadline))
 	defer deadline.Stop()
+	defer r.stopWatch()
 	for {
 		select {
 		case s := <-r.ended:
 			r.running--
+			delete(r.watch.sends, s)
 			r.gate.recordOutcome(c, s)
 			if s.outcome == outcomeResponse || r.running == 0 {
 				return s
@@ -85,6 +91,13 @@
 			if r.gate.mayHedge(c) {
 				r.search()
 			}
+		case <-r.watch.timer.C:
+			r.watch.check(r.gate, c)
+		case report := <-r.watch.reports:
+			if r.watch.isGone(report) {
+				r.gate.dropSilent(c, report.send)
+				delete(r.watch.sends, report.send)
+			}
 		case cand := <-r.hedges:
 			r.searching = false
 			if r.gate.approveHedge(c, r.first, cand, time.Since(r.started)) {
@@ -127,7 +140,7 @@
 		return
 	}
 	for _, s := range r.sends {
-		if s != r.result {
+		if s != r.result && !r.awaitEnd(s) {
 			s.exchange.Cancel() // Also if it still waits for its connection.
 		}
 	}
@@ -136,7 +149,10 @@
 			s := <-r.ended
 			r.gate.sendEnded(s.candidate.target)
 			r.gate.countCancelled(s)
-			r.gate.checkCancelled(r.call, s, r.result.outcome)
+			unanswered := s.outcome == outcomeTimeout && s.candidate.mayBeSilent()
+			if r.gate.checkCancelled(r.call, s, r.result.outcome) && unanswered {
+				r.gate.recordSilence(r.call, s, "deadline")
+			}
 			s.close()
 		}
 	}()
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,6 +34,8 @@
 	// forwarded is set once the response, with its stream and connection, belongs to the
 	// caller's response.
 	forwarded bool
+	// silent is set when the send is cancelled because no response will come.
+	silent atomic.Bool
 }
 
 // close closes the stream of a response that isn't forwarded, which ends its use of the
@@ -147,8 +150,11 @@
 		return g.failRequest(c, *failed, reasonTimeout), false
 	}
 	c.retryReason = reasonIncomplete
+	if s.outcome == outcomeSilent {
+		c.retryReason = reasonSilent
+	}
 	if !c.retryable() {
-		return g.refusal(c, reasonIncomplete, 0), false
+		return g.refusal(c, c.retryReason, 0), false
 	}
 	return nil, true
 }
@@ -196,7 +202,7 @@
 	c.req.Header.CopyTo(&req.Header)
 	removeHopRequestHeaders(&req.Header)
 	req.SetBodyRaw(c.useBody())
-	left := max(time.Millisecond, time.Until(c.deadline))
+	left := g.targetTime(c, cand)
 	req.Header.Set(g.dialect.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	g.setOrganisation(c, &req.Header)
 	req.Header.Set(g.dialect.ExpectedTarget, string(cand.target.ID))
--- /dev/null
+++ b/pimentogate/silence.go
@@ -0,0 +1,181 @@
+package pimentogate
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentoload"
+)
+
+const (
+	// answerMargin is how long before its caller gives up a request to a service whose targets
+	// are silent when full is responded to, so that the caller still gets the response.
+	answerMargin = 20 * time.Millisecond
+	// fullCost is added to the score of a target that may not queue another request, so that
+	// any other target comes first.
+	fullCost = time.Minute
+)
+
+// isFull reports whether a target may be full when a request arrives there, and silent then.
+// It is called with trafficStats.mu held.
+func (g *Gate) isFull(cand *candidate, service *serviceStats, sent int) bool {
+	r := &cand.report
+	if r.Slots == 0 {
+		return false
+	}
+	q := &service.queue
+	q.Report(r.Waiting)
+	now := g.now()
+	if q.Length(now) == 0 || r.Running < r.Slots {
+		return false
+	}
+	age := time.Since(cand.reportedAt) + g.roundTrip(cand.target)
+	targets := len(g.table.Load().Targets[cand.target.Service])
+	return q.Full(now, r.Waiting, sent+q.Margin(now, age, int(g.clusterSize.Load()), targets))
+}
+
+// isSilent reports whether targets of the request's service were lately seen silent while full.
+func (g *Gate) isSilent(c *call) bool {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.service(c.serviceName()).queue.Silent(g.now())
+}
+
+// limitDeadline makes a request to a service whose targets are silent when full end early enough
+// for its caller to get the response.
+func (g *Gate) limitDeadline(c *call) {
+	if c.callerDeadline.IsZero() || !g.isSilent(c) {
+		return
+	}
+	if early := c.callerDeadline.Add(-answerMargin); early.Before(c.deadline) {
+		c.deadline = early
+	}
+}
+
+// targetTime returns the time that a target may take for a request. Where it may have to wait in a
+// queue, the target's statement that its time has passed there arrives before the response is due.
+func (g *Gate) targetTime(c *call, cand *candidate) time.Duration {
+	left := time.Until(c.deadline)
+	if cand.mayBeSilent() || g.isSilent(c) {
+		left -= g.roundTrip(cand.target)
+	}
+	return max(time.Millisecond, left)
+}
+
+// mayBeSilent reports whether a target's queue is so long that it may not take another request.
+func (cand *candidate) mayBeSilent() bool {
+	r := &cand.report
+	return pimentoload.IsLong(r.Running, r.Waiting, r.Slots)
+}
+
+// watch follows the sends of a race to targets with long queues, by reports that the targets
+// make beside them.
+type watch struct {
+	sends   map[*send]*pimentoload.Overdue
+	timer   *time.Timer
+	reports chan *watchReport // Receives the results of checks, nil for one without a report.
+}
+
+// watchReport is a report on the target of a send.
+type watchReport struct {
+	send *send
+	// asked and arrived are the ages of the send when the report was asked for and arrived.
+	asked, arrived time.Duration
+	report         LoadReport
+}
+
+// newWatch returns a watch over no sends, and its cleanup function.
+func newWatch(objective time.Duration) (*watch, func()) {
+	w := &watch{
+		sends:   make(map[*send]*pimentoload.Overdue),
+		timer:   time.NewTimer(pimentoload.FirstCheck(objective)),
+		reports: make(chan *watchReport, maxSendsAtOnce),
+	}
+	return w, func() { w.timer.Stop() }
+}
+
+// addWatched adds a send to the watch if its target has a long queue.
+func (g *Gate) addWatched(c *call, w *watch, s *send) {
+	if s.candidate.mayBeSilent() {
+		w.sends[s] = &pimentoload.Overdue{RoundTrip: g.roundTrip(s.candidate.target), Usual: g.usualWork(c), Certain: !c.retryable()}
+	}
+}
+
+// check asks the targets for reports in the background. Without any, nothing is checked again
+// until a send is added.
+func (w *watch) check(g *Gate, c *call) {
+	if len(w.sends) > 0 || g.mayHedge(c) {
+		w.timer.Reset(pimentoload.NextCheck(c.route.Objective))
+	}
+	if len(w.reports) > 0 {
+		return // The last check hasn't been looked at.
+	}
+	for s := range w.sends {
+		go func() {
+			r := g.askBeside(c, s)
+			select {
+			case w.reports <- r:
+			default: // The race is over, or slow.
+			}
+		}()
+	}
+}
+
+// askBeside asks the target of a send for a report. It returns nil if there is none that was made
+// after the question.
+func (g *Gate) askBeside(c *call, s *send) *watchReport {
+	r := &watchReport{send: s, asked: time.Since(s.started)}
+	cand := g.probeTarget(c, s.candidate.target)
+	defer cand.release()
+	if cand.err != nil || cand.report.Slots == 0 || cand.reportedAt.Before(s.started.Add(r.asked)) {
+		return nil
+	}
+	r.arrived, r.report = time.Since(s.started), cand.report
+	return r
+}
+
+// isGone records the result of a check, and reports whether no response will come to its send.
+func (w *watch) isGone(r *watchReport) bool {
+	if r == nil || w.sends[r.send] == nil {
+		return false
+	}
+	o := w.sends[r.send]
+	o.Observe(r.asked, r.arrived, r.report.Running, r.report.Waiting, r.report.Slowdown)
+	return o.Gone(time.Since(r.send.started))
+}
+
+// dropSilent ends a send to which no response will come. Its connection is closed. A response
+// that has arrived meanwhile counts.
+func (g *Gate) dropSilent(c *call, s *send) {
+	s.silent.Store(true)
+	s.exchange.Cancel()
+	g.recordSilence(c, s, "gone")
+}
+
+// recordSilence records that a target didn't respond to a request that came while its queue was
+// long.
+func (g *Gate) recordSilence(c *call, s *send, how string) {
+	ts := &g.traffic
+	ts.mu.Lock()
+	q := &ts.service(c.serviceName()).queue
+	q.SawSilent(g.now())
+	length := q.Length(g.now())
+	ts.mu.Unlock()
+	g.metrics.count("pimento_silent_sends_total")
+	g.logLine(level.WarnValue(), "msg", "target silent while its queue was long", "id", c.id, "service", c.serviceName(),
+		"target", s.candidate.target.ID, "how", how, "waiting", s.candidate.report.Waiting, "learned", length, "ms", time.Since(s.started).Milliseconds())
+}
+
+// awaitEnd leaves a send whose deadline has passed open for responseSlack, if its target may be
+// silent: a target that has the request responds at its deadline, and one that never took it
+// doesn't. It reports false if the send is to be cancelled at once.
+func (r *race) awaitEnd(s *send) bool {
+	c := r.call
+	if r.result.outcome != outcomeTimeout || time.Now().Before(c.deadline) || !s.candidate.mayBeSilent() || c.isAbandoned() {
+		return false
+	}
+	c.removeExchange(s.exchange)
+	return true
+}
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -234,6 +234,7 @@
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	g.retryAllowance(c.serviceName()).Earn(g.now())
+	ts.service(c.serviceName()).queue.Arrived(g.now())
 	c.urgent = ts.service(c.serviceName()).urgency.IsUrgent(g.now(), c.priority())
 	if !c.callerDeadline.IsZero() {
 		calm := ts.service(c.serviceName()).pressure < calmPressure
