pimentogate, pimentoload: entries tell each other of targets that are silent when full

Field 20 of the sync message carries what an entry knows, with its age, so that passing it on doesn't renew it. A response that is long overdue at a queue as long as any reported is enough to avoid such queues while no target of the service refuses when full; it isn't enough to give a request up.

--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -94,6 +94,7 @@
 		case <-r.watch.timer.C:
 			r.watch.check(r.gate, c)
 		case report := <-r.watch.reports:
+			r.gate.suspect(c, r.watch, report)
 			if r.watch.isGone(report) {
 				r.gate.dropSilent(c, report.send)
 				delete(r.watch.sends, report.send)
--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -76,6 +76,8 @@
 	sends   map[*send]*pimentoload.Overdue
 	timer   *time.Timer
 	reports chan *watchReport // Receives the results of checks, nil for one without a report.
+	// suspected is set when the watch has shown that targets may be silent when full.
+	suspected bool
 }
 
 // watchReport is a report on the target of a send.
@@ -136,6 +138,24 @@
 	return r
 }
 
+// suspect records that targets may be silent when full, if the response to a send is long overdue
+// and no target of the service has ever refused a request because its queue was full.
+func (g *Gate) suspect(c *call, w *watch, r *watchReport) {
+	if r == nil || w.suspected || w.sends[r.send] == nil {
+		return
+	}
+	cand := r.send.candidate
+	ts := &g.traffic
+	ts.mu.Lock()
+	service := ts.service(c.serviceName())
+	w.suspected = service.fullQueue == 0 && service.queue.Suspects(cand.report.Waiting, r.arrived, cand.expected, c.route.Objective)
+	known := service.queue.Silent(g.now())
+	ts.mu.Unlock()
+	if w.suspected && !known {
+		g.recordSilence(c, r.send, "overdue")
+	}
+}
+
 // isGone records the result of a check, and reports whether no response will come to its send.
 func (w *watch) isGone(r *watchReport) bool {
 	if r == nil || w.sends[r.send] == nil {
@@ -163,6 +183,7 @@
 	q.SawSilent(g.now())
 	length := q.Length(g.now())
 	ts.mu.Unlock()
+	g.cluster.notifyPeers()
 	g.metrics.count("pimento_silent_sends_total")
 	g.logLine(level.WarnValue(), "msg", "target silent while its queue was long", "id", c.id, "service", c.serviceName(),
 		"target", s.candidate.target.ID, "how", how, "waiting", s.candidate.report.Waiting, "learned", length, "ms", time.Since(s.started).Milliseconds())
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -29,6 +29,7 @@
 	// that the receiver may lack.
 	crashDigest uint64
 	crashes     []pimentoretry.Report
+	silences    []silence
 	entries     int // The size of the fleet that the sender has seen, 0 if unknown.
 }
 
@@ -43,7 +44,7 @@
 //   Member sender = 1; fixed64 members_hash = 2; repeated Member members = 3;
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
-//   fixed64 crash_digest = 11; uint64 entries = 12;
+//   fixed64 crash_digest = 11; uint64 entries = 12; repeated Silence silences = 20;
 // }
 //
 // Field 7 was used for another purpose.
@@ -73,6 +74,9 @@
 	}
 	mm.AppendFixed64(11, msg.crashDigest)
 	mm.AppendUint64(12, uint64(msg.entries))
+	for i := range msg.silences {
+		marshalSilence(mm.AppendMessage(20), &msg.silences[i])
+	}
 	return m.Marshal(nil)
 }
 
@@ -190,6 +194,13 @@
 			var n uint64
 			n, ok = fc.Uint64()
 			msg.entries = int(min(n, maxStatedEntries))
+		case 20:
+			var data []byte
+			if data, ok = fc.MessageData(); ok {
+				var s silence
+				ok = unmarshalSilence(data, &s) == nil
+				msg.silences = append(msg.silences, s)
+			}
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -24,6 +24,7 @@
 		readings:    []reading{{run: 7, number: 3}, {run: 8, number: 1 << 40, at: -1200 * time.Millisecond}},
 		crashes:     []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
 		crashDigest: 99,
+		silences:    []silence{{service: "s", length: 24, age: time.Second}},
 		entries:     140,
 	}
 }
--- a/pimentoload/silence.go
+++ b/pimentoload/silence.go
@@ -12,6 +12,9 @@
 	// silenceMemory is the time for which a service's targets count as silent when full after
 	// one was seen so, because a new version of them may have longer queues.
 	silenceMemory = 5 * time.Minute
+	// suspectFactor times the expected time is the time after which a response is overdue, and
+	// the objective divided by it the least such time.
+	suspectFactor = 2
 	// arrivalWindow is the time over which arrivals are averaged.
 	arrivalWindow = 5 * time.Second
 	// marginDeviations is the number of standard deviations by which more requests than
@@ -46,6 +49,32 @@
 // Silent reports whether targets were lately seen silent while full.
 func (q *Queue) Silent(now time.Duration) bool { return q.seen && now < q.silentUntil }
 
+// Age returns the time since targets were last seen silent.
+func (q *Queue) Age(now time.Duration) time.Duration { return now - q.silentUntil + silenceMemory }
+
+// Merge records what another entry has learned: the length of the queues and its age. It reports
+// whether that is news: nothing was known, or less.
+func (q *Queue) Merge(now time.Duration, length int, age time.Duration) (news bool) {
+	until := now - age + silenceMemory
+	if length <= 0 || until <= now {
+		return false
+	}
+	news = !q.Silent(now) || length > q.longest
+	if !q.seen || until > q.silentUntil {
+		q.seen, q.silentUntil = true, until
+	}
+	q.longest = max(q.longest, length)
+	return news
+}
+
+// Suspects reports whether a response is so long overdue that the request is likely to have found
+// the queue full: it was as long as the longest one that was reported when the request was sent.
+// It shows too little to give the request up, and enough to send no more requests to queues that
+// long.
+func (q *Queue) Suspects(waiting int, age, expected, objective time.Duration) bool {
+	return waiting+1 >= q.longest && age > suspectFactor*expected && age > objective/suspectFactor
+}
+
 // Length returns the learned length of the queues, 0 if targets weren't seen silent.
 func (q *Queue) Length(now time.Duration) int {
 	if !q.Silent(now) {
--- a/pimentoload/silence_test.go
+++ b/pimentoload/silence_test.go
@@ -55,6 +55,31 @@
 	is.True(!q.Full(time.Hour, 24, 0))
 }
 
+// What another entry has learned is taken over with its age, and isn't renewed by passing it on.
+func TestQueueMerges(t *testing.T) {
+	is := is.New(t)
+	var seen, told pimentoload.Queue
+	seen.Report(24)
+	seen.SawSilent(0)
+	is.True(told.Merge(time.Minute, seen.Length(time.Minute), seen.Age(time.Minute)))
+	is.True(told.Full(time.Minute, 24, 0))
+	is.True(!told.Merge(2*time.Minute, told.Length(2*time.Minute), told.Age(2*time.Minute)))
+	is.True(told.Silent(4 * time.Minute))
+	is.True(!told.Silent(5 * time.Minute))
+	is.True(!told.Merge(time.Minute, 0, 0))
+}
+
+// A response that is long overdue makes targets suspect only where the queue was as long as any.
+func TestQueueSuspects(t *testing.T) {
+	is := is.New(t)
+	var q pimentoload.Queue
+	q.Report(24)
+	is.True(q.Suspects(23, 3*time.Second, time.Second, 3*time.Second))
+	is.True(!q.Suspects(20, 3*time.Second, time.Second, 3*time.Second))
+	is.True(!q.Suspects(24, time.Second, time.Second, 3*time.Second))
+	is.True(!q.Suspects(24, time.Second, time.Millisecond, 3*time.Second))
+}
+
 // IsLong leaves out short queues, where no response has another cause.
 func TestIsLong(t *testing.T) {
 	is := is.New(t)
