--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentoroute"
 )
@@ -94,7 +95,7 @@
 	cc.readSafely()
 	close(cc.pending)
 	wg.Wait()
-	if !cc.endedIdle || unacknowledged(cc.Conn) > 0 {
+	if !cc.endedIdle || pimentohttp.Unacknowledged(cc.Conn) > 0 {
 		cc.linger()
 	}
 	_ = cc.Close()
--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -49,7 +49,7 @@
 	if cand.room <= 0 {
 		cand.crowdCost = time.Duration(alone * float64(min(running, slots)) * (curve.Ratio(slots-1) - 1) / 2)
 	}
-	if cand.full = g.isFull(cand, service, s.sentSinceReport); cand.full {
+	if cand.full = g.isFull(c, cand, service, s.sentSinceReport); cand.full {
 		cand.crowdCost += fullCost
 	}
 	expected += time.Duration(float64(s.failureRate) * float64(failurePenalty))
--- a/pimentogate/linger.go
+++ b/pimentogate/linger.go
@@ -3,10 +3,9 @@
 import (
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"pimentoarch/pimentohttp"
 )
 
 const (
@@ -31,7 +30,7 @@
 		if err := cc.discard(cc.r); !errors.As(err, &ne) || !ne.Timeout() {
 			return
 		}
-		if time.Since(began) >= lingerTime && unacknowledged(tcp) == 0 {
+		if time.Since(began) >= lingerTime && pimentohttp.Unacknowledged(tcp) == 0 {
 			return
 		}
 	}
@@ -44,22 +43,3 @@
 	defer cc.mu.Unlock()
 	return errors.Is(err, errIdle) || (errors.Is(err, errClosing) && cc.closedIdle)
 }
-
-// unacknowledged returns the number of bytes that were written and not received by the
-// other end's kernel, 0 if that isn't known.
-func unacknowledged(c net.Conn) int {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	if err != nil {
-		return 0
-	}
-	return n
-}
--- a/pimentogate/overload.go
+++ b/pimentogate/overload.go
@@ -54,6 +54,7 @@
 	defer ts.mu.Unlock()
 	full := &ts.service(s).fullQueue
 	*full = max(*full, r.Waiting)
+	ts.service(s).queue.Refused()
 }
 
 const (
--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -150,9 +150,9 @@
 			s := <-r.ended
 			r.gate.sendEnded(s.candidate.target)
 			r.gate.countCancelled(s)
-			unanswered := s.outcome == outcomeTimeout && s.candidate.mayBeSilent()
+			unanswered := s.outcome == outcomeTimeout && s.sawLong
 			if r.gate.checkCancelled(r.call, s, r.result.outcome) && unanswered {
-				r.gate.recordSilence(r.call, s, "deadline")
+				r.gate.recordSilence(r.call, s, silenceDeadline)
 			}
 			s.close()
 		}
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -34,6 +34,10 @@
 	// forwarded is set once the response, with its stream and connection, belongs to the
 	// caller's response.
 	forwarded bool
+	// longest is the longest queue that the target reported when it was chosen and beside the
+	// send, and sawLong is set if it may have been full.
+	longest int
+	sawLong bool
 	// silent is set when the send is cancelled because no response will come.
 	silent atomic.Bool
 }
--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -19,20 +20,20 @@
 
 // isFull reports whether a target may be full when a request arrives there, and silent then.
 // It is called with trafficStats.mu held.
-func (g *Gate) isFull(cand *candidate, service *serviceStats, sent int) bool {
+func (g *Gate) isFull(c *call, cand *candidate, service *serviceStats, sent int) bool {
 	r := &cand.report
 	if r.Slots == 0 {
 		return false
 	}
 	q := &service.queue
-	q.Report(r.Waiting)
+	q.Report(r.Running, r.Slots)
 	now := g.now()
-	if q.Length(now) == 0 || r.Running < r.Slots {
+	if q.Length(now) == 0 {
 		return false
 	}
-	age := time.Since(cand.reportedAt) + g.roundTrip(cand.target)
+	age := time.Since(cand.reportedAt) + pimentoload.Delivery(len(c.req.Body()), g.roundTrip(cand.target))
 	targets := len(g.table.Load().Targets[cand.target.Service])
-	return q.Full(now, r.Waiting, sent+q.Margin(now, age, int(g.clusterSize.Load()), targets))
+	return q.Full(now, r.Running, r.Waiting, r.Slots, sent+q.Margin(now, age, int(g.clusterSize.Load()), targets))
 }
 
 // isSilent reports whether targets of the request's service were lately seen silent while full.
@@ -98,9 +99,16 @@
 	return w, func() { w.timer.Stop() }
 }
 
-// addWatched adds a send to the watch if its target has a long queue.
+// addWatched adds a send to the watch, unless the targets of its service refuse requests when full
+// or don't report their load.
 func (g *Gate) addWatched(c *call, w *watch, s *send) {
-	if s.candidate.mayBeSilent() {
+	s.longest = s.candidate.report.Waiting
+	s.sawLong = s.candidate.mayBeSilent()
+	ts := &g.traffic
+	ts.mu.Lock()
+	refuses := ts.service(c.serviceName()).fullQueue > 0
+	ts.mu.Unlock()
+	if !refuses && s.candidate.report.Slots > 0 {
 		w.sends[s] = &pimentoload.Overdue{RoundTrip: g.roundTrip(s.candidate.target), Usual: g.usualWork(c), Certain: !c.retryable()}
 	}
 }
@@ -114,7 +122,10 @@
 	if len(w.reports) > 0 {
 		return // The last check hasn't been looked at.
 	}
-	for s := range w.sends {
+	for s, o := range w.sends {
+		if !o.Overdue(time.Since(s.started), s.candidate.expected) {
+			continue
+		}
 		go func() {
 			r := g.askBeside(c, s)
 			select {
@@ -126,8 +137,11 @@
 }
 
 // askBeside asks the target of a send for a report. It returns nil if there is none that was made
-// after the question.
+// after the question, or if the target hasn't received the whole request.
 func (g *Gate) askBeside(c *call, s *send) *watchReport {
+	if !s.exchange.Delivered() {
+		return nil
+	}
 	r := &watchReport{send: s, asked: time.Since(s.started)}
 	cand := g.probeTarget(c, s.candidate.target)
 	defer cand.release()
@@ -144,15 +158,17 @@
 	if r == nil || w.suspected || w.sends[r.send] == nil {
 		return
 	}
-	cand := r.send.candidate
+	s := r.send
+	s.longest = max(s.longest, r.report.Waiting)
+	s.sawLong = s.sawLong || pimentoload.IsLong(r.report.Running, r.report.Waiting, r.report.Slots)
 	ts := &g.traffic
 	ts.mu.Lock()
 	service := ts.service(c.serviceName())
-	w.suspected = service.fullQueue == 0 && service.queue.Suspects(cand.report.Waiting, r.arrived, cand.expected, c.route.Objective)
+	w.suspected = s.sawLong && service.fullQueue == 0 && pimentoload.Suspects(r.arrived, s.candidate.expected, c.route.Objective)
 	known := service.queue.Silent(g.now())
 	ts.mu.Unlock()
 	if w.suspected && !known {
-		g.recordSilence(c, r.send, "overdue")
+		g.recordSilence(c, r.send, silenceOverdue)
 	}
 }
 
@@ -163,7 +179,7 @@
 	}
 	o := w.sends[r.send]
 	o.Observe(r.asked, r.arrived, r.report.Running, r.report.Waiting, r.report.Slowdown)
-	return o.Gone(time.Since(r.send.started))
+	return r.send.sawLong && o.Gone(time.Since(r.send.started))
 }
 
 // dropSilent ends a send to which no response will come. Its connection is closed. A response
@@ -171,22 +187,31 @@
 func (g *Gate) dropSilent(c *call, s *send) {
 	s.silent.Store(true)
 	s.exchange.Cancel()
-	g.recordSilence(c, s, "gone")
+	g.recordSilence(c, s, silenceGone)
 }
 
+// silenceSign is how the silence of a target showed, as in logs and metrics.
+type silenceSign string
+
+const (
+	silenceOverdue  silenceSign = "overdue"  // A response is long overdue; it may still come.
+	silenceGone     silenceSign = "gone"     // The target runs and queues nothing.
+	silenceDeadline silenceSign = "deadline" // Not even the deadline was answered.
+)
+
 // recordSilence records that a target didn't respond to a request that came while its queue was
 // long.
-func (g *Gate) recordSilence(c *call, s *send, how string) {
+func (g *Gate) recordSilence(c *call, s *send, how silenceSign) {
 	ts := &g.traffic
 	ts.mu.Lock()
 	q := &ts.service(c.serviceName()).queue
-	q.SawSilent(g.now())
+	q.SawSilent(g.now(), s.longest)
 	length := q.Length(g.now())
 	ts.mu.Unlock()
 	g.cluster.notifyPeers()
-	g.metrics.count("pimento_silent_sends_total")
+	g.metrics.count(fmt.Sprintf(`pimento_silent_sends_total{how=%q}`, string(how)))
 	g.logLine(level.WarnValue(), "msg", "target silent while its queue was long", "id", c.id, "service", c.serviceName(),
-		"target", s.candidate.target.ID, "how", how, "waiting", s.candidate.report.Waiting, "learned", length, "ms", time.Since(s.started).Milliseconds())
+		"target", s.candidate.target.ID, "how", how, "waiting", s.longest, "learned", length, "ms", time.Since(s.started).Milliseconds())
 }
 
 // awaitEnd leaves a send whose deadline has passed open for responseSlack, if its target may be
@@ -194,7 +219,7 @@
 // doesn't. It reports false if the send is to be cancelled at once.
 func (r *race) awaitEnd(s *send) bool {
 	c := r.call
-	if r.result.outcome != outcomeTimeout || time.Now().Before(c.deadline) || !s.candidate.mayBeSilent() || c.isAbandoned() {
+	if r.result.outcome != outcomeTimeout || time.Now().Before(c.deadline) || !s.sawLong || c.isAbandoned() {
 		return false
 	}
 	c.removeExchange(s.exchange)
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -75,6 +75,7 @@
 	cancelled bool
 	sent      bool
 
+	// writeDone is set with sent.
 	writeDone   chan struct{} // Closed when a long request was written. Nil for others.
 	writeFailed atomic.Bool
 }
@@ -169,8 +170,8 @@
 	}
 	x.mu.Lock()
 	x.sent = true
-	x.mu.Unlock()
 	x.writeDone = make(chan struct{})
+	x.mu.Unlock()
 	go func() {
 		defer close(x.writeDone)
 		if err := x.write(cn); err != nil {
--- a/pimentoload/overdue.go
+++ b/pimentoload/overdue.go
@@ -44,6 +44,10 @@
 	return time.Duration(recheckFraction * float64(objective))
 }
 
+// Overdue reports whether a response that was expected after a time is long overdue, so that the
+// target is to be asked.
+func (o *Overdue) Overdue(age, expected time.Duration) bool { return age > suspectFactor*expected }
+
 // Observe records a report that the target made no sooner than asked, and the age of the send
 // when it arrived. Reports that may be older than the arrival of the request are ignored.
 func (o *Overdue) Observe(asked, arrived time.Duration, running, waiting, slowdown int) {
--- a/pimentoload/silence.go
+++ b/pimentoload/silence.go
@@ -12,6 +12,11 @@
 	// silenceMemory is the time for which a service's targets count as silent when full after
 	// one was seen so, because a new version of them may have longer queues.
 	silenceMemory = 5 * time.Minute
+	// shorterStep is how far the assumed length falls with a shorter queue. With a step of 1 up,
+	// that makes it a quantile of 3/4.
+	shorterStep = 1.0 / 3
+	// busyWeight is the weight of one report in the share of targets without a free slot.
+	busyWeight = 0.05
 	// suspectFactor times the expected time is the time after which a response is overdue, and
 	// the objective divided by it the least such time.
 	suspectFactor = 2
@@ -26,13 +31,15 @@
 // requests they can't queue. It decides nothing until a target was seen silent while its queue
 // was long. The zero value knows nothing. It isn't safe for concurrent use.
 type Queue struct {
-	// longest is the most requests that a target reported as waiting. A full target reports the
-	// length of its queue.
-	longest     int
+	// length is what the targets are assumed to queue: a high quantile of the longest queues
+	// that were reported beside requests without a response.
+	length      float64
 	seen        bool
+	refused     bool // A target refused a request because its queue was full.
 	silentUntil time.Duration
 	arrivals    float64 // Recent ones, each with a weight that falls with its age.
 	countedAt   time.Duration
+	busy        float64 // The moving average of targets without a free slot, from 0 to 1.
 }
 
 // IsLong reports whether a target's queue may have been full when a request arrived.
@@ -40,14 +47,49 @@
 	return slots > 0 && running >= slots && waiting >= minFullQueue*slots
 }
 
-// Report records the number of waiting requests that a target reported.
-func (q *Queue) Report(waiting int) { q.longest = max(q.longest, waiting) }
+// Report records a load report of a target.
+func (q *Queue) Report(running, slots int) {
+	x := 0.0
+	if running >= slots {
+		x = 1
+	}
+	q.busy += busyWeight * (x - q.busy)
+}
+
+// SawSilent records that a target didn't respond to a request beside which its longest queue was
+// longest.
+func (q *Queue) SawSilent(now time.Duration, longest int) {
+	switch n := float64(longest); {
+	case !q.Silent(now):
+		q.length = n
+	case n > q.length:
+		q.length++
+	default:
+		q.length -= shorterStep
+	}
+	q.seen, q.silentUntil = true, now+silenceMemory
+}
 
-// SawSilent records that a target with a long queue didn't respond to a request.
-func (q *Queue) SawSilent(now time.Duration) { q.seen, q.silentUntil = true, now+silenceMemory }
+// Refused records that a target refused a request because its queue was full: these targets aren't
+// silent when full.
+func (q *Queue) Refused() { q.refused = true }
 
 // Silent reports whether targets were lately seen silent while full.
-func (q *Queue) Silent(now time.Duration) bool { return q.seen && now < q.silentUntil }
+func (q *Queue) Silent(now time.Duration) bool { return q.seen && !q.refused && now < q.silentUntil }
+
+// firstWindow is the number of bytes that are sent before the first acknowledgement arrives. It
+// doubles with each.
+const firstWindow = 14 << 10
+
+// Delivery returns the time from a report of a target until a request with a body of n bytes that
+// was sent because of it has arrived there whole. Until then, the target doesn't count it.
+func Delivery(n int, roundTrip time.Duration) time.Duration {
+	d := roundTrip
+	for sent := firstWindow; sent < n; sent *= 2 {
+		d += roundTrip
+	}
+	return d
+}
 
 // Age returns the time since targets were last seen silent.
 func (q *Queue) Age(now time.Duration) time.Duration { return now - q.silentUntil + silenceMemory }
@@ -59,20 +101,20 @@
 	if length <= 0 || until <= now {
 		return false
 	}
-	news = !q.Silent(now) || length > q.longest
-	if !q.seen || until > q.silentUntil {
-		q.seen, q.silentUntil = true, until
+	if q.refused {
+		return false
+	}
+	if news = !q.Silent(now); news || until > q.silentUntil {
+		q.seen, q.silentUntil, q.length = true, until, float64(length)
 	}
-	q.longest = max(q.longest, length)
 	return news
 }
 
 // Suspects reports whether a response is so long overdue that the request is likely to have found
-// the queue full: it was as long as the longest one that was reported when the request was sent.
-// It shows too little to give the request up, and enough to send no more requests to queues that
-// long.
-func (q *Queue) Suspects(waiting int, age, expected, objective time.Duration) bool {
-	return waiting+1 >= q.longest && age > suspectFactor*expected && age > objective/suspectFactor
+// the queue full. It shows too little to give the request up, and enough to send no more requests
+// to such queues.
+func Suspects(age, expected, objective time.Duration) bool {
+	return age > suspectFactor*expected && age > objective/suspectFactor
 }
 
 // Length returns the learned length of the queues, 0 if targets weren't seen silent.
@@ -80,7 +122,7 @@
 	if !q.Silent(now) {
 		return 0
 	}
-	return q.longest
+	return int(math.Round(q.length))
 }
 
 // Arrived counts a request for the service.
@@ -93,21 +135,22 @@
 	return q.arrivals * math.Exp(-(now-q.countedAt).Seconds()/arrivalWindow.Seconds())
 }
 
-// Margin returns the number of requests that other entries may send to a target during age,
-// if all of the entries get as many requests as this one and spread them evenly.
+// Margin returns the number of requests that other entries may send to a target with a free slot
+// during age, if all of the entries get as many requests as this one and spread them over such
+// targets.
 func (q *Queue) Margin(now, age time.Duration, entries, targets int) int {
-	rate := q.decayed(now) / arrivalWindow.Seconds() * float64(max(0, entries-1)) / float64(max(1, targets))
-	mean := rate * age.Seconds()
+	free := max(1, float64(targets)*(1-q.busy))
+	mean := q.decayed(now) / arrivalWindow.Seconds() * float64(max(0, entries-1)) / free * age.Seconds()
 	return int(math.Ceil(mean + marginDeviations*math.Sqrt(mean)))
 }
 
-// Full reports whether a request may find a target's queue full that reported so many waiting
-// requests, if ahead more of them arrive before it. Such a request may get no response at all,
-// and whether it was executed can't be known then.
+// Full reports whether a request may find a target's queue full that reported so many requests as
+// running and waiting, if ahead more of them arrive before it. Such a request may get no response
+// at all, and whether it was executed can't be known then.
 //
 // It answers a load above what a service can run: entries send to the same targets between two
-// reports, and each queue is filled up to its end.
-func (q *Queue) Full(now time.Duration, waiting, ahead int) bool {
+// reports, and the queues of those that had a free slot are filled up to their ends.
+func (q *Queue) Full(now time.Duration, running, waiting, slots, ahead int) bool {
 	n := q.Length(now)
-	return n > 0 && waiting+ahead >= n
+	return n > 0 && running+waiting+ahead-slots >= n
 }
