pimentogate, pimentoload: large bodies are a load of the entry's link

Now the body counts too on routes of kind upload, up to what is left of the objective, bodies to targets are sent one after the other at the rate of the link (setting link), and one that can't arrive and be sent in time, or doesn't fit in the memory, is refused by its head with a Retry-After from the rate. A body that arrives slowly keeps no others out.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -143,7 +143,8 @@
 
 // idleScore returns the score of a target that is probed now and turns out to be idle.
 func (g *Gate) idleScore(c *call, tg *pimentoroute.Target) time.Duration {
-	return g.usualWork(c) + 2*g.roundTrip(tg) + g.byteCost(c, tg)
+	score := g.usualWork(c) + 2*g.roundTrip(tg) + g.byteCost(c, tg)
+	return score + g.bodyCost(c, tg, g.usualWork(c)+g.roundTrip(tg))
 }
 
 // usualWork returns the usual work time of the request's route with a small margin.
--- a/pimentogate/early.go
+++ b/pimentogate/early.go
@@ -25,7 +25,7 @@
 	if why := g.identify(c); why != reasonNone {
 		return g.refusal(c, why, 0)
 	}
-	return nil
+	return g.refuseBody(c)
 }
 
 // matchRoute returns the route of a request, or nil.
--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -52,6 +52,7 @@
 	if cand.full = g.isFull(c, cand, service, s.sentSinceReport); cand.full {
 		cand.crowdCost += fullCost
 	}
+	cand.byteCost += g.bodyCost(c, cand.target, expected)
 	expected += time.Duration(float64(s.failureRate) * float64(failurePenalty))
 	if !cand.report.Healthy {
 		expected += unhealthyPenalty
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -49,6 +49,7 @@
 	logBudget lineBudget
 	metrics   *gateMetrics
 	memory    *pimentomemory.Budget // For bodies and messages that are held.
+	bodies    bodyTraffic
 	startedAt time.Time
 
 	table atomic.Pointer[pimentoroute.Table]
@@ -130,6 +131,7 @@
 		cutoffReached: make(chan struct{}),
 		advanceDraw:   rand.Float64(),
 	}
+	g.bodies.link.Rate = s.linkRate()
 	g.logBudget.linesPerSecond = s.LogLineRate
 	g.cluster = newClusterState(pimentopeer.Member{
 		Name: s.Name, Address: s.PeersAddr, Region: g.region, Domain: s.Domain,
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -29,6 +29,7 @@
 	reasonCallerGone   reason = "left"         // The call was abandoned.
 	reasonStopping     reason = "stopping"     // It would outlast the planned stop.
 	reasonMemory       reason = "memory"       // Its body doesn't fit in the memory now.
+	reasonLink         reason = "link"         // Its body can't arrive and be sent in time.
 	reasonSilent       reason = "silent"       // Its target was full and won't respond.
 	reasonUnread       reason = "unread"       // Unused: such requests get no response.
 )
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -69,8 +69,8 @@
 		if isRetry && !g.spendRetry(c) {
 			return g.failRequest(c, failed, reasonBudget)
 		}
-		cand, why := g.chooseTarget(c, c.tried)
-		if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
+		cand, why := g.chooseAndCheck(c)
+		if why != reasonNone {
 			cand.releaseIfAny()
 			if isRetry {
 				g.returnRetry(c)
@@ -92,6 +92,18 @@
 	}
 }
 
+// chooseAndCheck chooses the target of the next send, once the request's body may be sent.
+func (g *Gate) chooseAndCheck(c *call) (*candidate, reason) {
+	if !g.paceBody(c) {
+		return nil, g.checkBeforeSend(c, nil, reasonStopping)
+	}
+	cand, why := g.chooseTarget(c, c.tried)
+	if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
+		g.unsendBody(c)
+	}
+	return cand, why
+}
+
 // awaitCrashCheck waits until it is known whether a send that lost its connection crashed
 // its target, because that decides whether the request is retried.
 func (g *Gate) awaitCrashCheck(c *call, s *send) {
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -70,6 +70,9 @@
 	// HeldMiB bounds the bodies and messages that are held at a time, in MiB. 0 means
 	// heldPercent of the VM's memory.
 	HeldMiB int `json:"held"`
+	// LinkMbps is the rate of the VM's link in Mbit/s, by which large bodies are admitted and
+	// sent. 0 means that it isn't known.
+	LinkMbps float64 `json:"link"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log"`
 	// LogLineRate bounds the log lines per second about successful requests.
@@ -101,6 +104,9 @@
 	return s.MemoryMiB << 20 * heldPercent / 100
 }
 
+// linkRate returns the rate of the VM's link in bytes a second, 0 if it isn't known.
+func (s *Settings) linkRate() float64 { return s.LinkMbps * 1e6 / 8 }
+
 // Region returns the VM's region.
 func (s *Settings) Region() pimentoregister.RegionName { return s.Regions[s.Domain] }
 
@@ -156,6 +162,7 @@
 		pimentosettings.AtLeast("questions", s.ProbeRate, 0),
 		pimentosettings.AtLeast("memory", s.MemoryMiB, 16),
 		pimentosettings.AtLeast("held", s.HeldMiB, 0),
+		pimentosettings.AtLeast("link", s.LinkMbps, 0),
 		pimentosettings.AtLeast("lines", s.LogLineRate, 0),
 	)
 }
--- a/pimentogate/upload.go
+++ b/pimentogate/upload.go
@@ -48,6 +48,7 @@
 	if !c.growBody(size) {
 		return pimentomemory.ErrUsedUp
 	}
+	cc.gate.receiveBody(c, size)
 	return c.req.ContinueReadBody(cc.r, limit, false)
 }
 
@@ -73,6 +74,7 @@
 			return fasthttp.ErrBodyTooLarge
 		case errors.Is(err, io.EOF):
 			c.setBody(body)
+			cc.gate.receiveBody(c, len(body))
 			return nil
 		case err != nil:
 			return err
