--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -168,6 +168,8 @@
 	gauge("pimento_memory_held_bytes", func() float64 { return float64(g.memory.Used()) })
 	gauge("pimento_memory_limit_bytes", func() float64 { return float64(g.memory.Limit()) })
 	gauge("pimento_memory_denied_total", func() float64 { return float64(g.memory.Denied()) })
+	gauge("pimento_silent_services", func() float64 { return float64(len(g.silences())) })
+	gauge("pimento_link_busy_seconds", func() float64 { return g.linkBusy().Seconds() })
 	gauge("pimento_ready", func() float64 {
 		if g.ready() {
 			return 1
--- a/pimentogate/bodies.go
+++ b/pimentogate/bodies.go
@@ -105,6 +105,14 @@
 	b.mu.Unlock()
 }
 
+// linkBusy returns the time that the admitted large bodies need to arrive.
+func (g *Gate) linkBusy() time.Duration {
+	b := &g.bodies
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.link.Busy(g.now())
+}
+
 // bodyCost returns what a target in another region costs for the bytes of a large body, given the time
 // until its response.
 func (g *Gate) bodyCost(c *call, tg *pimentoroute.Target, expected time.Duration) time.Duration {
--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -11,8 +11,9 @@
 
 const (
 	// answerMargin is how long before its caller gives up a request to a service whose targets
-	// are silent when full is responded to, so that the caller still gets the response.
-	answerMargin = 20 * time.Millisecond
+	// are silent when full is responded to, so that the caller still gets the response: its
+	// time has begun before the connection was opened, and the response takes a way as well.
+	answerMargin = 50 * time.Millisecond
 	// fullCost is added to the score of a target that may not queue another request, so that
 	// any other target comes first.
 	fullCost = time.Minute
--- a/pimentoload/body.go
+++ b/pimentoload/body.go
@@ -38,7 +38,7 @@
 	if l.Rate <= 0 {
 		return 0, true
 	}
-	before := max(0, l.receivedAt-now)
+	before := l.Busy(now)
 	need := before + 2*l.Transfer(n) + work // It arrives after the others, and is sent once more.
 	if need <= left {
 		return 0, true
@@ -52,6 +52,9 @@
 	l.receivedAt = max(now, l.receivedAt) + l.Transfer(n)
 }
 
+// Busy returns the time that the bodies that arrive need.
+func (l *Link) Busy(now time.Duration) time.Duration { return max(0, l.receivedAt-now) }
+
 // Send returns the time at which a body of n bytes is to be sent to a target: after those that
 // were to be sent before it. Bodies that are sent one after the other leave gaps for small
 // requests, and the first ones are complete sooner.
