--- a/pimentogate/settings_test.go
+++ b/pimentogate/settings_test.go
@@ -39,6 +39,7 @@
 		{`"window": "10s"`, `"window": "0s"`, "window"},
 		{`"unknown": 5`, `"log": "loud"`, "log"},
 		{`"unknown": 5`, `"memory": 1`, "memory"},
+		{`"unknown": 5`, `"link": -1`, "link"},
 	} {
 		t.Run(tc.changed, func(t *testing.T) {
 			is := is.New(t)
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -52,7 +52,8 @@
 // Conn is a connection to a target. Only one exchange uses it at a time.
 type Conn struct {
 	net.Conn
-	pool         *pool
+	pool *pool
+	// r and w are nil while the connection is idle.
 	r            *bufio.Reader
 	w            *bufio.Writer
 	bytesWritten atomic.Int64 // Since the connection was acquired.
@@ -263,6 +264,7 @@
 		unexpired := time.Since(idle.lastUsed) < idle.maxIdle(c.maxIdle())
 		usable := isUsable(idle.Conn)
 		if unexpired && usable {
+			idle.takeBuffers()
 			return idle, nil
 		}
 		idle.destroy()
@@ -321,11 +323,33 @@
 		}
 	}
 	cn := &Conn{Conn: nc, pool: p}
-	cn.r = bufio.NewReaderSize(nc, readBufferSize)
-	cn.w = bufio.NewWriterSize(cn, writeBufferSize)
+	cn.takeBuffers()
 	return cn, nil
 }
 
+// readers and writers are the buffers of connections that aren't in use. Most connections to
+// targets are idle, and their buffers would be most of what an entry holds.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferSize) }}
+)
+
+// takeBuffers gives a connection buffers for an exchange.
+func (c *Conn) takeBuffers() {
+	c.r, c.w = readers.Get().(*bufio.Reader), writers.Get().(*bufio.Writer)
+	c.r.Reset(c.Conn)
+	c.w.Reset(c)
+}
+
+// giveBuffers takes the empty buffers from a connection whose exchange is complete.
+func (c *Conn) giveBuffers() {
+	c.r.Reset(nil)
+	c.w.Reset(nil)
+	readers.Put(c.r)
+	writers.Put(c.w)
+	c.r, c.w = nil, nil
+}
+
 // dialTCP opens a TCP connection.
 func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
 	return net.DialTimeout("tcp", address, timeout)
@@ -359,6 +383,7 @@
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
+	c.giveBuffers()
 	c.lastUsed = time.Now()
 	c.bytesWritten.Store(0)
 	if !c.pool.addIdle(c) {
