pimentogate: requests to silent targets are answered while their callers wait

The time is now looked up while the request is at its target, and the deadline that the target is given follows it.

--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -74,7 +74,7 @@
 	c := r.call
 	hedgeTimer := time.NewTimer(time.Duration(hedgeCheckFraction * float64(r.first.expected)))
 	defer hedgeTimer.Stop()
-	deadline := time.NewTimer(time.Until(c.deadline))
+	deadline := time.NewTimer(time.Until(c.deadline) - answerMargin)
 	defer deadline.Stop()
 	defer r.stopWatch()
 	for {
@@ -108,6 +108,10 @@
 			cand.releaseIfAny()
 			hedgeTimer.Reset(hedgeCheckInterval)
 		case <-deadline.C:
+			if left := time.Until(r.gate.answerBy(c)); left > 0 {
+				deadline.Reset(left)
+				continue
+			}
 			return r.giveUp(outcomeTimeout)
 		case <-r.gate.cutoffReached:
 			return r.giveUp(outcomeTimeout)
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -117,7 +117,6 @@
 		return g.refusal(c, reasonCrash, 0)
 	}
 	g.countRequest(c)
-	g.limitDeadline(c)
 	resp := g.sendWithRetries(c)
 	g.traffic.recordEnd(c.serviceName(), resp.reason != reasonNone && !c.mayHaveRun)
 	return resp
--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -45,21 +45,22 @@
 	return ts.service(c.serviceName()).queue.Silent(g.now())
 }
 
-// limitDeadline makes a request to a service whose targets are silent when full end early enough
-// for its caller to get the response.
-func (g *Gate) limitDeadline(c *call) {
+// answerBy returns the time at which a request that was sent is responded to at the latest. For a
+// service whose targets are silent when full, that is early enough for its caller to get the response.
+func (g *Gate) answerBy(c *call) time.Time {
 	if c.callerDeadline.IsZero() || !g.isSilent(c) {
-		return
+		return c.deadline
 	}
 	if early := c.callerDeadline.Add(-answerMargin); early.Before(c.deadline) {
-		c.deadline = early
+		return early
 	}
+	return c.deadline
 }
 
 // targetTime returns the time that a target may take for a request. Where it may have to wait in a
 // queue, the target's statement that its time has passed there arrives before the response is due.
 func (g *Gate) targetTime(c *call, cand *candidate) time.Duration {
-	left := time.Until(c.deadline)
+	left := time.Until(g.answerBy(c))
 	if cand.mayBeSilent() || g.isSilent(c) {
 		left -= g.roundTrip(cand.target)
 	}
@@ -220,7 +221,7 @@
 // doesn't. It reports false if the send is to be cancelled at once.
 func (r *race) awaitEnd(s *send) bool {
 	c := r.call
-	if r.result.outcome != outcomeTimeout || time.Now().Before(c.deadline) || !s.sawLong || c.isAbandoned() {
+	if r.result.outcome != outcomeTimeout || time.Now().Before(r.gate.answerBy(c)) || !s.sawLong || c.isAbandoned() {
 		return false
 	}
 	c.removeExchange(s.exchange)
