--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -76,7 +76,7 @@
 
 // offer returns what a candidate offers, nil for none.
 func (cand *candidate) offer() *pimentoload.Offer {
-	if cand == nil {
+	if cand == nil || cand.full {
 		return nil
 	}
 	return &pimentoload.Offer{Expected: cand.expected, Queued: cand.queued, Idle: cand.idle, Room: cand.room}
@@ -155,7 +155,8 @@
 
 // idleScore returns the score of a target that is probed now and turns out to be idle.
 func (g *Gate) idleScore(c *call, tg *pimentoroute.Target) time.Duration {
-	return g.usualWork(c) + 2*g.roundTrip(tg) + g.byteCost(c, tg)
+	score := g.usualWork(c) + 2*g.roundTrip(tg) + g.byteCost(c, tg)
+	return score + g.bodyCost(c, tg, g.usualWork(c)+g.roundTrip(tg))
 }
 
 // usualWork returns the usual work time of the request's route with a small margin.
--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -24,7 +24,7 @@
 func (g *Gate) limitFreshness() {
 	g.revocation = pimentofeed.RevocationBound{After: time.Duration(g.settings.Revocation)}
 	g.watchWait = g.revocation.WatchWait(pimentoplatform.WatchWait)
-	g.cluster.answerDue = g.watchWait + answerMargin
+	g.cluster.answerDue = g.watchWait + platformMargin
 }
 
 // feedAge returns the age of the items at most, and false if nothing bounds it. Where no clock
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -52,11 +52,12 @@
 	logBudget lineBudget
 	metrics   *gateMetrics
 	memory    *pimentomemory.Budget // For bodies and messages that are held.
+	bodies    bodyTraffic
+	startedAt time.Time
 
 	revocation pimentofeed.RevocationBound
 	watchWait  time.Duration // The time for which a watch of the platform waits.
 	askedAt    time.Duration // When the platform was asked last. Of the follower's goroutine.
-	startedAt  time.Time
 
 	table atomic.Pointer[pimentoroute.Table]
 	// configured is closed when there is a first active configuration.
@@ -143,6 +144,7 @@
 		cutoffReached: make(chan struct{}),
 		advanceDraw:   rand.Float64(),
 	}
+	g.bodies.link.Rate = s.linkRate()
 	g.logBudget.linesPerSecond = s.LogLineRate
 	g.cluster = newClusterState(pimentopeer.Member{
 		Name: s.Name, Address: s.PeersAddr, Region: g.region, Domain: s.Domain,
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -131,11 +131,11 @@
 	}
 }
 
-// answerMargin is the time for the way to the platform and back, and maxAnswerDue the time
+// platformMargin is the time for the way to the platform and back, and maxAnswerDue the time
 // after an answer within which the next one comes while watches wait for the usual time.
 const (
-	answerMargin = 150 * time.Millisecond
-	maxAnswerDue = pimentoplatform.WatchWait + answerMargin
+	platformMargin = 150 * time.Millisecond
+	maxAnswerDue = pimentoplatform.WatchWait + platformMargin
 )
 
 // overdue returns the time since the last moment at which an answer to an entry that reads
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,6 +34,12 @@
 	// forwarded is set once the response, with its stream and connection, belongs to the
 	// caller's response.
 	forwarded bool
+	// longest is the longest queue that the target reported when it was chosen and beside the
+	// send, and sawLong is set if it may have been full.
+	longest int
+	sawLong bool
+	// silent is set when the send is cancelled because no response will come.
+	silent atomic.Bool
 }
 
 // close closes the stream of a response that isn't forwarded, which ends its use of the
@@ -65,8 +72,8 @@
 		if isRetry && !g.spendRetry(c) {
 			return g.failRequest(c, failed, reasonBudget)
 		}
-		cand, why := g.chooseTarget(c, c.tried)
-		if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
+		cand, why := g.chooseAndCheck(c)
+		if why != reasonNone {
 			cand.releaseIfAny()
 			if isRetry {
 				g.returnRetry(c)
@@ -88,6 +95,18 @@
 	}
 }
 
+// chooseAndCheck chooses the target of the next send, once the request's body may be sent.
+func (g *Gate) chooseAndCheck(c *call) (*candidate, reason) {
+	if !g.paceBody(c) {
+		return nil, g.checkBeforeSend(c, nil, reasonStopping)
+	}
+	cand, why := g.chooseTarget(c, c.tried)
+	if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
+		g.unsendBody(c)
+	}
+	return cand, why
+}
+
 // awaitCrashCheck waits until it is known whether a send that lost its connection crashed
 // its target, because that decides whether the request is retried.
 func (g *Gate) awaitCrashCheck(c *call, s *send) {
@@ -150,8 +169,11 @@
 		return g.failRequest(c, *failed, reasonTimeout), false
 	}
 	c.retryReason = reasonIncomplete
+	if s.outcome == outcomeSilent {
+		c.retryReason = reasonSilent
+	}
 	if !c.retryable() {
-		return g.refusal(c, reasonIncomplete, 0), false
+		return g.refusal(c, c.retryReason, 0), false
 	}
 	return nil, true
 }
@@ -205,7 +227,7 @@
 	c.req.Header.CopyTo(&req.Header)
 	removeHopRequestHeaders(&req.Header)
 	req.SetBodyRaw(c.useBody())
-	left := max(time.Millisecond, time.Until(c.deadline))
+	left := g.targetTime(c, cand)
 	req.Header.Set(g.dialect.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	g.setOrganisation(c, &req.Header)
 	req.Header.Set(g.dialect.ExpectedTarget, string(cand.target.ID))
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -74,6 +74,9 @@
 	// is sent any more with a key that it took away. An entry that can't be sure of that
 	// refuses requests that need a key. 0 means no bound.
 	Revocation Duration `json:"revoke"`
+	// LinkMbps is the rate of the VM's link in Mbit/s, by which large bodies are admitted and
+	// sent. 0 means that it isn't known.
+	LinkMbps float64 `json:"link"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log"`
 	// LogLineRate bounds the log lines per second about successful requests.
@@ -105,6 +108,9 @@
 	return s.MemoryMiB << 20 * heldPercent / 100
 }
 
+// linkRate returns the rate of the VM's link in bytes a second, 0 if it isn't known.
+func (s *Settings) linkRate() float64 { return s.LinkMbps * 1e6 / 8 }
+
 // Region returns the VM's region.
 func (s *Settings) Region() pimentoregister.RegionName { return s.Regions[s.Domain] }
 
@@ -161,6 +167,7 @@
 		pimentosettings.AtLeast("memory", s.MemoryMiB, 16),
 		pimentosettings.AtLeast("held", s.HeldMiB, 0),
 		checkRevocation(time.Duration(s.Revocation)),
+		pimentosettings.AtLeast("link", s.LinkMbps, 0),
 		pimentosettings.AtLeast("lines", s.LogLineRate, 0),
 	)
 }
--- a/pimentogate/settings_test.go
+++ b/pimentogate/settings_test.go
@@ -41,6 +41,7 @@
 		{`"unknown": 5`, `"memory": 1`, "memory"},
 		{`"unknown": 5`, `"revoke": "1ms"`, "revoke"},
 		{`"unknown": 5`, `"revoke": "-5s"`, "revoke"},
+		{`"unknown": 5`, `"link": -1`, "link"},
 	} {
 		t.Run(tc.changed, func(t *testing.T) {
 			is := is.New(t)
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -270,7 +270,7 @@
 // same membership gets only a short record of this entry. peerStamp is the stamp of the
 // peer's last message.
 func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums, peerStamp uint64) *syncMessage {
-	now, digest, backlogs := g.now(), g.crashDigest(), g.ownBacklogs()
+	now, digest, backlogs, silences := g.now(), g.crashDigest(), g.ownBacklogs(), g.silences()
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -286,6 +286,7 @@
 		entries:       cs.size.own(),
 		confirmation:  g.statement(peerStamp),
 		backlogs:      backlogs,
+		silences:      silences,
 	}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
@@ -355,6 +356,7 @@
 	}
 	g.applyConfirmation(msg)
 	g.mergeCrashes(msg.crashes, msg.sender.Name)
+	g.mergeSilences(msg.silences, msg.sender.Name)
 }
 
 // unknownAge stands for the age of a feed that no reader has confirmed.
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -31,6 +31,7 @@
 	// that the receiver may lack.
 	crashDigest uint64
 	crashes     []pimentoretry.Report
+	silences    []silence
 	entries     int // The size of the fleet that the sender has seen, 0 if unknown.
 	// confirmation bounds the age of the sender's items. It is left out where no bound is set.
 	confirmation *pimentofeed.Statement
@@ -51,6 +52,7 @@
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
 //   fixed64 crash_digest = 11; uint64 entries = 12; Eras eras = 13;
 //   Confirmation confirmation = 14; repeated Backlog backlogs = 19;
+//   repeated Silence silences = 20;
 // }
 //
 // Field 7 was used for another purpose.
@@ -91,6 +93,9 @@
 	for i := range msg.backlogs {
 		marshalBacklog(mm.AppendMessage(19), &msg.backlogs[i])
 	}
+	for i := range msg.silences {
+		marshalSilence(mm.AppendMessage(20), &msg.silences[i])
+	}
 	return m.Marshal(nil)
 }
 
@@ -223,6 +228,13 @@
 			var b serviceBacklog
 			b, ok = backlogField(fc)
 			msg.backlogs = append(msg.backlogs, b)
+		case 20:
+			var data []byte
+			if data, ok = fc.MessageData(); ok {
+				var s silence
+				ok = unmarshalSilence(data, &s) == nil
+				msg.silences = append(msg.silences, s)
+			}
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -30,6 +30,7 @@
 		readings:      []reading{{run: 7, number: 3}, {run: 8, number: 1 << 40, at: -1200 * time.Millisecond}},
 		crashes:       []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
 		crashDigest:   99,
+		silences:      []silence{{service: "s", length: 24, age: time.Second}},
 		entries:       140,
 		confirmation:  &pimentofeed.Statement{Stamp: 1 << 60, Echo: 9, Age: 1234 * time.Millisecond, Known: true},
 		backlogs:      []serviceBacklog{{"s", pimentoload.Backlog{Waiting: 2.5, Rate: 17.25}, 300 * time.Millisecond}, {service: "t"}},
