pimentoquota: an organisation's rate and burst over all entries as tokens that expire

Quotas weren't held at all: rate and burst of an organisation were decoded and then ignored. Permission to run becomes tokens: each of n entries mints the n-th part of the rate, a token lives as long as the overshoot, burst and slack of the bounds allow, and tokens only move between entries, through the hub of a domain and one hub of the fleet. So the bound holds whoever hears whom, without agreement on members or owners. One owner that grants by its own bucket was ruled out: two lists of members give two owners, and one message an organisation.

--- /dev/null
+++ b/pimentoquota/exchange.go
@@ -0,0 +1,166 @@
+package pimentoquota
+
+import (
+	"time"
+
+	"pimentoarch/pimentoregister"
+)
+
+// Ask is what an entry sends to the hub that it asks: tokens that it doesn't need, and what
+// it needs.
+type Ask struct {
+	// Parent is the run of the hub that Stamp is of, 0 without one. The receiver ignores
+	// tokens for another run.
+	Parent uint64
+	// Stamp is the time that the hub's last reply stated, in its own time. The times of
+	// Items are relative to the receipt of that reply, so that the hub knows how old tokens
+	// are at most, however long the ask was on its way.
+	Stamp time.Duration
+	Items []AskItem
+}
+
+// AskItem is the part of an Ask about one organisation.
+type AskItem struct {
+	Name pimentoregister.OrganisationName
+	Rate float64 // The rate under which Lots were minted.
+	Lots []Lot   // Handed over.
+	Want float64
+}
+
+// Reply is the hub's reply to an Ask.
+type Reply struct {
+	Run   uint64
+	Stamp time.Duration // The hub's time.
+	// Items has an item for each organisation of which the Ask wanted tokens. The times of
+	// its lots are relative to Stamp.
+	Items []ReplyItem
+}
+
+// ReplyItem is the part of a Reply about one organisation.
+type ReplyItem struct {
+	Name pimentoregister.OrganisationName
+	Rate float64
+	Lots []Lot // Lent.
+	// Short is set if the hub lacks tokens and can't get any at the moment.
+	Short bool
+}
+
+// minHandOver is the least amount that is handed over, so that messages don't list
+// organisations for nothing.
+const minHandOver = 0.02
+
+// Ask returns what to send to the hub with the given run, 0 if that isn't known yet. The
+// tokens in it are gone from this entry, whether or not the message arrives.
+func (l *Ledger) Ask(now time.Duration, parent uint64) Ask {
+	var ask Ask
+	known := parent != 0 && parent == l.parent
+	if known {
+		ask.Parent, ask.Stamp = parent, l.parentStamp
+	}
+	for name := range l.accounts {
+		a := l.account(now, name)
+		if a == nil {
+			continue
+		}
+		it := AskItem{Name: name, Rate: a.limit.Rate}
+		held, keep, lacking := a.pool.sum(), a.keep(now, l.Hub), a.lacking(now)
+		switch {
+		case a.needsMore(now, held, keep):
+			it.Want = lacking + keep - held
+		case known && lacking == 0 && held-keep >= minHandOver:
+			it.Lots = a.pool.takeNewest(held - keep)
+			for i := range it.Lots {
+				it.Lots[i].MintedAt -= l.parentReplied
+			}
+		}
+		if it.Want > 0 || len(it.Lots) > 0 {
+			ask.Items = append(ask.Items, it)
+		}
+	}
+	return ask
+}
+
+// needsMore reports whether an account that holds an amount needs more, either for what is
+// lacking or to keep what recent use calls for.
+func (a *account) needsMore(now time.Duration, held, keep float64) bool {
+	lacking := a.lacking(now)
+	return held < lacking || (held < keep/2 && a.use.value(now)*ahead.Seconds() >= minKept)
+}
+
+// Serve handles the ask of another entry.
+func (l *Ledger) Serve(now time.Duration, ask *Ask) Reply {
+	reply := Reply{Run: l.Run, Stamp: now}
+	for i := range ask.Items {
+		it := &ask.Items[i]
+		a := l.account(now, it.Name)
+		if a == nil {
+			continue
+		}
+		if ask.Parent == l.Run && ask.Stamp <= now {
+			a.receive(now, it.Lots, it.Rate, ask.Stamp)
+		}
+		if it.Want > 0 {
+			reply.Items = append(reply.Items, l.lend(now, a, it))
+		}
+	}
+	return reply
+}
+
+// receive adds tokens of another entry, whose times are relative to base.
+func (a *account) receive(now time.Duration, lots []Lot, rate float64, base time.Duration) {
+	factor := 1.0
+	if rate > a.limit.Rate { // The sender has an older configuration.
+		factor = a.limit.Rate / rate
+	}
+	for _, lot := range lots {
+		a.pool.add(Lot{min(now, base+lot.MintedAt), lot.Amount * factor})
+	}
+	a.pool.expire(now - a.life)
+}
+
+// lend lends what an item wants, as far as there is some.
+func (l *Ledger) lend(now time.Duration, a *account, it *AskItem) ReplyItem {
+	lots := a.pool.takeLasting(it.Want, now-a.life+ahead)
+	lent := 0.0
+	for i := range lots {
+		lent += lots[i].Amount
+		lots[i].MintedAt -= now
+	}
+	a.use.add(now, lent)
+	reply := ReplyItem{Name: it.Name, Rate: a.limit.Rate, Lots: lots}
+	if left := it.Want - lent; left > rounding {
+		a.miss(now, a.lacking(now)+left)
+		reply.Short = l.Alone || now < a.shortUntil
+	}
+	return reply
+}
+
+// Apply handles the reply to the ask that was sent at a time.
+func (l *Ledger) Apply(now, sentAt time.Duration, r *Reply) {
+	l.parent, l.parentStamp, l.parentReplied = r.Run, r.Stamp, now
+	for i := range r.Items {
+		it := &r.Items[i]
+		a := l.account(now, it.Name)
+		if a == nil {
+			continue
+		}
+		// The reply wasn't made before the ask was sent.
+		a.receive(now, it.Lots, it.Rate, sentAt)
+		a.missing = 0 // Those that still wait count themselves again.
+		a.shortUntil = 0
+		if it.Short {
+			a.shortUntil = now + shortTime
+		}
+	}
+}
+
+// Needs reports whether an organisation lacks tokens, so that the hub is to be asked at
+// once.
+func (l *Ledger) Needs(now time.Duration) bool {
+	for _, a := range l.accounts {
+		if lacking := a.lacking(now); !a.dropped && lacking > 0 && now >= a.shortUntil && a.pool.sum() < lacking {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pimentoquota/ledger.go
@@ -0,0 +1,136 @@
+package pimentoquota
+
+import (
+	"time"
+
+	"pimentoarch/pimentoregister"
+)
+
+// Ledger holds this entry's tokens of all organisations. Bounds must be set before the
+// first call. It isn't safe for concurrent use.
+type Ledger struct {
+	Bounds Bounds
+	// Entries is the number of entries by which rates are divided, 0 while it is unknown:
+	// nothing is minted then, and made up for later.
+	Entries int
+	// Run identifies this start of the entry.
+	Run uint64
+	// Hub is set while other entries hand their tokens to this one, and Alone while there
+	// is no entry to ask.
+	Hub, Alone bool
+
+	accounts map[pimentoregister.OrganisationName]*account
+	// parent is the run of the entry that was asked last, with the time that its last
+	// reply stated, and when that was received here.
+	parent        uint64
+	parentStamp   time.Duration
+	parentReplied time.Duration
+}
+
+// Verdict is what a request may do.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Unlimited Verdict = iota // The organisation has no limit.
+	Granted                  // A token was taken.
+	Wait                     // There may be one where this entry asks.
+	Denied                   // There is none.
+)
+
+// SetLimits replaces the limits. Organisations that are new to this entry had no requests
+// here since its start, so that their tokens since then count as unspent.
+func (l *Ledger) SetLimits(now time.Duration, limits map[pimentoregister.OrganisationName]Limit) {
+	if l.accounts == nil {
+		l.accounts = make(map[pimentoregister.OrganisationName]*account, len(limits))
+	}
+	for name, limit := range limits {
+		a := l.accounts[name]
+		if a == nil {
+			a = new(account)
+			l.accounts[name] = a
+		} else {
+			a.refresh(now, l.Entries) // At the rate that has applied until now.
+		}
+		a.dropped = false
+		a.setLimit(limit, l.Bounds.Life(limit))
+	}
+	for name, a := range l.accounts {
+		if _, ok := limits[name]; ok {
+			continue
+		}
+		if !a.dropped {
+			a.dropped, a.droppedAt = true, now
+		}
+		// Kept for a life, so that an organisation that returns doesn't begin anew.
+		if now-a.droppedAt > a.life {
+			delete(l.accounts, name)
+		}
+	}
+}
+
+// account returns the account of an organisation with a limit, up to date, or nil.
+func (l *Ledger) account(now time.Duration, name pimentoregister.OrganisationName) *account {
+	a := l.accounts[name]
+	if a == nil || a.dropped {
+		return nil
+	}
+	a.refresh(now, l.Entries)
+	return a
+}
+
+// Take takes a token for one run.
+func (l *Ledger) Take(now time.Duration, name pimentoregister.OrganisationName) (Token, Verdict) {
+	a := l.account(now, name)
+	if a == nil {
+		return Token{}, Unlimited
+	}
+	if a.pool.sum() >= 1-rounding {
+		lots := a.pool.take(1)
+		a.use.add(now, 1)
+		a.spent++
+		return Token{lots[0].MintedAt}, Granted
+	}
+	a.miss(now, a.lacking(now)+1)
+	if l.Entries > 0 && (l.Alone || now < a.shortUntil) {
+		return Token{}, Denied
+	}
+	return Token{}, Wait
+}
+
+// Refuse counts a request that was refused, and returns the time after which there may be
+// room: the larger the part of the organisation's requests that is refused here, the later.
+func (l *Ledger) Refuse(now time.Duration, name pimentoregister.OrganisationName) time.Duration {
+	a := l.account(now, name)
+	if a == nil {
+		return 0
+	}
+	a.denied++
+	a.refused.add(now, 1)
+	refused := a.refused.value(now)
+	part := refused / (refused + a.use.value(now))
+	return max(minReturn, time.Duration(part*float64(maxReturn)))
+}
+
+const (
+	// minReturn and maxReturn bound the time after which a refused caller is to return.
+	minReturn = 250 * time.Millisecond
+	maxReturn = 3 * time.Second
+)
+
+// Fresh reports whether a token may still be used.
+func (l *Ledger) Fresh(now time.Duration, name pimentoregister.OrganisationName, t Token) bool {
+	a := l.account(now, name)
+	return a == nil || t.MintedAt >= now-a.life
+}
+
+// Return gives back a token whose request surely didn't run.
+func (l *Ledger) Return(now time.Duration, name pimentoregister.OrganisationName, t Token) {
+	a := l.account(now, name)
+	if a == nil {
+		return
+	}
+	a.spent--
+	a.pool.add(Lot{t.MintedAt, 1})
+	a.pool.expire(now - a.life)
+}
--- /dev/null
+++ b/pimentoquota/limit.go
@@ -0,0 +1,46 @@
+package pimentoquota
+
+import "time"
+
+// Limit is the limit of one organisation over all entries: Rate requests per second, and
+// Burst more at once. A Rate of 0 means no limit.
+type Limit struct{ Rate, Burst float64 }
+
+// Bounds state how far the requests of all entries may exceed a limit in any window:
+// (Rate x Window + Burst) x (1 + Overshoot) + Slack may run. The zero value allows nothing
+// beyond Rate and Burst, in windows of DefaultWindow.
+type Bounds struct {
+	Window           time.Duration
+	Overshoot, Slack float64
+}
+
+// DefaultWindow is the window of bounds that state none.
+const DefaultWindow = 5 * time.Second
+
+const (
+	// lifeFraction is the fraction of what may run beyond Rate x Window that tokens are
+	// stored up to. The rest is for the time between the choice of a target and the
+	// arrival there, and for entries that aren't counted yet.
+	lifeFraction = 0.8
+	// minLife is the least time for which a token lives, so that it can be handed on at
+	// all. It applies to bounds without overshoot.
+	minLife = 250 * time.Millisecond
+	// maxLife bounds the life of tokens of very low rates.
+	maxLife = time.Hour
+)
+
+// Life returns how long a token of a limit may be used after it was minted.
+func (b Bounds) Life(l Limit) time.Duration {
+	window := b.Window
+	if window <= 0 {
+		window = DefaultWindow
+	}
+	beyond := b.Overshoot*window.Seconds()*l.Rate + (1+b.Overshoot)*l.Burst + b.Slack
+	life := min(lifeFraction*beyond/l.Rate, maxLife.Seconds())
+	return max(minLife, time.Duration(life*float64(time.Second)))
+}
+
+// Most returns how many requests may run in a window of the given length.
+func (b Bounds) Most(l Limit, window time.Duration) float64 {
+	return (l.Rate*window.Seconds()+l.Burst)*(1+b.Overshoot) + b.Slack
+}
