pimentogate: organisations' quotas hold over all entries, and what is above them gets 429

Rate and burst of an organisation were read and ignored: in TestQuotaOverGates all 350 requests of an organisation with 20 a second ran at three gates. Now each send, retries and hedges included, takes a token of pimentoquota; a request without one is refused from its head with 429 and Retry-After, or waits an eighth of its objective at most while its hub may have some. A token comes back if the request surely didn't run. Asks go over the peer link on a stream of their own, every 500 ms and at once when something is lacking. Bounds come from settings that may be missing. Without limits nothing changes and nothing is sent.

TestQuotaOverGates: 160 of 330 ran (120 + 5 within, 176 may), another organisation's 360 all.

--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -33,6 +33,8 @@
 	service *pimentoroute.Service
 	// organisation is the one that the request acts for, or nil.
 	organisation *pimentoroute.Organisation
+	// quota is the token for the next send of an organisation with a limit, nil without one.
+	quota atomic.Pointer[heldToken]
 	// early is the response to a request that was refused by its head. Its body wasn't read.
 	early    *response
 	urgent   bool      // Requests to the service with a lower priority came lately.
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -123,6 +123,7 @@
 		if err != nil {
 			cc.endedIdle = cc.isIdleEnd(err)
 			cc.handleReadError(c, err)
+			cc.gate.dropQuota(c)
 			c.end()
 			cc.awaitResponses()
 			return
@@ -130,6 +131,7 @@
 		if !cc.addCall(c) {
 			// The response before this request closes the connection, so the
 			// request counts as unread.
+			cc.gate.dropQuota(c)
 			c.end()
 			cc.awaitResponses()
 			return
@@ -143,6 +145,7 @@
 		p := &pendingResponse{call: c, done: make(chan *response, 1)}
 		cc.pending <- p
 		if err := cc.gate.workers.Submit(func() { p.done <- cc.gate.serveRequest(c) }); err != nil {
+			cc.gate.dropQuota(c)
 			p.done <- cc.gate.refusal(c, reasonBusy, retryAfterBusy)
 		}
 		// The request after one that may change something must not be executed if
--- a/pimentogate/early.go
+++ b/pimentogate/early.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoroute"
 )
 
@@ -25,6 +26,9 @@
 	if why := g.identify(c); why != reasonNone {
 		return g.refusal(c, why, 0)
 	}
+	if g.takeQuota(c) == pimentoquota.Denied {
+		return g.refuseQuota(c)
+	}
 	return nil
 }
 
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -61,6 +61,7 @@
 	node           pimentolink.Node
 	workers        *ants.Pool
 	conns          connSet
+	quotas         quotas
 
 	// advanceDraw, from 0 to 1, decides whether this start may send retries before it
 	// knows the size of the fleet.
@@ -140,7 +141,8 @@
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
 	}
 	g.client = pimentohttp.Client{MaxIdle: targetIdleTimeout, DialTimeout: targetDialTimeout, UserTimeout: targetAckTimeout, Redial: true}
-	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync, Memory: pimentomemory.NewBudget(s.heldBytes() / messageShare)}
+	g.quotas.init(&s, g.cluster.runID())
+	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync, OnQuotaAsk: g.handleQuotaAsk, Memory: pimentomemory.NewBudget(s.heldBytes() / messageShare)}
 	g.addGauges()
 	return g, workers.Release, nil
 }
@@ -216,6 +218,7 @@
 	wg.Go(func() { g.maintainCluster(ctx.Done()) })
 	wg.Go(func() { g.runPeerSyncs(ctx) })
 	wg.Go(func() { g.watchSettings(ctx, reload) })
+	wg.Go(func() { g.runQuotaAsks(ctx) })
 	callers := pimentohttp.NewDrainListener(l.callers)
 	wg.Go(func() { g.acceptCallers(callers) })
 	go g.followPlatform(ctx) // Not in wg: a waiting watch can't be cancelled.
--- a/pimentogate/hedge.go
+++ b/pimentogate/hedge.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoroute"
 )
 
@@ -58,7 +59,12 @@
 	if second == nil || !g.mayHedge(c) {
 		return false
 	}
+	if v := g.takeQuota(c); v == pimentoquota.Wait || v == pimentoquota.Denied {
+		g.metrics.count("pimento_hedges_denied_total")
+		return false
+	}
 	if !g.spendRetry(c) {
+		g.dropQuota(c)
 		g.metrics.count("pimento_hedges_denied_total")
 		return false
 	}
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -158,4 +158,5 @@
 		g.logChange("msg", "configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes))
 	}
 	g.limitConns(t)
+	g.limitOrganisations(t)
 }
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -120,10 +120,12 @@
 		g.recordReport(tg, g.dialect.ParseReport(s.exchange.Resp))
 		g.clearQuarantine(c)
 	case outcomeNotExecuted:
+		g.regainQuota(c, s)
 		g.traffic.recordFullQueue(c.serviceName(), g.dialect.ParseReport(s.exchange.Resp))
 		g.backOff(tg, refusalBackoff)
 		return
 	case outcomeUnsent:
+		g.regainQuota(c, s)
 		c.sends--
 		g.backOff(tg, failureBackoff)
 		return
--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -57,6 +57,7 @@
 	c.tried = append(c.tried, cand.target.ID)
 	c.lastCandidate, c.lastSentAt = cand, time.Now()
 	s := r.gate.newSend(c, cand)
+	s.quota = c.quota.Swap(nil)
 	r.sends = append(r.sends, s)
 	go func() {
 		r.gate.runSend(c, s)
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -16,6 +16,7 @@
 	reasonUnconfigured reason = "unconfigured" // No configuration is known yet.
 	reasonRoute        reason = "route"        // No route matches.
 	reasonKey          reason = "key"          // No organisation has its key.
+	reasonQuota        reason = "quota"        // Its organisation's quota is used up.
 	reasonInvalid      reason = "invalid"      // The request isn't valid or is too large.
 	reasonLarge        reason = "large"        // Unused: see reasonInvalid.
 	reasonTargets      reason = "targets"      // No target may be used.
@@ -69,6 +70,9 @@
 	if mayHaveRun {
 		return fasthttp.StatusBadGateway
 	}
+	if r == reasonQuota {
+		return fasthttp.StatusTooManyRequests
+	}
 	return fasthttp.StatusServiceUnavailable
 }
 
@@ -81,7 +85,8 @@
 	if c != nil && c.id != "" {
 		resp.Header.Set(g.dialect.RequestID, c.id)
 	}
-	if resp.StatusCode() == fasthttp.StatusServiceUnavailable && retryAfter > 0 {
+	returns := resp.StatusCode() == fasthttp.StatusServiceUnavailable || resp.StatusCode() == fasthttp.StatusTooManyRequests
+	if returns && retryAfter > 0 {
 		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	g.metrics.countRefusal(why)
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -23,6 +23,7 @@
 type send struct {
 	candidate *candidate
 	exchange  *pimentohttp.Exchange
+	quota     *heldToken // That was spent on it, or nil.
 	started   time.Time
 	outcome   outcome
 	err       error
@@ -112,7 +113,7 @@
 	case g.outlastsStop(c, cand):
 		return reasonStopping
 	}
-	return reasonNone
+	return g.awaitQuota(c)
 }
 
 // releaseIfAny releases a candidate that may be nil.
@@ -162,8 +163,11 @@
 	if after, paused := g.returnAfterPause(c); paused && why == reasonTargets {
 		return g.refusal(c, reasonPaused, after)
 	}
-	if why == reasonStopping {
+	switch why {
+	case reasonStopping:
 		return g.refusal(c, why, retryAfterStop)
+	case reasonQuota:
+		return g.refuseQuota(c)
 	}
 	return g.refusal(c, why, g.returnAfter(c, why))
 }
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -12,6 +12,7 @@
 // serveRequest handles one request, counts and logs it.
 func (g *Gate) serveRequest(c *call) *response {
 	defer c.dropBody()
+	defer g.dropQuota(c)
 	resp := g.handleSafely(c)
 	took := time.Since(c.received)
 	status := resp.http.StatusCode()
@@ -108,6 +109,9 @@
 	if why := g.identify(c); why != reasonNone {
 		return g.refusal(c, why, 0)
 	}
+	if why := g.awaitQuota(c); why != reasonNone {
+		return g.refuseQuota(c)
+	}
 	split := g.traffic.nextSplitService(route)
 	if split == nil {
 		return g.refusal(c, reasonTargets, retryAfterBusy)
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentosettings"
 	"pimentoarch/pimentotarget"
@@ -74,6 +75,12 @@
 	LogLevel string `json:"log"`
 	// LogLineRate bounds the log lines per second about successful requests.
 	LogLineRate int `json:"lines"`
+	// LimitWindow, LimitOvershoot and LimitSlack bound the requests of an organisation
+	// with a quota that run in any LimitWindow, by all entries together: the quota times
+	// 1 + LimitOvershoot, plus LimitSlack.
+	LimitWindow    Duration `json:"limitWindow"`
+	LimitOvershoot float64  `json:"limitOvershoot"`
+	LimitSlack     float64  `json:"limitSlack"`
 }
 
 // DefaultSettings returns the defaults of the settings.
@@ -87,6 +94,9 @@
 		MemoryMiB:      256,
 		LogLevel:       "info",
 		LogLineRate:    20,
+		LimitWindow:    Duration(pimentoquota.DefaultWindow),
+		LimitOvershoot: 0.25,
+		LimitSlack:     20,
 	}
 }
 
@@ -157,5 +167,8 @@
 		pimentosettings.AtLeast("memory", s.MemoryMiB, 16),
 		pimentosettings.AtLeast("held", s.HeldMiB, 0),
 		pimentosettings.AtLeast("lines", s.LogLineRate, 0),
+		pimentosettings.AtLeast("limitWindow", time.Duration(s.LimitWindow).Seconds(), 0.1),
+		pimentosettings.AtLeast("limitOvershoot", s.LimitOvershoot, 0),
+		pimentosettings.AtLeast("limitSlack", s.LimitSlack, 0),
 	)
 }
--- a/pimentolink/client.go
+++ b/pimentolink/client.go
@@ -28,6 +28,13 @@
 	return c, c.close
 }
 
+// QuotaClient returns a client that asks a peer for quota tokens. It is used like that of
+// SyncClient.
+func (n *Node) QuotaClient(address string) (*MessageClient, func()) {
+	c := &MessageClient{node: n, address: address, kind: streamQuota}
+	return c, c.close
+}
+
 func (c *MessageClient) close() {
 	c.releaseReply()
 	if c.stream != nil {
--- a/pimentolink/node.go
+++ b/pimentolink/node.go
@@ -31,6 +31,7 @@
 	streamHandover
 	streamKeyOutcome
 	streamSync
+	streamQuota
 )
 
 const (
@@ -43,7 +44,7 @@
 
 // Node holds this entry's sessions with all peers: those that it dialed and those
 // that it accepted. Its exported fields are set before Serve: of the handlers, a gate
-// sets only OnSyncMessage, and an entry of package pimentoentry all others.
+// sets only OnSyncMessage and OnQuotaAsk, and an entry of package pimentoentry all others.
 type Node struct {
 	// Log receives failures to accept connections, and failures of peers' streams.
 	Log log.Logger
@@ -58,6 +59,8 @@
 	OnHeartbeat func(pimentopeer.Heartbeat) pimentopeer.Heartbeat
 	// OnSyncMessage handles a peer's sync message and returns the reply.
 	OnSyncMessage func([]byte) ([]byte, error)
+	// OnQuotaAsk handles a peer's ask for quota tokens and returns the reply.
+	OnQuotaAsk func([]byte) ([]byte, error)
 	// OnForward serves a forwarded request.
 	OnForward func(*IncomingRequest)
 	// OnFetchConfig returns the active configuration and its revision.
@@ -196,6 +199,8 @@
 		err = n.serveMessages(stream, r, n.handleHeartbeat)
 	case streamSync:
 		err = n.serveMessages(stream, r, n.OnSyncMessage)
+	case streamQuota:
+		err = n.serveMessages(stream, r, n.OnQuotaAsk)
 	case streamForward:
 		err = n.serveForward(stream, r)
 	case streamFetch:
--- a/pimentoquota/account.go
+++ b/pimentoquota/account.go
@@ -17,6 +17,8 @@
 	// missing is what this entry and those that ask it lacked lately, at missingAt.
 	missing   float64
 	missingAt time.Duration
+	// wantedUntil is the time until which the entry that this one asks lacks tokens.
+	wantedUntil time.Duration
 	// shortUntil is the time until which there is none where this entry asks.
 	shortUntil time.Duration
 	// droppedAt is when the organisation was no longer in the configuration.
@@ -27,13 +29,17 @@
 
 const (
 	// averageTime is the time constant of the averages of use and refusals.
-	averageTime = 2 * time.Second
+	averageTime = time.Second
 	// ahead is the time for which an entry holds tokens by its recent use. It covers two
 	// intervals between asks, so that steady requests don't wait.
 	ahead = 500 * time.Millisecond
 	// shortTime is how long an entry refuses at once after the hub had nothing. It bounds
 	// the asks of an organisation that is over its quota.
 	shortTime = 200 * time.Millisecond
+	// arrivalTime is the time within which tokens that others mint can arrive here.
+	arrivalTime = 150 * time.Millisecond
+	// wantedTime is how long an entry keeps less after its hub was lacking tokens.
+	wantedTime = time.Second
 	// missingTime is how long what was lacking counts as needed.
 	missingTime = 300 * time.Millisecond
 )
@@ -90,6 +96,12 @@
 	a.missingAt = now
 }
 
+// exhausted reports whether more is lacking than all entries together mint while a request
+// waits, so that further ones would wait in vain.
+func (a *account) exhausted(now time.Duration) bool {
+	return a.lacking(now) > a.limit.Rate*arrivalTime.Seconds()+1
+}
+
 // lacking returns what was lately lacking.
 func (a *account) lacking(now time.Duration) float64 {
 	if now-a.missingAt > missingTime {
@@ -102,7 +114,7 @@
 // keeps some for uneven use by the entries of its domain.
 func (a *account) keep(now time.Duration, hub bool) float64 {
 	use := a.use.value(now) * ahead.Seconds()
-	if !hub {
+	if !hub || now < a.wantedUntil {
 		if use < minKept {
 			return 0
 		}
--- a/pimentoquota/exchange.go
+++ b/pimentoquota/exchange.go
@@ -1,6 +1,7 @@
 package pimentoquota
 
 import (
+	"slices"
 	"time"
 
 	"pimentoarch/pimentoregister"
@@ -31,8 +32,8 @@
 type Reply struct {
 	Run   uint64
 	Stamp time.Duration // The hub's time.
-	// Items has an item for each organisation of which the Ask wanted tokens. The times of
-	// its lots are relative to Stamp.
+	// Items has an item for each organisation of which the Ask wanted tokens, or the hub
+	// lacks some. The times of lots are relative to Stamp.
 	Items []ReplyItem
 }
 
@@ -43,6 +44,8 @@
 	Lots []Lot // Lent.
 	// Short is set if the hub lacks tokens and can't get any at the moment.
 	Short bool
+	// Wanted is set if the hub lacks tokens, and the Ask wanted none.
+	Wanted bool
 }
 
 // minHandOver is the least amount that is handed over, so that messages don't list
@@ -90,6 +93,7 @@
 // Serve handles the ask of another entry.
 func (l *Ledger) Serve(now time.Duration, ask *Ask) Reply {
 	reply := Reply{Run: l.Run, Stamp: now}
+	l.servedAt = now
 	for i := range ask.Items {
 		it := &ask.Items[i]
 		a := l.account(now, it.Name)
@@ -103,9 +107,20 @@
 			reply.Items = append(reply.Items, l.lend(now, a, it))
 		}
 	}
+	l.addWanted(now, &reply)
 	return reply
 }
 
+// addWanted adds the organisations of which this entry lacks tokens and the ask wanted none.
+func (l *Ledger) addWanted(now time.Duration, reply *Reply) {
+	for name, a := range l.accounts {
+		asked := slices.ContainsFunc(reply.Items, func(it ReplyItem) bool { return it.Name == name })
+		if !a.dropped && !asked && a.lacking(now) > a.pool.sum() {
+			reply.Items = append(reply.Items, ReplyItem{Name: name, Rate: a.limit.Rate, Wanted: true})
+		}
+	}
+}
+
 // receive adds tokens of another entry, whose times are relative to base.
 func (a *account) receive(now time.Duration, lots []Lot, rate float64, base time.Duration) {
 	factor := 1.0
@@ -130,7 +145,7 @@
 	reply := ReplyItem{Name: it.Name, Rate: a.limit.Rate, Lots: lots}
 	if left := it.Want - lent; left > rounding {
 		a.miss(now, a.lacking(now)+left)
-		reply.Short = l.Alone || now < a.shortUntil
+		reply.Short = l.hasNone(now, a)
 	}
 	return reply
 }
@@ -144,6 +159,10 @@
 		if a == nil {
 			continue
 		}
+		if it.Wanted {
+			a.wantedUntil = now + wantedTime
+			continue
+		}
 		// The reply wasn't made before the ask was sent.
 		a.receive(now, it.Lots, it.Rate, sentAt)
 		a.missing = 0 // Those that still wait count themselves again.
@@ -154,11 +173,18 @@
 	}
 }
 
-// Needs reports whether an organisation lacks tokens, so that the hub is to be asked at
-// once.
+// Needs reports whether an organisation lacks tokens, or the hub lacks some that this entry
+// can spare, so that the hub is to be asked at once.
 func (l *Ledger) Needs(now time.Duration) bool {
 	for _, a := range l.accounts {
-		if lacking := a.lacking(now); !a.dropped && lacking > 0 && now >= a.shortUntil && a.pool.sum() < lacking {
+		if a.dropped {
+			continue
+		}
+		held, lacking := a.pool.sum(), a.lacking(now)
+		if lacking > 0 && now >= a.shortUntil && held < lacking {
+			return true
+		}
+		if now < a.wantedUntil && lacking == 0 && held-a.keep(now, l.Hub) >= 1 {
 			return true
 		}
 	}
--- a/pimentoquota/ledger.go
+++ b/pimentoquota/ledger.go
@@ -20,6 +20,7 @@
 	Hub, Alone bool
 
 	accounts map[pimentoregister.OrganisationName]*account
+	servedAt time.Duration // When another entry last asked this one.
 	// parent is the run of the entry that was asked last, with the time that its last
 	// reply stated, and when that was received here.
 	parent        uint64
@@ -88,16 +89,29 @@
 	if a.pool.sum() >= 1-rounding {
 		lots := a.pool.take(1)
 		a.use.add(now, 1)
+		a.missing = max(0, a.lacking(now)-1)
 		a.spent++
 		return Token{lots[0].MintedAt}, Granted
 	}
 	a.miss(now, a.lacking(now)+1)
-	if l.Entries > 0 && (l.Alone || now < a.shortUntil) {
+	if l.Entries > 0 && l.hasNone(now, a) {
 		return Token{}, Denied
 	}
 	return Token{}, Wait
 }
 
+// hasNone reports whether no token can be expected soon: there is none where this entry
+// asks, or it asks nobody and others bring it too few.
+func (l *Ledger) hasNone(now time.Duration, a *account) bool {
+	if l.Alone {
+		return now-l.servedAt > servedTime || a.exhausted(now)
+	}
+	return now < a.shortUntil
+}
+
+// servedTime is the time after the last ask of another entry within which more are expected.
+const servedTime = time.Second
+
 // Refuse counts a request that was refused, and returns the time after which there may be
 // room: the larger the part of the organisation's requests that is refused here, the later.
 func (l *Ledger) Refuse(now time.Duration, name pimentoregister.OrganisationName) time.Duration {
--- a/pimentoquota/quota_test.go
+++ b/pimentoquota/quota_test.go
@@ -17,6 +17,8 @@
 	"large": {Rate: 136, Burst: 40}, "middle": {Rate: 12, Burst: 12}, "small": {Rate: 2, Burst: 4},
 }
 
+var testNames = []pimentoregister.OrganisationName{"large", "middle", "small"}
+
 // In calm times at least 95% of what lies within a quota is admitted, whether an
 // organisation asks for less than its rate or for more, and wherever its requests arrive.
 func TestCalm(t *testing.T) {
@@ -26,7 +28,8 @@
 				is := is.New(t)
 				f := newFleet(7, entries, min(entries, 6), testBounds, testLimits)
 				f.run(8 * time.Second)
-				for name, l := range testLimits {
+				for _, name := range testNames {
+					l := testLimits[name]
 					f.demand(name, f.now, f.now+30*time.Second, load*l.Rate, f.anyEntry)
 				}
 				asks := f.asks
@@ -67,8 +70,8 @@
 	}
 	load := rapid.Float64Range(0.5, 4).Draw(rt, "load")
 	idle := time.Duration(rapid.IntRange(0, 8).Draw(rt, "idle s")) * time.Second
-	for name, l := range testLimits {
-		f.demand(name, idle, length, load*l.Rate, pick)
+	for _, name := range testNames {
+		f.demand(name, idle, length, load*testLimits[name].Rate, pick)
 	}
 	f.addFaults(rt, length)
 	f.run(length + 2*time.Second)
