pimentogate: quotas after a start, in /status and in the operators' pages

Entries younger than 3 s now let requests wait, up to half the objective, tell refused callers to return after 250 ms, and divide by the members that were met once 500 ms passed without another.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -79,6 +79,10 @@
 	ShareEntries int64 `json:"share"`
 	// Retries has this entry's share of the retry limit of each service that had requests.
 	Retries map[pimentoregister.ServiceName]RetryStatus `json:"retries"`
+	// Quotas has the organisations with a limit, those with the most use here first, and
+	// QuotaHub the entry that this one asks for tokens, empty if it is the hub of all.
+	Quotas   []QuotaStatus           `json:"quotas,omitempty"`
+	QuotaHub pimentotarget.EntryName `json:"hub,omitempty"`
 	// OutDomains lists the failure domains that are out of service.
 	OutDomains []pimentoregister.DomainName `json:"out"`
 }
@@ -119,6 +123,7 @@
 	g.traffic.mu.Lock()
 	v.Retries = g.retryStatus()
 	g.traffic.mu.Unlock()
+	v.Quotas, v.QuotaHub = g.quotaStatus()
 	t := g.table.Load()
 	if t == nil {
 		return v
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -319,6 +319,7 @@
 	live := cs.members.LiveCount()
 	cs.size.observe(now, live, live == 1 && g.hasOtherSeeds())
 	n := int64(cs.size.value())
+	g.earlySize.Store(int64(cs.size.early(now)))
 	if n == g.clusterSize.Load() {
 		return
 	}
--- a/pimentogate/fleetsize.go
+++ b/pimentogate/fleetsize.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// earlySettleTime is the time without further members after which their number is taken for
+// the size of the fleet where nothing else is known. Members that start together meet within
+// two exchanges with a seed.
+const earlySettleTime = 500 * time.Millisecond
+
+// early returns the number of entries as it looks soon after a start, 0 if this entry has met
+// none yet.
+func (f *fleetSize) early(now time.Duration) int {
+	if f.peak <= 1 || now-f.grownAt < earlySettleTime {
+		return 0
+	}
+	return f.peak
+}
+
 // state records the size that another entry has seen.
 func (f *fleetSize) state(entries int) { f.stated = max(f.stated, entries) }
 
--- a/pimentogate/fleetsize_test.go
+++ b/pimentogate/fleetsize_test.go
@@ -77,3 +77,16 @@
 		}
 	})
 }
+
+// Soon after a start, the members that were met count if no more are met for a while.
+func TestEarlySize(t *testing.T) {
+	is := is.New(t)
+	var f fleetSize
+	f.observe(0, 1, true)
+	is.Equal(f.early(time.Hour), 0) // Alone.
+	f.observe(time.Second, 5, false)
+	f.observe(time.Second+earlySettleTime/2, 9, false)
+	is.Equal(f.early(time.Second+earlySettleTime), 0)
+	is.Equal(f.early(time.Second+earlySettleTime*3/2), 9)
+	is.Equal(f.value(), 0)
+}
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -67,6 +67,7 @@
 	// knows the size of the fleet.
 	advanceDraw float64
 	clusterSize atomic.Int64 // The value of clusterState.size; 0 while unknown.
+	earlySize   atomic.Int64 // That of fleetSize.early.
 	// domainSize is one more than the recent peak number of entries in this entry's
 	// domain; 0 while unknown.
 	domainSize atomic.Int64
--- a/pimentogate/quota.go
+++ b/pimentogate/quota.go
@@ -7,6 +7,7 @@
 	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoroute"
+	"pimentoarch/pimentotarget"
 )
 
 // quotas holds this entry's part of the quotas of organisations.
@@ -23,7 +24,7 @@
 	// arrived is closed and replaced when tokens or a refusal have arrived.
 	arrived chan struct{}
 	waiting int
-	parent  string // The name of the hub that was asked last.
+	parent  pimentotarget.EntryName // The hub that was asked last.
 }
 
 // heldToken is a token that wasn't spent yet.
@@ -74,10 +75,11 @@
 }
 
 // quotaEntries returns the number of entries by which rates are divided. Before the size of
-// the fleet is known, it takes the fleet to be no larger than the number of targets.
+// the fleet is known, it is the number of members that were met, or else the fleet is taken
+// to be no larger than the number of targets.
 func (g *Gate) quotaEntries(t *pimentoroute.Table) int {
-	if n := int(g.clusterSize.Load()); n > 0 {
-		return n
+	if n := max(g.clusterSize.Load(), g.earlySize.Load()); n > 0 {
+		return int(n)
 	}
 	return t.TargetCount()
 }
@@ -104,6 +106,7 @@
 	switch verdict {
 	case pimentoquota.Granted:
 		c.quota.Store(&heldToken{name, token})
+		g.metrics.count("pimento_quota_granted_total")
 	case pimentoquota.Wait:
 		q.askSoon()
 	}
@@ -112,11 +115,22 @@
 
 const (
 	// quotaWaitFraction is the fraction of a route's objective for which a request waits
-	// for a token, and maxQuotaWait bounds that time.
+	// for a token, and maxQuotaWait bounds that time. startWaitFraction and maxStartWait
+	// apply to an entry that has just started and doesn't know the fleet yet.
 	quotaWaitFraction = 0.125
 	maxQuotaWait      = 250 * time.Millisecond
+	startWaitFraction = 0.5
+	maxStartWait      = time.Second
 )
 
+// quotaWait returns the time for which a request of a route waits for a token.
+func (g *Gate) quotaWait(r *pimentoroute.Route) time.Duration {
+	if g.quotaNow() < pimentoquota.StartTime {
+		return min(time.Duration(startWaitFraction*float64(r.Objective)), maxStartWait)
+	}
+	return min(time.Duration(quotaWaitFraction*float64(r.Objective)), maxQuotaWait)
+}
+
 // awaitQuota makes the call hold a token for its next send. It waits for one that may come
 // from the hub. It returns why there is none, or reasonNone.
 func (g *Gate) awaitQuota(c *call) reason {
@@ -133,8 +147,7 @@
 			return reasonQuota
 		}
 		if limit == nil {
-			wait := min(time.Duration(quotaWaitFraction*float64(c.route.Objective)), maxQuotaWait, time.Until(c.deadline))
-			timer := time.NewTimer(wait)
+			timer := time.NewTimer(min(g.quotaWait(c.route), time.Until(c.deadline)))
 			defer timer.Stop()
 			limit = timer.C
 		}
@@ -188,6 +201,7 @@
 	q.mu.Lock()
 	after := q.ledger.Refuse(now, c.organisation.Name)
 	q.mu.Unlock()
+	g.metrics.count("pimento_quota_denied_total")
 	return g.refusal(c, reasonQuota, after)
 }
 
@@ -202,6 +216,7 @@
 }
 
 func (g *Gate) returnQuota(held *heldToken) {
+	g.metrics.count("pimento_quota_returned_total")
 	now := g.quotaNow()
 	q := &g.quotas
 	q.mu.Lock()
--- a/pimentogate/quotaask.go
+++ b/pimentogate/quotaask.go
@@ -67,7 +67,7 @@
 	q := &g.quotas
 	q.mu.Lock()
 	choice := q.chooser.Choose(now, self, others)
-	name := string(choice.Parent.Name)
+	name := choice.Parent.Name
 	changed := name != q.parent || choice.Hub != q.ledger.Hub
 	q.parent = name
 	q.ledger.Hub, q.ledger.Alone = choice.Hub, name == ""
--- a/pimentogate/quotamessage.go
+++ b/pimentogate/quotamessage.go
@@ -26,7 +26,7 @@
 }
 
 // message QuotaItem {
-//   string name = 1; double rate = 2; repeated sint64 minted_micros = 3;
+//   string name = 1; double rate = 2; repeated sint64 minted_millis = 3;
 //   repeated float amounts = 4; float want = 5; bool short = 6; bool wanted = 7;
 // }
 
@@ -37,7 +37,7 @@
 		times, amounts := make([]int64, len(it.lots)), make([]float32, len(it.lots))
 		for i, l := range it.lots {
 			// Rounded towards older and fewer, so that no tokens come into being.
-			times[i] = int64(math.Floor(float64(l.MintedAt) / float64(time.Microsecond)))
+			times[i] = int64(math.Floor(l.MintedAt.Seconds() * millisPerSecond))
 			amounts[i] = roundDown(l.Amount)
 		}
 		mm.AppendSint64s(3, times)
@@ -100,16 +100,19 @@
 		return errInvalidLots
 	}
 	for i, f := range amounts {
-		if !(f >= 0 && f < maxTokens) || times[i] > maxLotMicros || times[i] < -maxLotMicros {
+		if !(f >= 0 && f < maxTokens) || times[i] > maxLotMillis || times[i] < -maxLotMillis {
 			return errInvalidLots
 		}
-		it.lots = append(it.lots, pimentoquota.Lot{MintedAt: time.Duration(times[i]) * time.Microsecond, Amount: float64(f)})
+		it.lots = append(it.lots, pimentoquota.Lot{MintedAt: time.Duration(times[i]) * time.Millisecond, Amount: float64(f)})
 	}
 	return nil
 }
 
-// maxLotMicros bounds the times in a message, so that they fit a duration.
-const maxLotMicros = 1 << 50
+const (
+	// maxLotMillis bounds the times in a message, so that they fit a duration.
+	maxLotMillis    = 1 << 40
+	millisPerSecond = 1000
+)
 
 // message QuotaAsk { fixed64 parent = 1; uint64 stamp_nanos = 2; repeated QuotaItem items = 3; }
 // message QuotaReply { fixed64 run = 1; uint64 stamp_nanos = 2; repeated QuotaItem items = 3; }
@@ -135,7 +138,7 @@
 		case 2:
 			var nanos uint64
 			nanos, ok = fc.Uint64()
-			stamp = time.Duration(min(nanos, maxLotMicros*uint64(time.Microsecond)))
+			stamp = time.Duration(min(nanos, maxLotMillis*uint64(time.Millisecond)))
 		case 3:
 			var data []byte
 			if data, ok = fc.MessageData(); ok {
--- a/pimentoquota/account.go
+++ b/pimentoquota/account.go
@@ -128,7 +128,7 @@
 	// parts of a token at many entries serve nobody.
 	minKept = 0.5
 	// spread is the number of standard deviations of the use that a hub keeps beyond it.
-	spread = 2
+	spread = 1
 	// hubReserve is the number of tokens that a hub keeps of an organisation of little
 	// use.
 	hubReserve = 1
--- a/pimentoquota/exchange.go
+++ b/pimentoquota/exchange.go
@@ -48,9 +48,35 @@
 	Wanted bool
 }
 
-// minHandOver is the least amount that is handed over, so that messages don't list
-// organisations for nothing.
-const minHandOver = 0.02
+const (
+	// minHandOver is the amount from which tokens are handed over at once. Less waits until
+	// the hub lacks some, or the oldest have lived 1/patience of their life, so that messages don't list all
+	// organisations each time.
+	minHandOver = 0.25
+	patience    = 8
+	// leastHandOver is the amount below which nothing is handed over.
+	leastHandOver = 0.005
+	// lotsPerMessage is the number of steps in the life of a token by which messages state
+	// times.
+	lotsPerMessage = 32
+)
+
+// worthMoving reports whether an amount is to be handed over now.
+func (a *account) worthMoving(now time.Duration, spare float64) bool {
+	if spare >= minHandOver || (spare >= leastHandOver && now < a.wantedUntil) {
+		return true
+	}
+	return spare >= leastHandOver && len(a.pool.lots) > 0 && now-a.pool.lots[0].MintedAt >= a.life/patience
+}
+
+// handOver removes an amount, with times that are rounded down.
+func (a *account) handOver(amount float64) []Lot {
+	coarse := pool{step: max(1, a.life/lotsPerMessage)}
+	for _, lot := range a.pool.takeNewest(amount) {
+		coarse.add(lot)
+	}
+	return coarse.lots
+}
 
 // Ask returns what to send to the hub with the given run, 0 if that isn't known yet. The
 // tokens in it are gone from this entry, whether or not the message arrives.
@@ -70,8 +96,8 @@
 		switch {
 		case a.needsMore(now, held, keep):
 			it.Want = lacking + keep - held
-		case known && lacking == 0 && held-keep >= minHandOver:
-			it.Lots = a.pool.takeNewest(held - keep)
+		case known && lacking == 0 && a.worthMoving(now, held-keep):
+			it.Lots = a.handOver(held - keep)
 			for i := range it.Lots {
 				it.Lots[i].MintedAt -= l.parentReplied
 			}
--- a/pimentoquota/ledger.go
+++ b/pimentoquota/ledger.go
@@ -100,9 +100,16 @@
 	return Token{}, Wait
 }
 
+// StartTime is the time after the start in which an entry finds the fleet and its hub.
+// Requests wait for tokens then, instead of being refused at once.
+const StartTime = 3 * time.Second
+
 // hasNone reports whether no token can be expected soon: there is none where this entry
 // asks, or it asks nobody and others bring it too few.
 func (l *Ledger) hasNone(now time.Duration, a *account) bool {
+	if now < StartTime {
+		return false
+	}
 	if l.Alone {
 		return now-l.servedAt > servedTime || a.exhausted(now)
 	}
@@ -121,6 +128,9 @@
 	}
 	a.denied++
 	a.refused.add(now, 1)
+	if now < StartTime {
+		return minReturn // What is refused now tells nothing about the quota.
+	}
 	refused := a.refused.value(now)
 	part := refused / (refused + a.use.value(now))
 	return max(minReturn, time.Duration(part*float64(maxReturn)))
