pimentogate: requests wait longer for a token of their hub

In calm time requests within their quota got 429 after having waited in vain: a token from the hub of the fleet takes a round trip to its region and two asks, and an eighth of the objective is less. Their callers came back seconds later. They now wait 0.3 of the objective, and asks that bring nothing back off to 40 ms, since a hub that many entries ask is short of processor time. Backing off to 160 ms, and handing parts of tokens to the hub, were tried and made it worse.

--- a/pimentogate/quota.go
+++ b/pimentogate/quota.go
@@ -117,8 +117,8 @@
 	// quotaWaitFraction is the fraction of a route's objective for which a request waits
 	// for a token, and maxQuotaWait bounds that time. startWaitFraction and maxStartWait
 	// apply to an entry that has just started and doesn't know the fleet yet.
-	quotaWaitFraction = 0.125
-	maxQuotaWait      = 250 * time.Millisecond
+	quotaWaitFraction = 0.3
+	maxQuotaWait      = 500 * time.Millisecond
 	startWaitFraction = 0.5
 	maxStartWait      = time.Second
 )
--- a/pimentogate/quotaask.go
+++ b/pimentogate/quotaask.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// quotaInterval is the time between two asks when nothing is lacking, and minQuotaGap
-	// the minimum time between two asks.
+	// quotaInterval is the time between two asks when nothing is lacking. minQuotaGap is the
+	// minimum time between two asks; it doubles up to maxQuotaGap while something is lacking,
+	// since a hub that many entries ask is short of processor time first.
 	quotaInterval = 500 * time.Millisecond
 	minQuotaGap   = 20 * time.Millisecond
+	maxQuotaGap   = 40 * time.Millisecond
 	// quotaTimeout bounds the exchange of one ask and its reply. It is several times the
 	// round trip to the farthest region.
 	quotaTimeout = 600 * time.Millisecond
@@ -40,14 +42,17 @@
 	}
 	asker := &quotaAsker{gate: g}
 	defer asker.disconnect()
+	gap := minQuotaGap
 	for {
 		again := asker.askOnce()
-		if !sleepContext(ctx, minQuotaGap) {
+		if !sleepContext(ctx, gap) {
 			return
 		}
 		if again {
+			gap = min(2*gap, maxQuotaGap)
 			continue
 		}
+		gap = minQuotaGap
 		select {
 		case <-ctx.Done():
 			return
