pimentoquota: what was minted too little before the size of the fleet was known is made up for

After all entries had started, rates were divided by the number of targets (340) until the size (123) was known, and the rest of that time was lost: callers' requests waited half their objective and got 429. Each entry now mints the difference for the time since its start, once, and only within the first 3 s; the sum of all entries stays the rate. A shorter time until the size counts was ruled out, since members that meet through a seed may pause for an interval.

TestMakeUp is new.

--- a/pimentogate/quota.go
+++ b/pimentogate/quota.go
@@ -66,7 +66,7 @@
 	q := &g.quotas
 	now := g.quotaNow()
 	q.mu.Lock()
-	q.ledger.Entries = g.quotaEntries(t)
+	q.ledger.SetEntries(now, g.quotaEntries(t))
 	q.ledger.SetLimits(now, limits)
 	q.mu.Unlock()
 	if len(limits) > 0 {
--- a/pimentogate/quotaask.go
+++ b/pimentogate/quotaask.go
@@ -76,7 +76,7 @@
 	changed := name != q.parent || choice.Hub != q.ledger.Hub
 	q.parent = name
 	q.ledger.Hub, q.ledger.Alone = choice.Hub, name == ""
-	q.ledger.Entries = g.quotaEntries(t)
+	q.ledger.SetEntries(now, g.quotaEntries(t))
 	q.mu.Unlock()
 	if changed {
 		g.metrics.count("pimento_quota_hub_changes_total")
--- a/pimentoquota/account.go
+++ b/pimentoquota/account.go
@@ -80,14 +80,18 @@
 	if entries <= 0 || now <= a.mintedTo {
 		return
 	}
-	rate := a.limit.Rate / float64(entries)
-	for from := max(a.mintedTo, now-a.life); from < now; {
-		to := min(now, floor(from, a.pool.step)+a.pool.step)
+	a.mint(max(a.mintedTo, now-a.life), now, a.limit.Rate/float64(entries))
+	a.mintedTo = now
+	a.pool.expire(now - a.life)
+}
+
+// mint adds tokens of the time between two points at a rate.
+func (a *account) mint(from, until time.Duration, rate float64) {
+	for from < until {
+		to := min(until, floor(from, a.pool.step)+a.pool.step)
 		a.pool.add(Lot{from, rate * (to - from).Seconds()})
 		from = to
 	}
-	a.mintedTo = now
-	a.pool.expire(now - a.life)
 }
 
 // miss counts what couldn't be served here.
--- a/pimentoquota/ledger.go
+++ b/pimentoquota/ledger.go
@@ -11,7 +11,8 @@
 type Ledger struct {
 	Bounds Bounds
 	// Entries is the number of entries by which rates are divided, 0 while it is unknown:
-	// nothing is minted then, and made up for later.
+	// nothing is minted then, and made up for later. It is changed with SetEntries once the
+	// ledger is used.
 	Entries int
 	// Run identifies this start of the entry.
 	Run uint64
@@ -70,6 +71,22 @@
 	}
 }
 
+// SetEntries changes the number of entries. Soon after the start it may have been taken to be
+// larger than it is. What was then minted too little is made up for, since this entry minted
+// nothing else since its start.
+func (l *Ledger) SetEntries(now time.Duration, n int) {
+	if n == l.Entries {
+		return
+	}
+	for _, a := range l.accounts {
+		a.refresh(now, l.Entries)
+		if l.Entries > 0 && n > 0 && n < l.Entries && now < StartTime {
+			a.mint(max(0, now-a.life), now, a.limit.Rate/float64(n)-a.limit.Rate/float64(l.Entries))
+		}
+	}
+	l.Entries = n
+}
+
 // account returns the account of an organisation with a limit, up to date, or nil.
 func (l *Ledger) account(now time.Duration, name pimentoregister.OrganisationName) *account {
 	a := l.accounts[name]
--- a/pimentoquota/ledger_test.go
+++ b/pimentoquota/ledger_test.go
@@ -65,6 +65,23 @@
 	is.True(near(held(l, time.Second), 10, 0.2))
 }
 
+// What was minted too little while the fleet was taken to be larger is made up for soon after
+// the start, up to this entry's part of the rate since then, and not later.
+func TestMakeUp(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(1, 400, Limit{Rate: 100})
+	now := time.Second
+	is.True(near(held(l, now), 0.25, 0.01))
+	l.SetEntries(now, 100)
+	is.True(near(held(l, now), 1, 0.02))
+	l.SetEntries(now, 100)
+	is.True(near(held(l, now), 1, 0.02))
+	l.SetEntries(StartTime, 400)
+	before := held(l, StartTime)
+	l.SetEntries(StartTime, 100)
+	is.Equal(held(l, StartTime), before)
+}
+
 // Tokens that aren't used expire, also those that were taken and not spent.
 func TestExpiry(t *testing.T) {
 	is := is.New(t)
