--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -91,6 +91,10 @@
 	KeysAgeMillis   int64 `json:"keysage"`
 	KeysLimitMillis int64 `json:"keyslimit"`
 	KeysRefused     bool  `json:"keysrefused"`
+	// Quotas has the organisations with a limit, those with the most use here first, and
+	// QuotaHub the entry that this one asks for tokens, empty if it is the hub of all.
+	Quotas   []QuotaStatus           `json:"quotas,omitempty"`
+	QuotaHub pimentotarget.EntryName `json:"hub,omitempty"`
 	// OutDomains lists the failure domains that are out of service.
 	OutDomains []pimentoregister.DomainName `json:"out"`
 }
@@ -135,6 +139,7 @@
 	g.traffic.mu.Lock()
 	v.Retries = g.retryStatus()
 	g.traffic.mu.Unlock()
+	v.Quotas, v.QuotaHub = g.quotaStatus()
 	t := g.table.Load()
 	if t == nil {
 		return v
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -37,6 +37,8 @@
 	// key is the digest of the request's key, if hasKey is set.
 	key    pimentoroute.Digest
 	hasKey bool
+	// quota is the token for the next send of an organisation with a limit, nil without one.
+	quota atomic.Pointer[heldToken]
 	// early is the response to a request that was refused by its head. Its body wasn't read.
 	early    *response
 	urgent   bool      // Requests to the service with a lower priority came lately.
--- a/pimentogate/early.go
+++ b/pimentogate/early.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoroute"
 )
 
@@ -25,7 +26,13 @@
 	if why := g.identify(c); why != reasonNone {
 		return g.refusal(c, why, retryAfterUnconfirmed) // Only stated where a later try may succeed.
 	}
-	return g.refuseBody(c)
+	if resp := g.refuseBody(c); resp != nil {
+		return resp
+	}
+	if g.takeQuota(c) == pimentoquota.Denied {
+		return g.refuseQuota(c)
+	}
+	return nil
 }
 
 // matchRoute returns the route of a request, or nil.
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -135,7 +135,7 @@
 // after an answer within which the next one comes while watches wait for the usual time.
 const (
 	platformMargin = 150 * time.Millisecond
-	maxAnswerDue = pimentoplatform.WatchWait + platformMargin
+	maxAnswerDue   = pimentoplatform.WatchWait + platformMargin
 )
 
 // overdue returns the time since the last moment at which an answer to an entry that reads
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -18,6 +18,7 @@
 	reasonKey          reason = "key"          // No organisation has its key.
 	reasonUnconfirmed  reason = "unconfirmed"  // Whether its key is still valid isn't known.
 	reasonMoved        reason = "moved"        // Its key or its home regions have changed.
+	reasonQuota        reason = "quota"        // Its organisation's quota is used up.
 	reasonInvalid      reason = "invalid"      // The request isn't valid or is too large.
 	reasonLarge        reason = "large"        // Unused: see reasonInvalid.
 	reasonTargets      reason = "targets"      // No target may be used.
@@ -78,6 +79,9 @@
 	if mayHaveRun {
 		return fasthttp.StatusBadGateway
 	}
+	if r == reasonQuota {
+		return fasthttp.StatusTooManyRequests
+	}
 	return fasthttp.StatusServiceUnavailable
 }
 
@@ -90,7 +94,8 @@
 	if c != nil && c.id != "" {
 		resp.Header.Set(g.dialect.RequestID, c.id)
 	}
-	if resp.StatusCode() == fasthttp.StatusServiceUnavailable && retryAfter > 0 {
+	returns := resp.StatusCode() == fasthttp.StatusServiceUnavailable || resp.StatusCode() == fasthttp.StatusTooManyRequests
+	if returns && retryAfter > 0 {
 		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	g.metrics.countRefusal(why)
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -24,6 +24,7 @@
 type send struct {
 	candidate *candidate
 	exchange  *pimentohttp.Exchange
+	quota     *heldToken // That was spent on it, or nil.
 	started   time.Time
 	outcome   outcome
 	err       error
@@ -134,6 +135,9 @@
 	case g.outlastsStop(c, cand):
 		return reasonStopping
 	}
+	if why := g.awaitQuota(c); why != reasonNone {
+		return why
+	}
 	return g.checkKey(c, cand.target)
 }
 
@@ -192,6 +196,8 @@
 		return g.refusal(c, why, retryAfterStop)
 	case reasonUnconfirmed, reasonMoved:
 		return g.refusal(c, why, retryAfterUnconfirmed)
+	case reasonQuota:
+		return g.refuseQuota(c)
 	}
 	return g.refusal(c, why, g.returnAfter(c, why))
 }
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentosettings"
 	"pimentoarch/pimentotarget"
@@ -81,6 +82,12 @@
 	LogLevel string `json:"log"`
 	// LogLineRate bounds the log lines per second about successful requests.
 	LogLineRate int `json:"lines"`
+	// LimitWindow, LimitOvershoot and LimitSlack bound the requests of an organisation
+	// with a quota that run in any LimitWindow, by all entries together: the quota times
+	// 1 + LimitOvershoot, plus LimitSlack.
+	LimitWindow    Duration `json:"period"`
+	LimitOvershoot float64  `json:"excess"`
+	LimitSlack     float64  `json:"spare"`
 }
 
 // DefaultSettings returns the defaults of the settings.
@@ -94,6 +101,9 @@
 		MemoryMiB:      256,
 		LogLevel:       "info",
 		LogLineRate:    20,
+		LimitWindow:    Duration(pimentoquota.DefaultWindow),
+		LimitOvershoot: 0.25,
+		LimitSlack:     20,
 	}
 }
 
@@ -169,6 +179,9 @@
 		checkRevocation(time.Duration(s.Revocation)),
 		pimentosettings.AtLeast("link", s.LinkMbps, 0),
 		pimentosettings.AtLeast("lines", s.LogLineRate, 0),
+		pimentosettings.AtLeast("period", time.Duration(s.LimitWindow).Seconds(), 0.1),
+		pimentosettings.AtLeast("excess", s.LimitOvershoot, 0),
+		pimentosettings.AtLeast("spare", s.LimitSlack, 0),
 	)
 }
 
