pimentofeed: a watch without changes confirms the items to its end

An answer without changes that came no earlier than the wait shows that there was no change until the wait had passed, so it confirms the copy as of then. An answer that came early, or with changes, confirms only its question, and after changes the next watch waits only so long that the items don't stay unconfirmed for longer than one wait.

--- a/pimentofeed/freshness.go
+++ b/pimentofeed/freshness.go
@@ -23,6 +23,18 @@
 	return max(0, now-f.at), f.known
 }
 
+// CurrentAt returns when a source that was asked at asked had no higher revision than the
+// AsOf of its answer, at the latest that the answer shows. wait is the time for which the
+// source was to wait for changes, 0 for a read of all items. Without changes the source had
+// none until it had waited; an answer that came earlier doesn't show for how long it did.
+func CurrentAt(u *Update, asked, answered, wait time.Duration) time.Duration {
+	wait = wait.Truncate(time.Millisecond) // As it is asked for.
+	if u.Full || len(u.Items) > 0 || answered-asked < wait {
+		return asked
+	}
+	return asked + wait
+}
+
 // RevocationBound bounds the age of the copy from which a key may still be taken as valid.
 // The zero value sets no bound.
 type RevocationBound struct {
@@ -47,16 +59,17 @@
 	return !b.InForce() || (known && age <= b.Limit())
 }
 
-// watchDivisor sets the part of After for which a watch waits: the age grows by two waits
-// before the next answer confirms the copy, and the rest is left for other entries.
-const watchDivisor = 8
+// watchPercent is the part of After for which a watch waits: the age grows by one wait before
+// the next answer confirms the copy, and the rest is left for other entries: 2.5 s of a limit
+// of 4.5 s.
+const watchPercent = 40
 
 // WatchWait returns the longest time for which a watch waits, at most usual.
 func (b RevocationBound) WatchWait(usual time.Duration) time.Duration {
 	if !b.InForce() {
 		return usual
 	}
-	return min(usual, b.After/watchDivisor)
+	return min(usual, b.After*watchPercent/100)
 }
 
 // Stamps dates the messages that an entry sends, so that a message which answers one of them
--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -61,17 +61,14 @@
 	return g.revocation.Allows(age, known)
 }
 
-// noteAsked records when a question was sent to the platform.
-func (g *Gate) noteAsked() { g.askedAt = bootTime() }
-
-// noteCurrent records that the platform had no higher revision than asOf when the last
-// question was sent.
-func (g *Gate) noteCurrent(asOf pimentofeed.Revision) {
+// noteCurrent records that the platform had no higher revision than asOf at a time of
+// bootTime.
+func (g *Gate) noteCurrent(asOf pimentofeed.Revision, at time.Duration) {
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if cs.feed.AsOf() >= asOf {
-		cs.freshness.Confirm(g.askedAt)
+		cs.freshness.Confirm(at)
 	}
 }
 
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -52,7 +52,6 @@
 
 	revocation pimentofeed.RevocationBound
 	watchWait  time.Duration // The time for which a watch of the platform waits.
-	askedAt    time.Duration // When the platform was asked last. Of the follower's goroutine.
 	startedAt  time.Time
 
 	table atomic.Pointer[pimentoroute.Table]
@@ -242,10 +241,11 @@
 		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, sourcePlatform) },
 		OnReading:  g.setReading,
 		OnFailure:  func() { g.metrics.count("pimento_platform_failures_total") },
-		OnAsk:      g.noteAsked,
-		OnCurrent:  g.noteCurrent,
 		WatchWait:  g.watchWait,
 	}
+	if g.revocation.InForce() {
+		f.OnCurrent, f.Now = g.noteCurrent, bootTime
+	}
 	f.Run(ctx)
 }
 
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -66,11 +66,12 @@
 	OnReading func(bool)
 	// OnFailure is called after each failure of a read.
 	OnFailure func()
-	// OnAsk, if set, is called right before each request to the source, and OnCurrent after
-	// the OnUpdate of a response that wasn't allowed to be stale: the source had no higher
-	// revision than asOf when OnAsk was called.
-	OnAsk     func()
-	OnCurrent func(asOf pimentofeed.Revision)
+	// OnCurrent, if set, is called after the OnUpdate of a response that wasn't allowed to be
+	// stale: at the time at, of Now, the source had no higher revision than asOf. Now must be
+	// set too.
+	OnCurrent func(asOf pimentofeed.Revision, at time.Duration)
+	// Now returns the time by a clock that counts suspension.
+	Now func() time.Duration
 	// WatchWait takes the place of the constant WatchWait if it isn't 0. It is at most as
 	// long.
 	WatchWait time.Duration
@@ -78,7 +79,9 @@
 	failures int  // Since the last success.
 	watching bool // A read has succeeded since ShouldRead last returned false.
 	batching bool // The last read returned changes, and batchPause followed.
-	readAll  bool // All items must be read again, and not stale.
+	// currentAt is the last argument of OnCurrent.
+	currentAt time.Duration
+	readAll   bool // All items must be read again, and not stale.
 }
 
 // pollInterval is the time between two calls of ShouldRead while it returns false.
@@ -100,16 +103,15 @@
 // readOnce reads once and returns the pause until the next read.
 func (f *Follower) readOnce() time.Duration {
 	after := f.AsOf()
-	if f.OnAsk != nil {
-		f.OnAsk()
-	}
+	asked, wait := f.now(), time.Duration(0)
 	var u pimentofeed.Update
 	var err error
 	stale := after == 0 && !f.readAll
 	if after == 0 || f.readAll {
 		u, err = f.Source.Read(stale)
 	} else {
-		u, err = f.Source.Watch(after, f.nextWait())
+		wait = f.nextWait(asked)
+		u, err = f.Source.Watch(after, wait)
 	}
 	if err != nil {
 		return f.handleError(after, err)
@@ -122,7 +124,8 @@
 	}
 	f.OnUpdate(u)
 	if f.OnCurrent != nil && !stale {
-		f.OnCurrent(u.AsOf)
+		f.currentAt = pimentofeed.CurrentAt(&u, asked, f.now(), wait)
+		f.OnCurrent(u.AsOf, f.currentAt)
 	}
 	f.OnReading(true)
 	f.batching = !u.Full && len(u.Items) > 0
@@ -132,14 +135,25 @@
 	return 0
 }
 
+// now returns what Now does, 0 without it.
+func (f *Follower) now() time.Duration {
+	if f.Now == nil {
+		return 0
+	}
+	return f.Now()
+}
+
 // nextWait returns the time for which the next watch waits.
-func (f *Follower) nextWait() time.Duration {
+func (f *Follower) nextWait(now time.Duration) time.Duration {
 	usual := cmp.Or(f.WatchWait, WatchWait)
 	switch {
 	case f.failures > 0:
 		return min(usual, retryWatchWait)
 	case !f.watching:
 		return min(usual, firstWatchWait)
+	case f.batching && f.OnCurrent != nil:
+		// Changes only show that the items were current when they were asked for.
+		return max(firstWatchWait, min(usual-batchPause, usual-(now-f.currentAt)))
 	case f.batching:
 		return max(firstWatchWait, usual-batchPause)
 	}
--- a/pimentoplatform/follow_test.go
+++ b/pimentoplatform/follow_test.go
@@ -93,3 +93,71 @@
 		is.Equal(answers[3].Sub(answers[2]), WatchWait)
 	})
 }
+
+// Where it is stated when the items were current, an answer without changes counts as of its
+// end, and however changes come the items are never much longer unconfirmed than a watch waits.
+func TestCurrentAtIsKeptYoung(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const roundTrip = 40 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		since := func() time.Duration { return time.Since(start) }
+		changes := []time.Duration{1900 * time.Millisecond, 4 * time.Second, 4100 * time.Millisecond, 7 * time.Second, 8900 * time.Millisecond}
+		var asOf pimentofeed.Revision
+		revisionAt := func(at time.Duration) pimentofeed.Revision {
+			rev := pimentofeed.Revision(7)
+			for _, c := range changes {
+				if c <= at {
+					rev++
+				}
+			}
+			return rev
+		}
+		calls, at, oldest := 0, time.Duration(0), time.Duration(0)
+		f := &Follower{
+			Source: Source{
+				Read: func(stale bool) (pimentofeed.Update, error) {
+					calls++
+					time.Sleep(roundTrip)
+					return pimentofeed.Update{Full: true, AsOf: revisionAt(since())}, nil
+				},
+				Watch: func(after pimentofeed.Revision, wait time.Duration) (pimentofeed.Update, error) {
+					calls++
+					time.Sleep(roundTrip / 2)
+					for end := since() + wait; since() < end && revisionAt(since()) == after; {
+						time.Sleep(time.Millisecond)
+					}
+					u := pimentofeed.Update{From: after, AsOf: revisionAt(since())}
+					if u.AsOf > after {
+						u.Items = []pimentofeed.Item{{Key: "a", Revision: u.AsOf}}
+					}
+					time.Sleep(roundTrip / 2)
+					return u, nil
+				},
+			},
+			Log:        log.NewNopLogger(),
+			ShouldRead: func() bool { return true },
+			AsOf:       func() pimentofeed.Revision { return asOf },
+			OnUpdate:   func(u pimentofeed.Update) { asOf = u.AsOf },
+			OnReading:  func(bool) {},
+			Now:        since,
+			OnCurrent: func(rev pimentofeed.Revision, current time.Duration) {
+				is.True(rev >= revisionAt(current)) // It isn't claimed of a time at which there was more.
+				oldest = max(oldest, since()-at)
+				at = current
+			},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(12 * time.Second)
+		cancel()
+		<-done
+		t.Logf("%d calls, oldest %v", calls, oldest)
+		is.True(oldest <= WatchWait+batchPause+firstWatchWait+2*roundTrip)
+		is.True(calls <= 16)
+	})
+}
