pimentoplatform: where keys have a bound, the first read is a current one

After the start of an entry its first read of the store was allowed to be stale, which confirms nothing, and the watch after it waits for its whole time. Where a bound on keys is in force, the entry refuses requests with a key until then. With OnCurrent set, the first read now asks for what is current, and its answer confirms the items. It costs a whole call instead of a tenth, once for each start that hears nothing from others first; without a bound nothing changes. TestCurrentAtIsKeptYoung asks for it and failed before.

--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -67,8 +67,8 @@
 	// OnFailure is called after each failure of a read.
 	OnFailure func()
 	// OnCurrent, if set, is called after the OnUpdate of a response that wasn't allowed to be
-	// stale: at the time at, of Now, the source had no higher revision than asOf. Now must be
-	// set too.
+	// stale: at the time at, of Now, the source had no higher revision than asOf. The first
+	// read isn't allowed to be stale then, and Now must be set too.
 	OnCurrent func(asOf pimentofeed.Revision, at time.Duration)
 	// Now returns the time by a clock that counts suspension.
 	Now func() time.Duration
@@ -106,7 +106,7 @@
 	asked, wait := f.now(), time.Duration(0)
 	var u pimentofeed.Update
 	var err error
-	stale := after == 0 && !f.readAll
+	stale := after == 0 && !f.readAll && f.OnCurrent == nil
 	if after == 0 || f.readAll {
 		u, err = f.Source.Read(stale)
 	} else {
@@ -123,7 +123,7 @@
 		f.failures = 0
 	}
 	f.OnUpdate(u)
-	if f.OnCurrent != nil && !stale {
+	if f.OnCurrent != nil {
 		f.currentAt = pimentofeed.CurrentAt(&u, asked, f.now(), wait)
 		f.OnCurrent(u.AsOf, f.currentAt)
 	}
--- a/pimentoplatform/follow_test.go
+++ b/pimentoplatform/follow_test.go
@@ -94,8 +94,9 @@
 	})
 }
 
-// Where it is stated when the items were current, an answer without changes counts as of its
-// end, and however changes come the items are never much longer unconfirmed than a watch waits.
+// Where it is stated when the items were current, the first read isn't a stale one, an answer
+// without changes counts as of its end, and however changes come the items are never much
+// longer unconfirmed than a watch waits.
 func TestCurrentAtIsKeptYoung(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -118,6 +119,7 @@
 		f := &Follower{
 			Source: Source{
 				Read: func(stale bool) (pimentofeed.Update, error) {
+					is.True(!stale)
 					calls++
 					time.Sleep(roundTrip)
 					return pimentofeed.Update{Full: true, AsOf: revisionAt(since())}, nil
