pimentogate: entries that refuse keys ask their sync peers at once

After a loss of all entries, an entry that doesn't read the store by itself, or whose first read failed, refused requests with a key until its next periodic exchange with a peer that knows the age of its keys: up to 0.5 s for each step through a domain, and the push of a peer that had just been confirmed showed nothing, since it answers no question. Now an entry whose keys become confirmed tells its sync peers at once, and one that hears from a peer that knows enough, while it refuses requests itself, asks at once. A peer whose own knowledge is older than half the limit isn't asked, so that slow exchanges don't follow each other without end. In calm times, and without a bound on keys, no message is added.

Ruled out: to signal each large drop of the age, which doubles the exchanges after each answer of the store.

--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -53,7 +53,8 @@
 	// the duration of a watch, and a margin for the way there and back.
 	answerDue time.Duration
 	// confirmed is closed and replaced when the age of the feed becomes known or drops
-	// by more than confirmGain, or an answer of the platform is due much later.
+	// by more than confirmGain, an answer of the platform is due much later, or requests
+	// with a key are served again.
 	confirmed chan struct{}
 }
 
@@ -112,11 +113,17 @@
 		cs.confirmedBy = from
 	}
 	if !known || before-age > confirmGain {
-		close(cs.confirmed)
-		cs.confirmed = make(chan struct{})
+		cs.signalConfirmed()
 	}
 }
 
+// signalConfirmed wakes the sync loops with the entries of the region. It is called with mu
+// held.
+func (cs *clusterState) signalConfirmed() {
+	close(cs.confirmed)
+	cs.confirmed = make(chan struct{})
+}
+
 // notifyPeers wakes the sync loops.
 func (cs *clusterState) notifyPeers() {
 	cs.mu.Lock()
--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -68,10 +68,35 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if cs.feed.AsOf() >= asOf {
-		cs.freshness.Confirm(at)
+		g.confirmKeys(at)
 	}
 }
 
+// confirmKeys records that the items were current at a time of bootTime. Once that lets this
+// entry serve requests with a key, the sync peers are informed at once. It is called with
+// clusterState.mu held.
+func (g *Gate) confirmKeys(at time.Duration) {
+	cs := g.cluster
+	refused := g.refusesKeys()
+	cs.freshness.Confirm(at)
+	if refused && !g.refusesKeys() {
+		cs.signalConfirmed()
+	}
+}
+
+// refusesKeys reports whether the age of the items keeps this entry from serving requests
+// with a key. It is called with clusterState.mu held.
+func (g *Gate) refusesKeys() bool {
+	return !g.revocation.Allows(g.cluster.freshness.Age(bootTime()))
+}
+
+// knowsLess reports whether this entry refuses requests with a key although a peer states an
+// age which would allow them even after a slow exchange. It is called with clusterState.mu
+// held.
+func (g *Gate) knowsLess(st *pimentofeed.Statement) bool {
+	return st.Known && st.Age <= g.revocation.Limit()/2 && g.refusesKeys()
+}
+
 // statement returns what a message to another entry says about the age of the items. echo is
 // the stamp of the last message from that entry. It is nil where no bound is set. It is called
 // with clusterState.mu held.
@@ -86,7 +111,8 @@
 }
 
 // applyConfirmation takes over what another entry's message says about the age of its items,
-// if this entry's are as complete.
+// if this entry's are as complete. A message that wasn't asked for may only show that the
+// sender knows more: then the sync peers are asked at once.
 func (g *Gate) applyConfirmation(msg *syncMessage) {
 	if msg.confirmation == nil {
 		return
@@ -98,7 +124,9 @@
 		return
 	}
 	if at, ok := cs.stamps.ConfirmedAt(*msg.confirmation, bootTime()); ok {
-		cs.freshness.Confirm(at)
+		g.confirmKeys(at)
+	} else if g.knowsLess(msg.confirmation) {
+		cs.signalConfirmed()
 	}
 }
 
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -153,8 +153,7 @@
 // held.
 func (cs *clusterState) extendDue(due time.Duration) {
 	if due-cs.due > dueGain {
-		close(cs.confirmed)
-		cs.confirmed = make(chan struct{})
+		cs.signalConfirmed()
 	}
 	cs.due = max(cs.due, due)
 }
