pimentogate: an undecodable configuration ends the service of keys at the limit only

An entry whose newest published configuration couldn't be decoded counted the age of its keys as unknown from that moment on. So all entries refused all requests with a key at once, and none of them was ready any more, which took public routes out of service too, although the keys of the configuration in force had been confirmed a moment before. Now such a configuration only keeps the age from being confirmed: keys are served until the age passes the limit, which is what the bound asks for, and the entry stays ready, as one does that has lost the store. Ruled out: to go on confirming, since the new configuration may take keys away.

TestKeysOfUndecodableConfiguration asks for it now in addition to what it asked for, and failed before: the first request after the news was refused with 503.

--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -39,7 +39,7 @@
 // ageAtMost returns what feedAge does, at a time of bootTime. It is called with mu held.
 func (cs *clusterState) ageAtMost(now time.Duration) (time.Duration, bool) {
 	age, known := cs.freshness.Age(now)
-	return age, known && now > 0 && !cs.undecoded
+	return age, known && now > 0
 }
 
 // awaitsKeys reports whether this start of the entry has never known how old its keys are.
@@ -72,11 +72,14 @@
 	}
 }
 
-// confirmKeys records that the items were current at a time of bootTime. Once that lets this
-// entry serve requests with a key, the sync peers are informed at once. It is called with
-// clusterState.mu held.
+// confirmKeys records that the items were current at a time of bootTime. It doesn't while the
+// keys of the newest configuration aren't known. Once it lets this entry serve requests with
+// a key, the sync peers are informed at once. It is called with clusterState.mu held.
 func (g *Gate) confirmKeys(at time.Duration) {
 	cs := g.cluster
+	if cs.undecoded {
+		return
+	}
 	refused := g.refusesKeys()
 	cs.freshness.Confirm(at)
 	if refused && !g.refusesKeys() {
