pimentoarch: status prints what a gate knows about keys

It prints one line about them now where there are organisations, says so where there is no limit, and shows no number for an unknown age. TestPrintGate asks for the line and failed before; TestPrintKeys has the other cases.

--- a/cmd/pimentoarch/report_test.go
+++ b/cmd/pimentoarch/report_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"pimentoarch/pimentogate"
 )
 
 // The page has the counts of request outcomes and the activation times of configurations,
@@ -51,16 +53,18 @@
 	is.Equal(run([]string{"report", "--out", out, filepath.Join(dir, "none")}, &stdout, &stderr), exitFailed)
 }
 
-// printGate prints the name, the state, the domains out of service and the targets of a
-// gate's status.
+// printGate prints the name, the state, the keys, the domains out of service and the targets
+// of a gate's status.
 func TestPrintGate(t *testing.T) {
 	is := is.New(t)
 	var stdout, stderr bytes.Buffer
 	body := `{"name":"g1","ready":true,"version":7,"asof":12,"age":40,"reads":true,"entries":3,"domain":2,
-		"targets":{"seats":[{"id":"i-1","address":"10.0.0.1:80","domain":"a1","cold":true,"failing":0.25,"sending":2}]},"out":["a2"]}`
+		"targets":{"seats":[{"id":"i-1","address":"10.0.0.1:80","domain":"a1","cold":true,"failing":0.25,"sending":2}]},"out":["a2"],
+		"organisations":81,"keysage":5200,"keyslimit":4500,"keysrefused":true}`
 	is.Equal(printGate(&stdout, &stderr, "10.0.0.9:9300", []byte(body)), exitOK)
 	for _, want := range []string{
 		"g1: configuration 7, ready true, items of revision 12 known 40 ms ago, reads the platform true, 3 entries, 2 in the own domain",
+		"81 organisations, keys known 5200 ms ago, limit 4500 ms, refused true\n",
 		"failure domain a2 is out of service",
 		"seats    i-1     a1      10.0.0.1:80  true  false    0.25     2",
 	} {
@@ -69,3 +73,19 @@
 		}
 	}
 }
+
+// Where no organisation is configured, nothing is said of keys; without a limit their age
+// doesn't matter, and an unknown age isn't shown as a number.
+func TestPrintKeys(t *testing.T) {
+	is := is.New(t)
+	for want, st := range map[string]pimentogate.Status{
+		"": {KeysAgeMillis: -1},
+		"2 organisations, no limit of the age of keys\n":                        {Organisations: 2, KeysAgeMillis: -1},
+		"2 organisations, age of keys unknown, limit 4500 ms, refused true\n":   {Organisations: 2, KeysAgeMillis: -1, KeysLimitMillis: 4500, KeysRefused: true},
+		"2 organisations, keys known 12 ms ago, limit 4500 ms, refused false\n": {Organisations: 2, KeysAgeMillis: 12, KeysLimitMillis: 4500},
+	} {
+		var out bytes.Buffer
+		printKeys(&out, &st)
+		is.Equal(out.String(), want)
+	}
+}
--- a/cmd/pimentoarch/status.go
+++ b/cmd/pimentoarch/status.go
@@ -70,6 +70,19 @@
 	_ = w.Flush()
 }
 
+// printKeys prints what a gate's status says about keys, if there are organisations.
+func printKeys(out io.Writer, st *pimentogate.Status) {
+	switch {
+	case st.Organisations == 0:
+	case st.KeysLimitMillis == 0:
+		fmt.Fprintf(out, "%d organisations, no limit of the age of keys\n", st.Organisations)
+	case st.KeysAgeMillis < 0:
+		fmt.Fprintf(out, "%d organisations, age of keys unknown, limit %d ms, refused %t\n", st.Organisations, st.KeysLimitMillis, st.KeysRefused)
+	default:
+		fmt.Fprintf(out, "%d organisations, keys known %d ms ago, limit %d ms, refused %t\n", st.Organisations, st.KeysAgeMillis, st.KeysLimitMillis, st.KeysRefused)
+	}
+}
+
 // printGate parses a gate's status, prints it as text, and returns the exit status.
 func printGate(stdout, stderr io.Writer, address string, body []byte) int {
 	var st pimentogate.Status
@@ -79,6 +92,7 @@
 	}
 	fmt.Fprintf(stdout, "%s: configuration %d, ready %t, items of revision %d known %d ms ago, reads the platform %t, %d entries, %d in the own domain\n",
 		st.Name, st.ConfigVersion, st.Ready, st.Revision, st.AgeMillis, st.ReadsPlatform, st.Entries, st.DomainEntries)
+	printKeys(stdout, &st)
 	for _, domain := range st.OutDomains {
 		fmt.Fprintf(stdout, "failure domain %s is out of service\n", domain)
 	}
