pimentogate: on public routes no organisation is named that isn't confirmed

A request of a public route needs no key, but if it has one, its target is told the organisation. No check before the send covers such requests, so an entry cut off from all news named the organisation of a key without any bound on how long ago it had been taken away. Now the name is left out while the age of the keys is above the limit; the request is served as one without a key, since the route doesn't ask for one. Ruled out: refusing it, which would take public routes out of service for callers that happen to send a key.

TestKeysTakenAway asks for it in addition, and failed before: the target saw the name.

--- a/pimentogate/organisation.go
+++ b/pimentogate/organisation.go
@@ -76,14 +76,23 @@
 	h.Del(fasthttp.HeaderAuthorization)
 	h.Del(g.dialect.Organisation)
 	o := c.organisation
-	if o != nil && !c.table.NeedsKey(c.route) {
-		o = g.table.Load().Organisation(c.key) // No check before the send refuses the request.
+	if o != nil && !c.table.NeedsKey(c.route) { // No check before the send refuses the request.
+		o = g.holderNow(c.key)
 	}
 	if o != nil {
 		h.Set(g.dialect.Organisation, string(o.Name))
 	}
 }
 
+// holderNow returns the organisation that holds a key, or nil if none does or the keys aren't
+// known well enough.
+func (g *Gate) holderNow(key pimentoroute.Digest) *pimentoroute.Organisation {
+	if !g.keysConfirmed() {
+		return nil
+	}
+	return g.table.Load().Organisation(key) // Loaded after the confirmation: it may be that of a newer table.
+}
+
 // allows reports whether a region may serve the request, by the home regions of its route
 // and of its organisation.
 func (c *call) allows(region pimentoregister.RegionName) bool {
