pimentogate: requests aren't sent for organisations that have all ended

When a new configuration has no organisations any more, the check before a send saw a route that needs no key and passed the request, and its target was still told the name of the organisation that held its key before, however long the request waited and however old the knowledge was. All keys are taken away by such a configuration. The request is refused as not executed now (reason moved, 503), so that its caller comes again and is served as one without a key; 401 was ruled out, since no key is needed any more. TestRetryAfterAllOrganisationsEnded failed before: the retry arrived at a second target.

--- a/pimentogate/organisation.go
+++ b/pimentogate/organisation.go
@@ -35,16 +35,18 @@
 // target any more, by the newest configuration. It doesn't change the call, and may be called
 // by the sends of a request at the same time.
 func (g *Gate) checkKey(c *call, tg *pimentoroute.Target) reason {
-	t := g.table.Load()
-	if c.organisation == nil || !t.NeedsKey(c.route) {
+	if c.organisation == nil || c.route.Public {
 		return reasonNone
 	}
 	if !g.keysConfirmed() {
 		return reasonUnconfirmed
 	}
-	// Loaded again, because the confirmation may be that of a newer table.
-	o := g.table.Load().Organisation(c.key)
+	// Loaded after the confirmation: it may be that of a newer table.
+	t := g.table.Load()
+	o := t.Organisation(c.key)
 	switch {
+	case o == nil && !t.NeedsKey(c.route):
+		return reasonMoved
 	case o == nil:
 		return reasonKey
 	case o.Name != c.organisation.Name, tg != nil && !o.Allows(tg.Region):
