--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -39,7 +39,7 @@
 // ageAtMost returns what feedAge does, at a time of bootTime. It is called with mu held.
 func (cs *clusterState) ageAtMost(now time.Duration) (time.Duration, bool) {
 	age, known := cs.freshness.Age(now)
-	return age, known && now > 0 && !cs.undecoded
+	return age, known && now > 0
 }
 
 // awaitsKeys reports whether this start of the entry has never known how old its keys are.
@@ -61,17 +61,42 @@
 	return g.revocation.Allows(age, known)
 }
 
-// noteAsked records when a question was sent to the platform.
-func (g *Gate) noteAsked() { g.askedAt = bootTime() }
-
-// noteCurrent records that the platform was not past a point when the last question was sent.
-func (g *Gate) noteCurrent(at pimentofeed.Point) {
+// noteCurrent records that the platform was not past a point at a time of bootTime.
+func (g *Gate) noteCurrent(point pimentofeed.Point, at time.Duration) {
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if !cs.feed.At().Before(at) {
-		cs.freshness.Confirm(g.askedAt)
+	if !cs.feed.At().Before(point) {
+		g.confirmKeys(at)
+	}
+}
+
+// confirmKeys records that the items were current at a time of bootTime. It doesn't while the
+// keys of the newest configuration aren't known. Once it lets this entry serve requests with
+// a key, the sync peers are informed at once. It is called with clusterState.mu held.
+func (g *Gate) confirmKeys(at time.Duration) {
+	cs := g.cluster
+	if cs.undecoded {
+		return
 	}
+	refused := g.refusesKeys()
+	cs.freshness.Confirm(at)
+	if refused && !g.refusesKeys() {
+		cs.signalConfirmed()
+	}
+}
+
+// refusesKeys reports whether the age of the items keeps this entry from serving requests
+// with a key. It is called with clusterState.mu held.
+func (g *Gate) refusesKeys() bool {
+	return !g.revocation.Allows(g.cluster.freshness.Age(bootTime()))
+}
+
+// knowsLess reports whether this entry refuses requests with a key although a peer states an
+// age which would allow them even after a slow exchange. It is called with clusterState.mu
+// held.
+func (g *Gate) knowsLess(st *pimentofeed.Statement) bool {
+	return st.Known && st.Age <= g.revocation.Limit()/2 && g.refusesKeys()
 }
 
 // statement returns what a message to another entry says about the age of the items. echo is
@@ -88,7 +113,8 @@
 }
 
 // applyConfirmation takes over what another entry's message says about the age of its items,
-// if this entry's are as complete.
+// if this entry's are as complete. A message that wasn't asked for may only show that the
+// sender knows more: then the sync peers are asked at once.
 func (g *Gate) applyConfirmation(msg *syncMessage) {
 	if msg.confirmation == nil {
 		return
@@ -100,7 +126,9 @@
 		return
 	}
 	if at, ok := cs.stamps.ConfirmedAt(*msg.confirmation, bootTime()); ok {
-		cs.freshness.Confirm(at)
+		g.confirmKeys(at)
+	} else if g.knowsLess(msg.confirmation) {
+		cs.signalConfirmed()
 	}
 }
 
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -57,7 +57,6 @@
 
 	revocation pimentofeed.RevocationBound
 	watchWait  time.Duration // The time for which a watch of the platform waits.
-	askedAt    time.Duration // When the platform was asked last. Of the follower's goroutine.
 
 	table atomic.Pointer[pimentoroute.Table]
 	// configured is closed when there is a first active configuration.
@@ -258,10 +257,11 @@
 		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, sourcePlatform) },
 		OnReading:  g.setReading,
 		OnFailure:  func() { g.metrics.count("pimento_platform_failures_total") },
-		OnAsk:      g.noteAsked,
-		OnCurrent:  g.noteCurrent,
 		WatchWait:  g.watchWait,
 	}
+	if g.revocation.InForce() {
+		f.OnCurrent, f.Now = g.noteCurrent, bootTime
+	}
 	f.Run(ctx)
 }
 
--- a/pimentogate/organisation.go
+++ b/pimentogate/organisation.go
@@ -35,16 +35,18 @@
 // target any more, by the newest configuration. It doesn't change the call, and may be called
 // by the sends of a request at the same time.
 func (g *Gate) checkKey(c *call, tg *pimentoroute.Target) reason {
-	t := g.table.Load()
-	if c.organisation == nil || !t.NeedsKey(c.route) {
+	if c.organisation == nil || c.route.Public {
 		return reasonNone
 	}
 	if !g.keysConfirmed() {
 		return reasonUnconfirmed
 	}
-	// Loaded again, because the confirmation may be that of a newer table.
-	o := g.table.Load().Organisation(c.key)
+	// Loaded after the confirmation: it may be that of a newer table.
+	t := g.table.Load()
+	o := t.Organisation(c.key)
 	switch {
+	case o == nil && !t.NeedsKey(c.route):
+		return reasonMoved
 	case o == nil:
 		return reasonKey
 	case o.Name != c.organisation.Name, tg != nil && !o.Allows(tg.Region):
@@ -76,14 +78,23 @@
 	h.Del(fasthttp.HeaderAuthorization)
 	h.Del(g.dialect.Organisation)
 	o := c.organisation
-	if o != nil && !c.table.NeedsKey(c.route) {
-		o = g.table.Load().Organisation(c.key) // No check before the send refuses the request.
+	if o != nil && !c.table.NeedsKey(c.route) { // No check before the send refuses the request.
+		o = g.holderNow(c.key)
 	}
 	if o != nil {
 		h.Set(g.dialect.Organisation, string(o.Name))
 	}
 }
 
+// holderNow returns the organisation that holds a key, or nil if none does or the keys aren't
+// known well enough.
+func (g *Gate) holderNow(key pimentoroute.Digest) *pimentoroute.Organisation {
+	if !g.keysConfirmed() {
+		return nil
+	}
+	return g.table.Load().Organisation(key) // Loaded after the confirmation: it may be that of a newer table.
+}
+
 // allows reports whether a region may serve the request, by the home regions of its route
 // and of its organisation.
 func (c *call) allows(region pimentoregister.RegionName) bool {
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -68,11 +68,12 @@
 	OnReading func(bool)
 	// OnFailure is called after each failure of a read.
 	OnFailure func()
-	// OnAsk, if set, is called right before each request to the source, and OnCurrent after
-	// the OnUpdate of a response that wasn't allowed to be stale: the source was not past
-	// the point when OnAsk was called.
-	OnAsk     func()
-	OnCurrent func(pimentofeed.Point)
+	// OnCurrent, if set, is called after the OnUpdate of a response that wasn't allowed to be
+	// stale: at a time of Now, the source was not past the point. The first read isn't allowed
+	// to be stale then, and Now must be set too.
+	OnCurrent func(point pimentofeed.Point, at time.Duration)
+	// Now returns the time by a clock that counts suspension.
+	Now func() time.Duration
 	// WatchWait takes the place of the constant WatchWait if it isn't 0. It is at most as
 	// long.
 	WatchWait time.Duration
@@ -82,6 +83,8 @@
 	batching bool // The last read returned changes, and batchPause followed.
 	readAll  bool // All items must be read again, and not stale.
 	rereads  int  // Times since the last successful watch that readAll was set.
+	// currentAt is the last argument of OnCurrent.
+	currentAt time.Duration
 }
 
 // pollInterval is the time between two calls of ShouldRead while it returns false.
@@ -104,16 +107,15 @@
 func (f *Follower) readOnce() time.Duration {
 	at := f.At()
 	after := at.Revision
-	if f.OnAsk != nil {
-		f.OnAsk()
-	}
+	asked, wait := f.now(), time.Duration(0)
 	var u pimentofeed.Update
 	var err error
-	stale := after == 0 && !f.readAll
+	stale := after == 0 && !f.readAll && f.OnCurrent == nil
 	if after == 0 || f.readAll {
 		u, err = f.Source.Read(stale)
 	} else {
-		u, err = f.Source.Watch(after, f.nextWait())
+		wait = f.nextWait(asked)
+		u, err = f.Source.Watch(after, wait)
 	}
 	if err == nil {
 		err = checkEra(at, &u)
@@ -131,8 +133,9 @@
 		f.rereads = 0
 	}
 	f.OnUpdate(u)
-	if f.OnCurrent != nil && !stale {
-		f.OnCurrent(pimentofeed.Point{Era: u.Era, Revision: u.AsOf})
+	if f.OnCurrent != nil {
+		f.currentAt = pimentofeed.CurrentAt(&u, asked, f.now(), wait)
+		f.OnCurrent(pimentofeed.Point{Era: u.Era, Revision: u.AsOf}, f.currentAt)
 	}
 	f.OnReading(true)
 	f.batching = !u.Full && len(u.Items) > 0
@@ -142,14 +145,25 @@
 	return 0
 }
 
+// now returns what Now does, 0 without it.
+func (f *Follower) now() time.Duration {
+	if f.Now == nil {
+		return 0
+	}
+	return f.Now()
+}
+
 // nextWait returns the time for which the next watch waits.
-func (f *Follower) nextWait() time.Duration {
+func (f *Follower) nextWait(now time.Duration) time.Duration {
 	usual := cmp.Or(f.WatchWait, WatchWait)
 	switch {
 	case f.failures > 0:
 		return min(usual, retryWatchWait)
 	case !f.watching:
 		return min(usual, firstWatchWait)
+	case f.batching && f.OnCurrent != nil:
+		// Changes only show that the items were current when they were asked for.
+		return max(firstWatchWait, min(usual-batchPause, usual-(now-f.currentAt)))
 	case f.batching:
 		return max(firstWatchWait, usual-batchPause)
 	}
