pimentoload: one turn out of order at a time

Up to three requests of a line look for targets at a time, and the count of turns was reset only when one got a target. Until then each further one was taken out of order, too, so that less urgent requests got up to three turns in ten in place of one in eight. The count now starts anew when the turn is given, and such a turn that ends without a target is still due. The new test failed before on the number of turns out of order.

--- a/pimentoload/line.go
+++ b/pimentoload/line.go
@@ -54,7 +54,7 @@
 	length  int
 	bytes   int
 	seq     uint64
-	turns   int            // Since a kind got one out of turn.
+	turns   int            // Since a kind was given one out of turn.
 	held    map[string]int // Waiting requests by caller.
 	callers Callers
 	room    RoomRate
@@ -232,6 +232,9 @@
 	}
 	l.Leave(now, w)
 	w.class.asking++
+	if w.Fair {
+		l.turns = 0 // Others that are asked for meanwhile go in order.
+	}
 	return w
 }
 
@@ -277,12 +280,14 @@
 func (l *Line) Ended(now time.Duration, w *Waiter, sent bool) {
 	w.class.asking--
 	if !sent {
+		if w.Fair {
+			l.turns = fairEvery - 1 // The turn out of order is still due.
+		}
 		return
 	}
 	l.room.Observe(now, w.Priority)
-	if w.class.passed = 0; w.Fair {
-		l.turns = 0
-	} else {
+	w.class.passed = 0
+	if !w.Fair {
 		l.turns++
 	}
 	for _, c := range l.classes {
--- a/pimentoload/line_test.go
+++ b/pimentoload/line_test.go
@@ -110,6 +110,37 @@
 	}
 }
 
+// While targets are looked for at the same time for several requests, one in fairEvery turns
+// goes out of order all the same, and such a turn without a target isn't lost.
+func TestOneFairTurnAtATime(t *testing.T) {
+	is := is.New(t)
+	var l Line
+	const askers = 3
+	turns := make(map[int]int)
+	for range 400 {
+		var asking []*Waiter
+		for range askers {
+			joined(&l, newWaiter(0, 0, "a"), newWaiter(0, 1, "a"))
+			asking = append(asking, l.Next(0, false))
+		}
+		for _, w := range asking {
+			turns[w.Priority]++
+			l.Ended(0, w, true)
+		}
+	}
+	total := turns[0] + turns[1]
+	is.True(turns[1] <= total/fairEvery+1)
+	is.True(turns[1] >= total/fairEvery/2)
+	w := l.Next(0, false)
+	for !w.Fair {
+		l.Ended(0, w, true)
+		w = l.Next(0, false)
+	}
+	l.Ended(0, w, false)
+	l.Join(0, w)
+	is.True(l.Next(0, false).Fair)
+}
+
 // A caller that sends many requests gets its turn after the others of its priority, and is
 // forgotten later.
 func TestGreedyCaller(t *testing.T) {
