pimentoload: callers that were told to return are forgotten once nobody waits

Places of callers that were told to return were taken off only at the rate of room, and not at all while that rate wasn't known. After an overload nobody waits and the rate becomes unknown within two seconds, so that the remainder stayed until the next overload: then the first refused callers were told to return far too late, and other entries heard of a backlog that wasn't there. The sum is now dropped when the rate isn't known. The new test failed before; it was ruled out that the sum ends by itself, since messages to other entries advance its clock each second.

--- a/pimentoload/returns.go
+++ b/pimentoload/returns.go
@@ -9,10 +9,16 @@
 	due perPriority
 }
 
-// advance takes the room off that came since the last call.
+// advance takes the room off that came since the last call. All are due once the rate isn't
+// known any more: no request has waited since.
 func (q *returnQueue) advance(now time.Duration, rate float64) {
-	room := rate * (now - q.at).Seconds()
+	took := now - q.at
 	q.at = now
+	if rate <= 0 {
+		q.due = perPriority{}
+		return
+	}
+	room := rate * took.Seconds()
 	for i := range q.due {
 		taken := min(q.due[i], room)
 		q.due[i] -= taken
--- a/pimentoload/shed_test.go
+++ b/pimentoload/shed_test.go
@@ -72,6 +72,27 @@
 	is.True(near(l.Return(now, 1, Backlog{}), 100*ms)) // The others are back.
 }
 
+// Callers that were told to return are back long after the last request waited, however many
+// there were.
+func TestReturnsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	var l Line
+	w := newWaiter(0, 0, "a")
+	joined(&l, w)
+	sendAtRate(&l, 0, 20, 2)
+	for range 1000 {
+		l.Return(time.Second, 1, Backlog{})
+	}
+	l.Leave(time.Second, w)
+	later := time.Minute
+	for now := time.Second; now < later; now += time.Second {
+		l.Backlog(now) // As for the messages to other entries.
+	}
+	joined(&l, newWaiter(later, 0, "a"))
+	sendAtRate(&l, later, 20, 2)
+	is.True(l.Return(later+time.Second, 1, Backlog{}) < 150*ms)
+}
+
 // Room that more urgent requests take isn't expected by less urgent ones.
 func TestRoomTakenByUrgent(t *testing.T) {
 	is := is.New(t)
