pimentogate: waiting requests pause again after one got a target

A request that got a target set the pause of its line to zero, but not the end of the pause that ran. Until that end, each look for a target without result began a pause of zero length: up to three requests of the line probed targets one after another for up to 100 ms, although there was no room. The end of the pause is now reset, too, so that the next look without result begins with 25 ms again. Callers saw nothing but the load of these probes at the targets. The new test failed before: two requests looked for targets at once.

--- a/pimentogate/waiting.go
+++ b/pimentogate/waiting.go
@@ -124,7 +124,7 @@
 	defer l.mu.Unlock()
 	l.endAsking(g.now(), w, sent)
 	if sent {
-		l.pause = 0
+		l.pause, l.pausedUntil = 0, 0
 	}
 	g.nextTurns(l, pressing)
 }
--- a/pimentogate/waiting_test.go
+++ b/pimentogate/waiting_test.go
@@ -209,3 +209,24 @@
 	is.Equal(g.awaitTurn(l, second.waiter).offer, cand)
 	is.Equal(l.asking, maxAskers) // The others ask again: there was room a moment ago.
 }
+
+// A request that gets a target doesn't let the others look for targets without a pause
+// afterwards.
+func TestPauseAfterSend(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	first, second, sent := lineTestCall(table, 0, "a"), lineTestCall(table, 0, "b"), lineTestCall(table, 0, "c")
+	l := g.lineOf(first)
+	var waiters []*lineCall
+	for _, c := range []*call{first, second, sent} {
+		w, asks := g.arrive(l, c)
+		is.True(asks)
+		waiters = append(waiters, w)
+	}
+	g.rejoin(l, waiters[0], nil) // Begins a pause.
+	g.endTurn(l, waiters[2], true)
+	g.rejoin(l, waiters[1], nil) // There is no room again.
+	is.Equal(l.asking, 0)
+	is.True(l.pause >= firstWait)
+	is.True(l.line.Length() == 2)
+}
