pimentogate: an offer is compared with waiting requests without a data race

When an offer was passed on, the list of targets that a waiting request has tried was read after the line's mutex was given back. The request could get its turn meanwhile and add to the list as it was sent: a data race, in which an offer could go to a request that its target had failed already. The list and the home regions are now compared under the mutex, as long as the request waits. The new test failed before under -race, in each of its runs. The test of the pause now reads the line under its mutex as well, since a timer may write to it.

--- a/pimentogate/waiting.go
+++ b/pimentogate/waiting.go
@@ -173,13 +173,13 @@
 	l.mu.Lock()
 	var calls []*lineCall
 	for _, next := range l.line.Heads(nil, g.now(), pressing) {
-		calls = append(calls, l.waiting[next])
+		// Once it no longer waits, its tried targets may change.
+		if w := l.waiting[next]; w.call.allows(cand.target.Region) && !slices.Contains(w.call.tried, cand.target.ID) {
+			calls = append(calls, w)
+		}
 	}
 	l.mu.Unlock()
 	for _, w := range calls {
-		if !w.call.allows(cand.target.Region) || slices.Contains(w.call.tried, cand.target.ID) {
-			continue
-		}
 		g.estimate(w.call, cand)
 		if g.decide(w.call, cand) == pimentoload.Send {
 			return w
--- a/pimentogate/waiting_test.go
+++ b/pimentogate/waiting_test.go
@@ -226,7 +226,43 @@
 	g.rejoin(l, waiters[0], nil) // Begins a pause.
 	g.endTurn(l, waiters[2], true)
 	g.rejoin(l, waiters[1], nil) // There is no room again.
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	is.Equal(l.asking, 0)
 	is.True(l.pause >= firstWait)
 	is.True(l.line.Length() == 2)
 }
+
+// An offer is compared with a waiting request while that gets its turn and is sent.
+func TestHandOverDuringSend(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	cand := &candidate{target: &pimentoroute.Target{ID: "t", Region: "r", Slots: 6}, report: LoadReport{Slots: 6, Healthy: true, Slowdown: 100}}
+	for range 200 {
+		c := lineTestCall(table, 0, "a")
+		c.tried = make([]pimentoroute.TargetID, 1, 4)
+		l := g.lineOf(c)
+		w, asks := g.arrive(l, c)
+		is.True(asks)
+		g.rejoin(l, w, nil)
+		var wg sync.WaitGroup
+		var stop atomic.Bool
+		wg.Go(func() {
+			for !stop.Load() {
+				g.findTaker(l, cand)
+			}
+		})
+		time.Sleep(100 * time.Microsecond)
+		l.mu.Lock()
+		if _, waits := l.waiting[&w.Waiter]; waits {
+			l.line.Claim(g.now(), &w.Waiter)
+			l.giveTurn(&w.Waiter, nil)
+		}
+		l.mu.Unlock()
+		is.Equal(<-w.turn, lineTurn{})
+		c.tried = append(c.tried, "t")
+		stop.Store(true)
+		wg.Wait()
+		g.endTurn(l, w, true)
+	}
+}
