pimentoload: requests with little time left aren't shed for those that come after them

The expected wait counted all requests of the same rank that came before, also while the line orders by the time that is left. A request with a short objective was then shed as hopeless at the end of the line, although its turn would have been next. Only those count now that come before it by age and by time left, so that a refusal is made only when it is known to be right. The new test failed before.

--- a/pimentoload/shed.go
+++ b/pimentoload/shed.go
@@ -6,33 +6,39 @@
 )
 
 // Position returns the number of requests that come before one of the line or one that has
-// arrived.
+// arrived, under normal load.
 func (l *Line) Position(w *Waiter) int {
-	n := 0
+	n, _ := l.before(w)
+	i, _ := slices.BinarySearchFunc(w.class.byAge, w, compareAges)
+	return n + i
+}
+
+// before returns the number of requests of higher ranks, and how many of them are more urgent.
+func (l *Line) before(w *Waiter) (n, urgent int) {
 	for _, c := range l.classes {
 		if compareKeys(c.classKey, w.class.classKey) >= 0 {
 			break
 		}
 		n += len(c.byAge) + c.asking
+		if c.priority < w.Priority {
+			urgent = n
+		}
 	}
-	i, _ := slices.BinarySearchFunc(w.class.byAge, w, compareAges)
-	return n + i
+	return n, urgent
 }
 
 // ExpectedWait returns the time until there is room for a request: more urgent ones before it
-// take all the room that comes, and the others what these have left lately. It is 0 while the
-// rate isn't known.
+// take all the room that comes, and the others what these have left lately. Of its rank, those
+// count that come before it by their age and by the time that they have left: more aren't sure
+// to. It is 0 while the rate isn't known.
 func (l *Line) ExpectedWait(now time.Duration, w *Waiter) time.Duration {
 	if l.room.Rate(now, 0) <= 0 {
 		return 0
 	}
-	urgent := 0
-	for _, c := range l.classes {
-		if c.priority < w.Priority {
-			urgent += len(c.byAge) + c.asking
-		}
-	}
-	return l.timeFor(now, w.Priority, float64(urgent), float64(l.Position(w)-urgent))
+	n, urgent := l.before(w)
+	byAge, _ := slices.BinarySearchFunc(w.class.byAge, w, compareAges)
+	byTime, _ := slices.BinarySearchFunc(w.class.byTime, w, compareTimes)
+	return l.timeFor(now, w.Priority, float64(urgent), float64(n-urgent+min(byAge, byTime)))
 }
 
 // timeFor returns the time in which room comes for a number of requests more urgent than a
--- a/pimentoload/shed_test.go
+++ b/pimentoload/shed_test.go
@@ -53,6 +53,24 @@
 	is.Equal(l.Shed(now), more)
 }
 
+// A request isn't shed for those of its rank that came before it but have more time left, since
+// under overload its turn comes first.
+func TestShedByTimeLeft(t *testing.T) {
+	is := is.New(t)
+	var l Line
+	now := time.Second
+	for range 20 {
+		w := newWaiter(0, 1, "a")
+		w.Objective = 4 * time.Second
+		joined(&l, w)
+	}
+	sendAtRate(&l, 0, 20, 2)
+	w := newWaiter(now, 1, "b")
+	joined(&l, w)
+	is.Equal(l.Shed(now), nil)
+	is.Equal(l.Next(now, true), w)
+}
+
 // Callers return at the rate at which room comes, the most urgent first.
 func TestReturnForRoom(t *testing.T) {
 	is := is.New(t)
