pimentoload: a request that comes too late is refused as it joins, not only at the end

Only the last request of a line was checked for whether room comes in time for it. One that joined before others with more time, such as those of returned callers, waited until its limit and was refused then, although it was known when it came. The request that joins is now checked, too. The new test failed before.

--- a/pimentogate/waiting.go
+++ b/pimentogate/waiting.go
@@ -77,7 +77,7 @@
 	for out := l.line.Overflow(now); out != nil; out = l.line.Overflow(now) {
 		l.refuse(out, reasonLineFull)
 	}
-	for out := l.line.Shed(now); out != nil; out = l.line.Shed(now) {
+	for out := l.line.Shed(now, &w.Waiter); out != nil; out = l.line.Shed(now, &w.Waiter) {
 		l.refuse(out, reasonLineLate)
 	}
 	g.nextTurns(l, pressing)
--- a/pimentoload/line_test.go
+++ b/pimentoload/line_test.go
@@ -342,7 +342,7 @@
 		if !l.Ask(now, w) {
 			l.Join(now, w)
 		}
-		if out := l.Shed(now); out != nil {
+		if out := l.Shed(now, w); out != nil {
 			l.Join(now, out)
 		}
 	}
--- a/pimentoload/linemodel_test.go
+++ b/pimentoload/linemodel_test.go
@@ -133,7 +133,7 @@
 			m.refuse(r)
 		}
 	})
-	for out := m.line.Shed(m.now); out != nil; out = m.line.Shed(m.now) {
+	for out := m.line.Shed(m.now, w); out != nil; out = m.line.Shed(m.now, w) {
 		m.refuse(m.requests[out])
 	}
 }
--- a/pimentoload/shed.go
+++ b/pimentoload/shed.go
@@ -60,14 +60,15 @@
 	return wait > 0 && now+wait > latest
 }
 
-// Shed takes the last request out of the line if it is hopeless, and returns it, or nil.
-// It is called after each Join until it returns nil, which sheds what later ones have pushed
-// back.
-func (l *Line) Shed(now time.Duration) *Waiter {
-	w := l.last()
-	if w == nil || !l.Hopeless(now, w) {
-		return nil
+// Shed takes a request out of the line that is hopeless, and returns it, or nil: the one that
+// has just joined, or the last one. It is called after each Join until it returns nil, which
+// sheds what later ones have pushed back.
+func (l *Line) Shed(now time.Duration, joined *Waiter) *Waiter {
+	for _, w := range [...]*Waiter{joined, l.last()} {
+		if w != nil && w.waiting && l.Hopeless(now, w) {
+			l.Leave(now, w)
+			return w
+		}
 	}
-	l.Leave(now, w)
-	return w
+	return nil
 }
--- a/pimentoload/shed_test.go
+++ b/pimentoload/shed_test.go
@@ -27,30 +27,50 @@
 	for range 10 {
 		joined(&l, newWaiter(0, 0, "a"))
 	}
-	is.Equal(l.Shed(0), nil) // The rate isn't known.
+	is.Equal(l.Shed(0, nil), nil) // The rate isn't known.
 	sendAtRate(&l, 0, 20, 2)
 	w := newWaiter(now, 1, "b") // Ten before it take half a second.
 	joined(&l, w)
 	wait := l.ExpectedWait(now, w)
 	is.True(wait > 450*ms && wait < 550*ms)
-	is.Equal(l.Shed(now), w)
+	is.Equal(l.Shed(now, w), w)
 	w = newWaiter(now, 1, "b")
 	w.Returned = true
 	joined(&l, w)
-	is.Equal(l.Shed(now), nil)
+	is.Equal(l.Shed(now, w), nil)
 	l.Leave(now, w)
 	w = newWaiter(now, 0, "b") // As urgent as those before it, and there is time.
 	w.Objective = now + time.Second
 	joined(&l, w)
-	is.Equal(l.Shed(now), nil)
+	is.Equal(l.Shed(now, w), nil)
 	more := newWaiter(now, 2, "c")
 	more.Objective = now + 800*ms
 	joined(&l, more)
-	is.Equal(l.Shed(now), nil)
+	is.Equal(l.Shed(now, more), nil)
 	for range 4 { // Later ones that are more urgent push it back.
 		joined(&l, newWaiter(now, 0, "a"))
 	}
-	is.Equal(l.Shed(now), more)
+	is.Equal(l.Shed(now, nil), more)
+}
+
+// A request for which room comes too late is shed also while others wait behind it that have
+// time.
+func TestShedBeforeOthers(t *testing.T) {
+	is := is.New(t)
+	var l Line
+	now := time.Second
+	for range 10 {
+		joined(&l, newWaiter(0, 0, "a"))
+	}
+	sendAtRate(&l, 0, 20, 2)
+	behind := newWaiter(now, 2, "c")
+	behind.Objective = now + 5*time.Second
+	joined(&l, behind)
+	is.Equal(l.Shed(now, behind), nil)
+	w := newWaiter(now, 1, "b") // Ten before it take half a second.
+	joined(&l, w)
+	is.Equal(l.Shed(now, w), w)
+	is.Equal(l.Shed(now, w), nil)
 }
 
 // A request isn't shed for those of its rank that came before it but have more time left, since
@@ -67,7 +87,7 @@
 	sendAtRate(&l, 0, 20, 2)
 	w := newWaiter(now, 1, "b")
 	joined(&l, w)
-	is.Equal(l.Shed(now), nil)
+	is.Equal(l.Shed(now, w), nil)
 	is.Equal(l.Next(now, true), w)
 }
 
