pimentoload, pimentogate: regions paused for a less urgent request aren't for urgent ones

When no target was good enough for a request, all requests with the same regions paused for up to 100 ms, more urgent ones included, although these take targets that others leave alone while many are refused. An urgent request that came in that time waited without need. A pause now holds for requests of the same or a lower priority, and for all only if no target replied at all. The new test failed before.

--- a/pimentogate/waiting.go
+++ b/pimentogate/waiting.go
@@ -157,7 +157,11 @@
 			l.pause = min(max(2*l.pause, firstWait), maxWait)
 			l.pausedUntil = now + l.pause
 		}
-		l.line.Pause(now, w.Regions, now+l.pause)
+		priority := w.Priority
+		if best == nil {
+			priority = 0 // No target replied, whoever asks.
+		}
+		l.line.Pause(now, priority, w.Regions, now+l.pause)
 		g.wakeAfter(l, l.pause)
 	}
 	w.rejoined = true
--- a/pimentoload/line.go
+++ b/pimentoload/line.go
@@ -78,10 +78,12 @@
 	regions  RegionSet
 }
 
-// regionPause is until when no target in a set of regions is looked for.
+// regionPause is until when no target in a set of regions is looked for for requests of a
+// priority and lower ones.
 type regionPause struct {
-	regions RegionSet
-	until   time.Duration
+	priority int
+	regions  RegionSet
+	until    time.Duration
 }
 
 const (
@@ -242,7 +244,7 @@
 func (l *Line) peek(now time.Duration, overload bool) *Waiter {
 	var first, starved *lineClass
 	for _, c := range l.classes {
-		if len(c.byAge) == 0 || l.isPaused(now, c.regions) {
+		if len(c.byAge) == 0 || l.isPaused(now, c.priority, c.regions) {
 			continue
 		}
 		if first == nil {
@@ -301,7 +303,7 @@
 // request of the same or a higher rank waits that could use the same target, and targets
 // aren't known to have no room.
 func (l *Line) Ask(now time.Duration, w *Waiter) bool {
-	if l.length > 0 && l.isPaused(now, w.Regions) {
+	if l.length > 0 && l.isPaused(now, w.Priority, w.Regions) {
 		return false
 	}
 	for _, c := range l.classes {
@@ -316,19 +318,21 @@
 	return true
 }
 
-// Pause records that no target in a set of regions has room, and that none is looked for in
-// it until the given time.
-func (l *Line) Pause(now time.Duration, regions RegionSet, until time.Duration) {
-	l.paused = slices.DeleteFunc(l.paused, func(p regionPause) bool { return p.until <= now || p.regions == regions })
+// Pause records that no target in a set of regions has room for a request of a priority, and
+// that none is looked for in it for such and less urgent ones until the given time.
+func (l *Line) Pause(now time.Duration, priority int, regions RegionSet, until time.Duration) {
+	l.paused = slices.DeleteFunc(l.paused, func(p regionPause) bool {
+		return p.until <= now || p.regions == regions && p.priority == priority
+	})
 	if len(l.paused) < maxPauses {
-		l.paused = append(l.paused, regionPause{regions, until})
+		l.paused = append(l.paused, regionPause{priority, regions, until})
 	}
 }
 
-// isPaused reports whether none of the regions is known to have room.
-func (l *Line) isPaused(now time.Duration, regions RegionSet) bool {
+// isPaused reports whether none of the regions is known to have room for a priority.
+func (l *Line) isPaused(now time.Duration, priority int, regions RegionSet) bool {
 	for _, p := range l.paused {
-		if now < p.until && regions&^p.regions == 0 {
+		if now < p.until && p.priority <= priority && regions&^p.regions == 0 {
 			return true
 		}
 	}
--- a/pimentoload/line_test.go
+++ b/pimentoload/line_test.go
@@ -84,12 +84,30 @@
 	bound, free := newWaiter(0, 1, "a"), newWaiter(0, 1, "b")
 	bound.Regions = 1
 	joined(&l, bound, free)
-	l.Pause(0, 3, 25*ms)
+	l.Pause(0, 0, 3, 25*ms)
 	is.Equal(l.Next(10*ms, false), free)
 	is.Equal(l.Next(10*ms, false), nil)
 	is.Equal(l.Next(25*ms, false), bound)
 }
 
+// Regions without room for a request may have room for a more urgent one, which doesn't wait
+// for it.
+func TestPauseOfLessUrgent(t *testing.T) {
+	is := is.New(t)
+	var l Line
+	joined(&l, newWaiter(0, 1, "a"))
+	l.Pause(0, 1, AllRegions, 25*ms)
+	urgent, other := newWaiter(ms, 0, "b"), newWaiter(ms, 2, "b")
+	l.Arrive(ms, urgent)
+	l.Arrive(ms, other)
+	is.True(l.Ask(ms, urgent))
+	is.True(!l.Ask(ms, other))
+	l.Ended(ms, urgent, false)
+	l.Pause(ms, 0, AllRegions, 25*ms)
+	l.Join(ms, urgent)
+	is.Equal(l.Next(2*ms, false), nil)
+}
+
 // No kind starves, and a less urgent one doesn't get more turns than a more urgent one.
 func TestNoKindStarves(t *testing.T) {
 	is := is.New(t)
--- a/pimentoload/linemodel_test.go
+++ b/pimentoload/linemodel_test.go
@@ -179,7 +179,7 @@
 		}
 		m.line.Ended(m.now, w, false)
 		m.line.Join(m.now, w)
-		m.line.Pause(m.now, boundRegion, m.now+ms)
+		m.line.Pause(m.now, w.Priority, boundRegion, m.now+ms)
 		if m.pattern.withoutRegions {
 			return
 		}
