pimentogate: a received message keeps no more backlogs than an entry sends

An entry states eight services at most, but all that a received message held were kept as long as the message's list was referred to: up to what fits in a message, for each of 64 entries. The bound now applies as the message is read. The new test failed before: 1000 for 8. Callers saw nothing of it; only a peer with another version or a fault would send so many.

--- a/pimentogate/backlog.go
+++ b/pimentogate/backlog.go
@@ -66,7 +66,7 @@
 	if _, known := p.entries[from]; !known && len(p.entries) >= maxBacklogEntries {
 		return
 	}
-	p.entries[from] = entryBacklogs{now, list[:min(len(list), maxBacklogs)]}
+	p.entries[from] = entryBacklogs{now, list}
 }
 
 // of returns the backlog of a service at the other entries together, without old figures.
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -198,7 +198,9 @@
 		case 19:
 			var b serviceBacklog
 			b, ok = backlogField(fc)
-			msg.backlogs = append(msg.backlogs, b)
+			if len(msg.backlogs) < maxBacklogs {
+				msg.backlogs = append(msg.backlogs, b)
+			}
 		default:
 			ok = true
 		}
--- a/pimentogate/waiting_test.go
+++ b/pimentogate/waiting_test.go
@@ -266,3 +266,12 @@
 		g.endTurn(l, w, true)
 	}
 }
+
+// Only so many backlogs of a received message are kept as an entry sends.
+func TestReceivedBacklogsAreBounded(t *testing.T) {
+	is := is.New(t)
+	sent := &syncMessage{sender: pimentopeer.Member{Name: "a"}, backlogs: make([]serviceBacklog, 1000)}
+	got, err := unmarshalSyncMessage(sent.marshal())
+	is.NoErr(err)
+	is.Equal(len(got.backlogs), maxBacklogs)
+}
