pimentogate: a test of a planned stop with requests in a line

TestStopRefusesWhatCantEnd of platform failed at times on a busy machine, and the line was suspected. Its routes have the same priority and homes, so no line acts there, and its refused requests have no position in the log. What becomes of requests that wait at the cut-off wasn't tested yet: they are refused as stopping and leave the line.

--- a/pimentogate/waiting_test.go
+++ b/pimentogate/waiting_test.go
@@ -275,3 +275,31 @@
 	is.NoErr(err)
 	is.Equal(len(got.backlogs), maxBacklogs)
 }
+
+// Requests that wait at the cut-off of a planned stop are refused as such at once, and leave
+// the line.
+func TestStopWithLine(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	var waiters []*lineCall
+	l := g.lineOf(lineTestCall(table, 0, "a"))
+	for i := range 10 {
+		w, asks := g.arrive(l, lineTestCall(table, i%2, fmt.Sprint(i)))
+		if asks {
+			g.rejoin(l, w, nil)
+		}
+		waiters = append(waiters, w)
+	}
+	l.mu.Lock()
+	l.line.Pause(g.now(), 0, pimentoload.AllRegions, time.Hour) // Nobody gets a turn.
+	l.mu.Unlock()
+	close(g.cutoffReached)
+	for _, w := range waiters {
+		is.Equal(g.awaitTurn(l, w), lineTurn{why: reasonStopping})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	is.Equal(l.line.Length(), 0)
+	is.Equal(len(l.waiting), 0)
+	is.Equal(l.asking, 0)
+}
