--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -227,7 +227,9 @@
 		case 19:
 			var b serviceBacklog
 			b, ok = backlogField(fc)
-			msg.backlogs = append(msg.backlogs, b)
+			if len(msg.backlogs) < maxBacklogs {
+				msg.backlogs = append(msg.backlogs, b)
+			}
 		case 20:
 			var data []byte
 			if data, ok = fc.MessageData(); ok {
--- a/pimentogate/waiting.go
+++ b/pimentogate/waiting.go
@@ -77,7 +77,7 @@
 	for out := l.line.Overflow(now); out != nil; out = l.line.Overflow(now) {
 		l.refuse(out, reasonLineFull)
 	}
-	for out := l.line.Shed(now); out != nil; out = l.line.Shed(now) {
+	for out := l.line.Shed(now, &w.Waiter); out != nil; out = l.line.Shed(now, &w.Waiter) {
 		l.refuse(out, reasonLineLate)
 	}
 	g.nextTurns(l, pressing)
@@ -124,7 +124,7 @@
 	defer l.mu.Unlock()
 	l.endAsking(g.now(), w, sent)
 	if sent {
-		l.pause = 0
+		l.pause, l.pausedUntil = 0, 0
 	}
 	g.nextTurns(l, pressing)
 }
@@ -157,7 +157,11 @@
 			l.pause = min(max(2*l.pause, firstWait), maxWait)
 			l.pausedUntil = now + l.pause
 		}
-		l.line.Pause(now, w.Regions, now+l.pause)
+		priority := w.Priority
+		if best == nil {
+			priority = 0 // No target replied, whoever asks.
+		}
+		l.line.Pause(now, priority, w.Regions, now+l.pause)
 		g.wakeAfter(l, l.pause)
 	}
 	w.rejoined = true
@@ -173,13 +177,13 @@
 	l.mu.Lock()
 	var calls []*lineCall
 	for _, next := range l.line.Heads(nil, g.now(), pressing) {
-		calls = append(calls, l.waiting[next])
+		// Once it no longer waits, its tried targets may change.
+		if w := l.waiting[next]; w.call.allows(cand.target.Region) && !slices.Contains(w.call.tried, cand.target.ID) {
+			calls = append(calls, w)
+		}
 	}
 	l.mu.Unlock()
 	for _, w := range calls {
-		if !w.call.allows(cand.target.Region) || slices.Contains(w.call.tried, cand.target.ID) {
-			continue
-		}
 		g.estimate(w.call, cand)
 		if g.decide(w.call, cand) == pimentoload.Send {
 			return w
--- a/pimentogate/waiting_test.go
+++ b/pimentogate/waiting_test.go
@@ -209,3 +209,97 @@
 	is.Equal(g.awaitTurn(l, second.waiter).offer, cand)
 	is.Equal(l.asking, maxAskers) // The others ask again: there was room a moment ago.
 }
+
+// A request that gets a target doesn't let the others look for targets without a pause
+// afterwards.
+func TestPauseAfterSend(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	first, second, sent := lineTestCall(table, 0, "a"), lineTestCall(table, 0, "b"), lineTestCall(table, 0, "c")
+	l := g.lineOf(first)
+	var waiters []*lineCall
+	for _, c := range []*call{first, second, sent} {
+		w, asks := g.arrive(l, c)
+		is.True(asks)
+		waiters = append(waiters, w)
+	}
+	g.rejoin(l, waiters[0], nil) // Begins a pause.
+	g.endTurn(l, waiters[2], true)
+	g.rejoin(l, waiters[1], nil) // There is no room again.
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	is.Equal(l.asking, 0)
+	is.True(l.pause >= firstWait)
+	is.True(l.line.Length() == 2)
+}
+
+// An offer is compared with a waiting request while that gets its turn and is sent.
+func TestHandOverDuringSend(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	cand := &candidate{target: &pimentoroute.Target{ID: "t", Region: "r", Slots: 6}, report: LoadReport{Slots: 6, Healthy: true, Slowdown: 100}}
+	for range 200 {
+		c := lineTestCall(table, 0, "a")
+		c.tried = make([]pimentoroute.TargetID, 1, 4)
+		l := g.lineOf(c)
+		w, asks := g.arrive(l, c)
+		is.True(asks)
+		g.rejoin(l, w, nil)
+		var wg sync.WaitGroup
+		var stop atomic.Bool
+		wg.Go(func() {
+			for !stop.Load() {
+				g.findTaker(l, cand)
+			}
+		})
+		time.Sleep(100 * time.Microsecond)
+		l.mu.Lock()
+		if _, waits := l.waiting[&w.Waiter]; waits {
+			l.line.Claim(g.now(), &w.Waiter)
+			l.giveTurn(&w.Waiter, nil)
+		}
+		l.mu.Unlock()
+		is.Equal(<-w.turn, lineTurn{})
+		c.tried = append(c.tried, "t")
+		stop.Store(true)
+		wg.Wait()
+		g.endTurn(l, w, true)
+	}
+}
+
+// Only so many backlogs of a received message are kept as an entry sends.
+func TestReceivedBacklogsAreBounded(t *testing.T) {
+	is := is.New(t)
+	sent := &syncMessage{sender: pimentopeer.Member{Name: "a"}, backlogs: make([]serviceBacklog, 1000)}
+	got, err := unmarshalSyncMessage(sent.marshal())
+	is.NoErr(err)
+	is.Equal(len(got.backlogs), maxBacklogs)
+}
+
+// Requests that wait at the cut-off of a planned stop are refused as such at once, and leave
+// the line.
+func TestStopWithLine(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	var waiters []*lineCall
+	l := g.lineOf(lineTestCall(table, 0, "a"))
+	for i := range 10 {
+		w, asks := g.arrive(l, lineTestCall(table, i%2, fmt.Sprint(i)))
+		if asks {
+			g.rejoin(l, w, nil)
+		}
+		waiters = append(waiters, w)
+	}
+	l.mu.Lock()
+	l.line.Pause(g.now(), 0, pimentoload.AllRegions, time.Hour) // Nobody gets a turn.
+	l.mu.Unlock()
+	close(g.cutoffReached)
+	for _, w := range waiters {
+		is.Equal(g.awaitTurn(l, w), lineTurn{why: reasonStopping})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	is.Equal(l.line.Length(), 0)
+	is.Equal(len(l.waiting), 0)
+	is.Equal(l.asking, 0)
+}
--- a/pimentoload/line_test.go
+++ b/pimentoload/line_test.go
@@ -84,12 +84,30 @@
 	bound, free := newWaiter(0, 1, "a"), newWaiter(0, 1, "b")
 	bound.Regions = 1
 	joined(&l, bound, free)
-	l.Pause(0, 3, 25*ms)
+	l.Pause(0, 0, 3, 25*ms)
 	is.Equal(l.Next(10*ms, false), free)
 	is.Equal(l.Next(10*ms, false), nil)
 	is.Equal(l.Next(25*ms, false), bound)
 }
 
+// Regions without room for a request may have room for a more urgent one, which doesn't wait
+// for it.
+func TestPauseOfLessUrgent(t *testing.T) {
+	is := is.New(t)
+	var l Line
+	joined(&l, newWaiter(0, 1, "a"))
+	l.Pause(0, 1, AllRegions, 25*ms)
+	urgent, other := newWaiter(ms, 0, "b"), newWaiter(ms, 2, "b")
+	l.Arrive(ms, urgent)
+	l.Arrive(ms, other)
+	is.True(l.Ask(ms, urgent))
+	is.True(!l.Ask(ms, other))
+	l.Ended(ms, urgent, false)
+	l.Pause(ms, 0, AllRegions, 25*ms)
+	l.Join(ms, urgent)
+	is.Equal(l.Next(2*ms, false), nil)
+}
+
 // No kind starves, and a less urgent one doesn't get more turns than a more urgent one.
 func TestNoKindStarves(t *testing.T) {
 	is := is.New(t)
@@ -110,6 +128,37 @@
 	}
 }
 
+// While targets are looked for at the same time for several requests, one in fairEvery turns
+// goes out of order all the same, and such a turn without a target isn't lost.
+func TestOneFairTurnAtATime(t *testing.T) {
+	is := is.New(t)
+	var l Line
+	const askers = 3
+	turns := make(map[int]int)
+	for range 400 {
+		var asking []*Waiter
+		for range askers {
+			joined(&l, newWaiter(0, 0, "a"), newWaiter(0, 1, "a"))
+			asking = append(asking, l.Next(0, false))
+		}
+		for _, w := range asking {
+			turns[w.Priority]++
+			l.Ended(0, w, true)
+		}
+	}
+	total := turns[0] + turns[1]
+	is.True(turns[1] <= total/fairEvery+1)
+	is.True(turns[1] >= total/fairEvery/2)
+	w := l.Next(0, false)
+	for !w.Fair {
+		l.Ended(0, w, true)
+		w = l.Next(0, false)
+	}
+	l.Ended(0, w, false)
+	l.Join(0, w)
+	is.True(l.Next(0, false).Fair)
+}
+
 // A caller that sends many requests gets its turn after the others of its priority, and is
 // forgotten later.
 func TestGreedyCaller(t *testing.T) {
@@ -311,7 +360,7 @@
 		if !l.Ask(now, w) {
 			l.Join(now, w)
 		}
-		if out := l.Shed(now); out != nil {
+		if out := l.Shed(now, w); out != nil {
 			l.Join(now, out)
 		}
 	}
--- a/pimentoload/linemodel_test.go
+++ b/pimentoload/linemodel_test.go
@@ -133,7 +133,7 @@
 			m.refuse(r)
 		}
 	})
-	for out := m.line.Shed(m.now); out != nil; out = m.line.Shed(m.now) {
+	for out := m.line.Shed(m.now, w); out != nil; out = m.line.Shed(m.now, w) {
 		m.refuse(m.requests[out])
 	}
 }
@@ -179,7 +179,7 @@
 		}
 		m.line.Ended(m.now, w, false)
 		m.line.Join(m.now, w)
-		m.line.Pause(m.now, boundRegion, m.now+ms)
+		m.line.Pause(m.now, w.Priority, boundRegion, m.now+ms)
 		if m.pattern.withoutRegions {
 			return
 		}
