pimentoload: a target that begins to run late isn't left

A target was taken to have nothing once a report had said so, also when a later report said that it ran something. A target that reads requests slowly ran the request by then, and its connection was closed in the middle of the work: the caller of a request that isn't idempotent got 502 although a response was coming. The time now counts since the target was only seen to run nothing. Test failed before (Gone although the last report had 1 running). Cost: a target that other requests keep busy is left later.

--- a/pimentoload/overdue.go
+++ b/pimentoload/overdue.go
@@ -30,7 +30,7 @@
 	begun   bool
 	begunBy time.Duration // When the target had begun to execute the request, if it ever does.
 	absent  bool
-	since   time.Duration // Since when the target has neither run nor queued any request.
+	since   time.Duration // Since when the target was only seen to run and queue nothing.
 	slowest int           // The highest slowdown reported since the request had begun, in percent.
 }
 
@@ -59,7 +59,10 @@
 		o.begun, o.begunBy = true, arrived
 	}
 	o.slowest = max(o.slowest, slowdown, percent)
-	if absent := running+waiting == 0; absent && !o.absent {
+	switch absent := running+waiting == 0; {
+	case !absent:
+		o.absent = false // What it runs now may be the request, which it was slow to read.
+	case !o.absent:
 		o.absent, o.since = true, arrived
 	}
 }
--- a/pimentoload/silence_test.go
+++ b/pimentoload/silence_test.go
@@ -195,3 +195,15 @@
 	is.True(!o.Gone(130 * time.Millisecond)) // The response may be under way.
 	is.True(o.Gone(time.Second))
 }
+
+// A target that was slow to read the request ran nothing before, and isn't left while it runs.
+func TestOverdueAtSlowReader(t *testing.T) {
+	is := is.New(t)
+	o := pimentoload.Overdue{RoundTrip: time.Millisecond, Usual: 100 * time.Millisecond, Certain: true}
+	o.Observe(time.Second, time.Second, 0, 0, 100)
+	o.Observe(2*time.Second, 2*time.Second, 1, 0, 100)
+	is.True(!o.Gone(3 * time.Second))
+	o.Observe(4*time.Second, 4*time.Second, 0, 0, 100)
+	is.True(!o.Gone(4 * time.Second)) // Its response may be under way.
+	is.True(o.Gone(5 * time.Second))
+}
