pimentogate, pimentohttp: a response that is arriving isn't cut off as silence

A target counts a request as ended once it has written its response, so it says that it runs nothing while a long response is still under way. Where that takes longer than a round trip and 50 ms, the check of a send beside a long queue closed the connection in the middle of the body: 502 to the caller of an unsafe request with its response half there, or a second run of an idempotent one. An exchange is now ended for silence only while no byte of its response has arrived. The tests failed before: the streamed body ended with io: read/write on closed pipe.

--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -185,10 +185,13 @@
 }
 
 // dropSilent ends a send to which no response will come. Its connection is closed. A response
-// that has arrived meanwhile counts.
+// of which a part has arrived counts: a target runs nothing while its long response is under way.
 func (g *Gate) dropSilent(c *call, s *send) {
 	s.silent.Store(true)
-	s.exchange.Cancel()
+	if !s.exchange.CancelUnanswered() {
+		s.silent.Store(false)
+		return
+	}
 	g.recordSilence(c, s, silenceGone)
 }
 
--- a/pimentogate/silence_test.go
+++ b/pimentogate/silence_test.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +81,32 @@
 		})
 	}
 }
+
+// A response that arrives isn't cut off, although its target runs nothing any more.
+func TestLongResponseIsNotDropped(t *testing.T) {
+	for _, kind := range []reply{replyLarge, replyNever} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			targets := []*pipeTarget{{id: "i-0", probes: []behaviour{{}}, requests: []behaviour{{Reply: kind}}}}
+			g, cleanup := pipeGate(t, targets)
+			defer cleanup()
+			c, candidates := newRaceCall(g, 1)
+			s := g.newSend(c, candidates[0])
+			go g.runSend(c, s)
+			synctest.Wait()
+			g.dropSilent(c, s)
+			synctest.Wait()
+			is.Equal(s.outcome == outcomeResponse, kind == replyLarge)
+			is.Equal(s.outcome == outcomeSilent, kind == replyNever)
+			if kind == replyLarge {
+				n, err := io.Copy(io.Discard, s.exchange.Resp.BodyStream())
+				is.NoErr(err)
+				is.Equal(n, int64(maxBufferedResponse+1))
+			}
+			s.close()
+			targets[0].closeAll()
+			g.client.CloseAllIdle()
+			synctest.Wait()
+		})
+	}
+}
--- a/pimentohttp/delivered_test.go
+++ b/pimentohttp/delivered_test.go
@@ -38,3 +38,41 @@
 		x.AwaitWritten()
 	}
 }
+
+// A response that arrives slowly isn't cut off by CancelUnanswered, and an exchange without any
+// part of it is ended.
+func TestCancelUnanswered(t *testing.T) {
+	for _, responds := range []bool{true, false} {
+		is := is.New(t)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer func() { _ = ln.Close() }()
+		rest := make(chan struct{})
+		go func() {
+			cn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = cn.Close() }()
+			if responds {
+				_, _ = cn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab"))
+			}
+			<-rest
+			_, _ = cn.Write([]byte("cd"))
+		}()
+		req := new(fasthttp.Request)
+		req.SetRequestURI("/x")
+		req.Header.SetHost("h")
+		x := &Exchange{Address: ln.Addr().String(), Req: req, Resp: new(fasthttp.Response), Deadline: time.Now().Add(5 * time.Second)}
+		var c Client
+		done := make(chan error, 1)
+		go func() { done <- c.Do(x) }()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(x.CancelUnanswered(), !responds)
+		close(rest)
+		is.Equal(<-done == nil, responds)
+		if responds {
+			is.Equal(string(x.Resp.Body()), "abcd")
+		}
+	}
+}
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -70,10 +70,11 @@
 	// Strays is the number of skipped responses to other requests. Do sets it.
 	Strays int
 
-	mu        sync.Mutex // Guards conn, cancelled and sent.
-	conn      *Conn
-	cancelled bool
-	sent      bool
+	mu         sync.Mutex // Guards conn, cancelled, sent and responding.
+	conn       *Conn
+	cancelled  bool
+	sent       bool
+	responding bool // Part of the response has arrived.
 
 	// writeDone is set with sent.
 	writeDone   chan struct{} // Closed when a long request was written. Nil for others.
@@ -213,6 +214,21 @@
 	}
 }
 
+// CancelUnanswered does the same as Cancel, unless part of the response has arrived. It reports
+// whether the exchange is cancelled.
+func (x *Exchange) CancelUnanswered() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.responding {
+		return x.cancelled
+	}
+	x.cancelled = true
+	if x.conn != nil {
+		x.conn.destroy()
+	}
+	return true
+}
+
 // attach makes cn the connection that Cancel closes. It reports false if the
 // exchange is already cancelled.
 func (x *Exchange) attach(cn *Conn) bool {
@@ -245,6 +261,12 @@
 
 // readHead reads the head of the final response, and skips informational ones.
 func (x *Exchange) readHead(r *bufio.Reader) error {
+	if _, err := r.Peek(1); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	x.responding = true
+	x.mu.Unlock()
 	for range maxInformational {
 		if err := checkStatusLine(r); err != nil {
 			return err
