pimentogate: reports asked for before a send was delivered say nothing about it

The check beside an overdue send shared a probe that another request had begun, up to 400 ms before, and judged the report by when it arrived. Such a report may be older than the arrival of the request: a target that ran nothing then counted as one from which no response comes, and a run in progress could be broken off with 502. Reports now carry when their probe began, and count from the time at which the target's kernel was seen to have the whole request; so those that other requests asked for later are used, and Delivered isn't asked again. The test failed before: a report asked for 50 ms before the send was taken.

--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -75,7 +75,7 @@
 		return
 	}
 	s.report.Running, s.report.Waiting, s.report.Slots, s.report.Slowdown = r.Running, r.Waiting, r.Slots, r.Slowdown
-	s.reportedAt, s.sentSinceReport = g.now()-g.roundTrip(tg)/2, 0
+	s.reportedAt, s.askedAt, s.sentSinceReport = g.now()-g.roundTrip(tg)/2, 0, 0
 }
 
 // distance says how far away a target is.
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -36,11 +36,13 @@
 	conn       *pimentohttp.Conn
 	report     LoadReport
 	reportedAt time.Time // When the report arrived.
-	cold       bool
-	queued     bool // All its slots are taken.
-	idle       bool // It runs nothing.
-	full       bool // It may not respond at all, see Gate.isFull.
-	room       int  // See pimentoload.Offer.
+	// askedAt is when the probe began that the report replies to, which it is no older than.
+	askedAt time.Time
+	cold    bool
+	queued  bool // All its slots are taken.
+	idle    bool // It runs nothing.
+	full    bool // It may not respond at all, see Gate.isFull.
+	room    int  // See pimentoload.Offer.
 	// expected is the time until the response, byteCost the transfer cost of the
 	// response, expressed as a time, and crowdCost the delay of the requests that run at a
 	// crowded target.
@@ -181,7 +183,7 @@
 		}
 		ts.mu.Lock()
 		defer ts.mu.Unlock()
-		cand.report, cand.reportedAt = s.report, g.startedAt.Add(s.reportedAt)
+		g.useReport(cand, s)
 		return nil
 	}
 	if !g.spendProbe() {
@@ -193,15 +195,15 @@
 		}
 		return nil
 	}
-	pending := &pendingProbe{done: make(chan struct{})}
+	pending, asked := &pendingProbe{done: make(chan struct{})}, g.now()
 	s.probing = pending
 	ts.mu.Unlock()
 	g.sendProbe(c, cand, false)
 	ts.mu.Lock()
 	s.probing = nil
 	if pending.err = cand.err; pending.err == nil {
-		s.report, s.reportedAt, s.hasReport, s.sentSinceReport = cand.report, g.now(), true, 0
-		cand.reportedAt = g.startedAt.Add(s.reportedAt)
+		s.report, s.reportedAt, s.askedAt, s.hasReport, s.sentSinceReport = cand.report, g.now(), asked, true, 0
+		g.useReport(cand, s)
 	}
 	ts.mu.Unlock()
 	close(pending.done)
@@ -214,10 +216,16 @@
 	if !s.hasReport || g.now()-s.reportedAt >= limit {
 		return false
 	}
-	cand.report, cand.reportedAt = s.report, g.startedAt.Add(s.reportedAt)
+	g.useReport(cand, s)
 	return true
 }
 
+// useReport sets the candidate's report to the target's last one. It is called with
+// trafficStats.mu held.
+func (g *Gate) useReport(cand *candidate, s *targetState) {
+	cand.report, cand.reportedAt, cand.askedAt = s.report, g.startedAt.Add(s.reportedAt), g.startedAt.Add(s.askedAt)
+}
+
 // errNoProbeBudget is the error of a candidate whose target wasn't probed.
 var errNoProbeBudget = errors.New("no probe left in this entry's share of the budget")
 
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -38,6 +38,9 @@
 	// send, and sawLong is set if it may have been full.
 	longest int
 	sawLong bool
+	// deliveredBy is the age at which the target's kernel was first seen to have the whole
+	// request, 0 if it wasn't.
+	deliveredBy time.Duration
 	// silent is set when the send is cancelled because no response will come.
 	silent atomic.Bool
 }
--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -128,8 +128,15 @@
 		if !o.Overdue(time.Since(s.started), s.candidate.expected) {
 			continue
 		}
+		if s.deliveredBy == 0 {
+			if !s.exchange.Delivered() {
+				continue
+			}
+			s.deliveredBy = time.Since(s.started)
+		}
+		delivered := s.deliveredBy
 		go func() {
-			r := g.askBeside(c, s)
+			r := g.askBeside(c, s, delivered)
 			select {
 			case w.reports <- r:
 			default: // The race is over, or slow.
@@ -138,20 +145,16 @@
 	}
 }
 
-// askBeside asks the target of a send for a report. It returns nil if there is none that was made
-// after the question, or if the target hasn't received the whole request.
-func (g *Gate) askBeside(c *call, s *send) *watchReport {
-	if !s.exchange.Delivered() {
-		return nil
-	}
-	r := &watchReport{send: s, asked: time.Since(s.started)}
+// askBeside asks the target of a send for a report. It returns nil if there is none that was asked
+// for after the target had received the whole request: one from before may have been made before.
+func (g *Gate) askBeside(c *call, s *send, delivered time.Duration) *watchReport {
 	cand := g.probeTarget(c, s.candidate.target)
 	defer cand.release()
-	if cand.err != nil || cand.report.Slots == 0 || cand.reportedAt.Before(s.started.Add(r.asked)) {
+	asked := cand.askedAt.Sub(s.started)
+	if cand.err != nil || cand.report.Slots == 0 || asked < delivered {
 		return nil
 	}
-	r.arrived, r.report = time.Since(s.started), cand.report
-	return r
+	return &watchReport{send: s, asked: asked, arrived: time.Since(s.started), report: cand.report}
 }
 
 // suspect records that targets may be silent when full, if the response to a send is long overdue
--- a/pimentogate/silence_test.go
+++ b/pimentogate/silence_test.go
@@ -43,6 +43,39 @@
 	}
 }
 
+// A report that another request asked for before a send was delivered says nothing about the send,
+// also if it arrives later. One from a question of its own does.
+func TestReportFromBeforeDelivery(t *testing.T) {
+	const delay = 100 // Milliseconds.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		targets := []*pipeTarget{{id: "i-0", probes: []behaviour{{Millis: delay}}, requests: []behaviour{{}}}}
+		g, cleanup := pipeGate(t, targets)
+		defer cleanup()
+		c, candidates := newRaceCall(g, 1)
+		tg := candidates[0].target
+		targets[0].probes = []behaviour{{Millis: delay}}
+		other := make(chan *candidate)
+		time.Sleep(time.Second)
+		go func() { other <- g.probeTarget(c, tg) }()
+		time.Sleep(delay / 2 * time.Millisecond)
+		s := g.newSend(c, &candidate{target: tg, report: longQueue})
+		beside := make(chan *watchReport)
+		go func() { beside <- g.askBeside(c, s, time.Millisecond) }()
+		shared := <-other
+		is.NoErr(shared.err)
+		shared.release()
+		is.Equal(<-beside, nil)
+		time.Sleep(time.Second)
+		r := g.askBeside(c, s, time.Millisecond)
+		is.True(r != nil)
+		is.Equal(r.asked, time.Since(s.started)-delay*time.Millisecond)
+		targets[0].closeAll()
+		g.client.CloseAllIdle()
+		synctest.Wait()
+	})
+}
+
 // What an entry has learned of silent targets reaches others, for services that they serve.
 func TestSilenceIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -85,8 +85,10 @@
 	inFlight int
 	// report is the last load report, if hasReport is set, and sentSinceReport
 	// counts this entry's sends since then.
-	report          LoadReport
-	reportedAt      time.Duration
+	report     LoadReport
+	reportedAt time.Duration
+	// askedAt is when the probe began that the report replies to, 0 if it came otherwise.
+	askedAt         time.Duration
 	hasReport       bool
 	sentSinceReport int
 	probing         *pendingProbe
