pimentogate: targets keep their whole deadline where none was seen silent

A target with a long queue was given a deadline that was a round trip (61 ms to another region) shorter in every deployment, also where targets refuse requests when full; it ended work that its caller still waited for. Now only targets of services that were seen silent get the shorter one.

--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -57,11 +57,11 @@
 	return c.deadline
 }
 
-// targetTime returns the time that a target may take for a request. Where it may have to wait in a
-// queue, the target's statement that its time has passed there arrives before the response is due.
+// targetTime returns the time that a target may take for a request. Where targets are silent when
+// full, the target's statement that its time has passed there arrives before the response is due.
 func (g *Gate) targetTime(c *call, cand *candidate) time.Duration {
 	left := time.Until(g.answerBy(c))
-	if cand.mayBeSilent() || g.isSilent(c) {
+	if g.isSilent(c) {
 		left -= g.roundTrip(cand.target)
 	}
 	return max(time.Millisecond, left)
