pimentogate: unanswered requests at long queues count as crashes where none was silent

A target that didn't respond in time, was unreachable meanwhile and replies now has restarted. With a long queue that was no longer recorded, in every deployment: a request that crashes busy targets there could be sent to more of them. It now holds only for services whose targets were seen silent. The test asserted it without silence seen; it now covers the four cases, and failed before (no crash recorded with a long queue and no silence seen).

--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -82,9 +82,8 @@
 
 // checkCrash probes the target of a send without a complete, authentic response. If the
 // target replies, it hasn't crashed, unless the request had no response in time and
-// the target was unreachable meanwhile: then it has restarted, unless its queue was so long that it
-// may have been silent. It reports whether the target
-// replied and hasn't restarted.
+// the target was unreachable meanwhile: then it has restarted, unless its queue was long and such
+// targets were seen silent. It reports whether the target replied and hasn't restarted.
 func (g *Gate) checkCrash(c *call, s *send) (alive bool) {
 	tg := s.candidate.target
 	switch {
@@ -104,7 +103,7 @@
 		g.logNoCrash(c, tg, "not probed: "+cand.err.Error())
 	case errors.Is(cand.err, errUnidentified):
 		g.logNoCrash(c, tg, cand.err.Error())
-	case cand.err == nil && !(s.outcome == outcomeTimeout && g.unreachableSince(tg, s.started) && !s.sawLong):
+	case cand.err == nil && !(s.outcome == outcomeTimeout && g.unreachableSince(tg, s.started) && !(s.sawLong && g.isSilent(c))):
 		g.logNoCrash(c, tg, "target replied")
 		return true
 	default:
--- a/pimentogate/silence_test.go
+++ b/pimentogate/silence_test.go
@@ -97,9 +97,10 @@
 }
 
 // A target that didn't respond while its queue was long, and couldn't be probed meanwhile, hasn't
-// crashed if it replies now. Without a long queue it has.
+// crashed if it replies now and such targets were seen silent. Otherwise it has.
 func TestSilenceIsNoCrash(t *testing.T) {
-	for _, sawLong := range []bool{true, false} {
+	for _, given := range [][2]bool{{true, true}, {true, false}, {false, true}, {false, false}} {
+		sawLong, seen := given[0], given[1]
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			targets := []*pipeTarget{{id: "i-0", probes: []behaviour{{}, {}}}}
@@ -110,8 +111,11 @@
 			s.outcome, s.sawLong = outcomeTimeout, sawLong
 			time.Sleep(time.Second)
 			g.traffic.target("i-0").unreachableAt = g.now()
-			is.Equal(g.checkCrash(c, s), sawLong)
-			is.Equal(g.crashCount(c) == 0, sawLong)
+			if seen {
+				g.traffic.service("s").queue.SawSilent(g.now(), 6)
+			}
+			is.Equal(g.checkCrash(c, s), sawLong && seen)
+			is.Equal(g.crashCount(c) == 0, sawLong && seen)
 			targets[0].closeAll()
 			g.client.CloseAllIdle()
 			synctest.Wait()
