pimentogate: overdue sends cause no probes before silence was seen

Every overdue send to a target that reports its load was followed by probes beside it, in all deployments whose targets had never refused a request: a slow target got one question a tenth of the objective for each request. Now the target is asked only if its queue was long, by the report that the send was made by or one that other requests had asked for since, or if targets of the service were seen silent. Not asking at all before was ruled out: the first silence would be learned at a caller's deadline only, and TestSilentTargetUnsafe asks for it sooner. The test failed before (probes at a target with a short queue).

--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -125,7 +125,7 @@
 		return // The last check hasn't been looked at.
 	}
 	for s, o := range w.sends {
-		if !o.Overdue(time.Since(s.started), s.candidate.expected) {
+		if !o.Overdue(time.Since(s.started), s.candidate.expected) || !g.mayBeLost(c, s) {
 			continue
 		}
 		if s.deliveredBy == 0 {
@@ -145,6 +145,20 @@
 	}
 }
 
+// mayBeLost reports whether a send may have found its target full, so that asking the target is worth
+// a probe: targets of the service were seen silent, or a report that was made anyway, for the choice
+// of the target or for other requests since, shows a long queue.
+func (g *Gate) mayBeLost(c *call, s *send) bool {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if tg := ts.target(s.candidate.target.ID); tg.hasReport && !g.startedAt.Add(tg.reportedAt).Before(s.started) {
+		s.longest = max(s.longest, tg.report.Waiting)
+		s.sawLong = s.sawLong || pimentoload.IsLong(tg.report.Running, tg.report.Waiting, tg.report.Slots)
+	}
+	return s.sawLong || ts.service(c.serviceName()).queue.Silent(g.now())
+}
+
 // askBeside asks the target of a send for a report. It returns nil if there is none that was asked
 // for after the target had received the whole request: one from before may have been made before.
 func (g *Gate) askBeside(c *call, s *send, delivered time.Duration) *watchReport {
--- a/pimentogate/silence_test.go
+++ b/pimentogate/silence_test.go
@@ -47,6 +47,51 @@
 	}
 }
 
+// The target of an overdue send is asked only if its queue was long, by reports that were made
+// anyway, or if such targets were seen silent: other deployments get no probes of this kind.
+func TestOverdueSendsAskOnlyLongQueues(t *testing.T) {
+	short := LoadReport{Healthy: true, Running: 3, Waiting: 1, Slots: 3, Slowdown: 100}
+	for _, tt := range []struct {
+		chosen, beside LoadReport
+		seen, asks     bool
+	}{
+		{chosen: short, beside: short},
+		{chosen: short, beside: short, seen: true, asks: true},
+		{chosen: longQueue, beside: short, asks: true},
+		{chosen: short, beside: longQueue, asks: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			targets := []*pipeTarget{{id: "i-0", probes: []behaviour{{}}, requests: []behaviour{{Reply: replyNever}}}}
+			g, cleanup := pipeGate(t, targets)
+			defer cleanup()
+			c, candidates := newRaceCall(g, 1)
+			c.deadline = time.Now().Add(2 * time.Second)
+			c.route.Attempts = 1 // No hedge, which asks as well.
+			first := candidates[0]
+			first.report, first.expected = tt.chosen, 100*time.Millisecond
+			if tt.seen {
+				g.traffic.service("s").queue.SawSilent(g.now(), 6)
+			}
+			time.AfterFunc(50*time.Millisecond, func() {
+				g.traffic.mu.Lock()
+				defer g.traffic.mu.Unlock()
+				s := g.traffic.target("i-0")
+				s.report, s.reportedAt, s.hasReport = tt.beside, g.now(), true
+			})
+			g.sendHedged(c, first)
+			targets[0].mu.Lock()
+			asked := targets[0].probed // Before the target is probed for a crash.
+			targets[0].mu.Unlock()
+			is.Equal(asked > 0, tt.asks)
+			time.Sleep(time.Second)
+			targets[0].closeAll()
+			g.client.CloseAllIdle()
+			synctest.Wait()
+		})
+	}
+}
+
 // A report that another request asked for before a send was delivered says nothing about the send,
 // also if it arrives later. One from a question of its own does.
 func TestReportFromBeforeDelivery(t *testing.T) {
