pimentogate: a large body whose turn comes too late is refused at once

A body that waited for its turn on the link was held to the deadline of its request when the turn came later than that, and was refused only then. That happens when targets refuse bodies, since each is sent again: more is sent than arrives. It is now refused as not run (reason link) as soon as the turn is known to come too late, and takes none. The test failed before (1.5 s held instead of refused at once).

--- a/pimentogate/bodies.go
+++ b/pimentogate/bodies.go
@@ -68,11 +68,11 @@
 }
 
 // paceBody waits until a large body may be sent to a target beside others, so that small requests and
-// responses pass the link between them. The target is chosen after that. It reports false if the
-// request has ended meanwhile.
-func (g *Gate) paceBody(c *call) bool {
+// responses pass the link between them. The target is chosen after that. It returns why the body isn't
+// sent, at once if its turn comes too late, or reasonNone.
+func (g *Gate) paceBody(c *call) reason {
 	if !g.hasLargeBody(c) {
-		return true
+		return reasonNone
 	}
 	b := &g.bodies
 	b.mu.Lock()
@@ -80,18 +80,21 @@
 	wait := b.link.Send(now, len(c.req.Body())) - now
 	b.mu.Unlock()
 	if wait <= 0 {
-		return true
+		return reasonNone
+	}
+	if wait >= time.Until(c.deadline) {
+		g.unsendBody(c)
+		return reasonLink
 	}
 	g.metrics.count("pimento_bodies_paced_total")
 	select {
 	case <-c.done:
 	case <-g.cutoffReached:
 	case <-time.After(wait):
-		return true
-	case <-time.After(time.Until(c.deadline)):
+		return reasonNone
 	}
 	g.unsendBody(c)
-	return false
+	return reasonStopping
 }
 
 // unsendBody takes back a body that was to be sent, when the request is refused instead.
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -97,8 +97,8 @@
 
 // chooseAndCheck chooses the target of the next send, once the request's body may be sent.
 func (g *Gate) chooseAndCheck(c *call) (*candidate, reason) {
-	if !g.paceBody(c) {
-		return nil, g.checkBeforeSend(c, nil, reasonStopping)
+	if why := g.paceBody(c); why != reasonNone {
+		return nil, g.checkBeforeSend(c, nil, why)
 	}
 	cand, why := g.chooseTarget(c, c.tried)
 	if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
