pimentoload: a turn on the link that has passed isn't given back

A large body that was refused after its turn had come (no target had room) gave its whole transfer time back, although bodies behind it had been given later turns and were being sent: the next ones were then sent beside them, and small requests waited behind two or more bodies. Only the part of the turn that hasn't passed is given back now. The test failed before (1.1 s instead of 1.2 s for the next turn).

--- a/pimentogate/bodies.go
+++ b/pimentogate/bodies.go
@@ -77,7 +77,8 @@
 	b := &g.bodies
 	b.mu.Lock()
 	now := g.now()
-	wait := b.link.Send(now, len(c.req.Body())) - now
+	c.bodyTurn = b.link.Send(now, len(c.req.Body()))
+	wait := c.bodyTurn - now
 	b.mu.Unlock()
 	if wait <= 0 {
 		return reasonNone
@@ -104,7 +105,7 @@
 	}
 	b := &g.bodies
 	b.mu.Lock()
-	b.link.Unsend(len(c.req.Body()))
+	b.link.Unsend(g.now(), c.bodyTurn, len(c.req.Body()))
 	b.mu.Unlock()
 }
 
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -44,8 +44,9 @@
 	// are nil until the head of the request was checked.
 	memory        *pimentomemory.Grant
 	releaseMemory func()
-	bodyBytes     int          // Those of the request's body.
-	bodyUsers     atomic.Int32 // The call while it is served, and its sends.
+	bodyBytes     int           // Those of the request's body.
+	bodyUsers     atomic.Int32  // The call while it is served, and its sends.
+	bodyTurn      time.Duration // When it is sent, on routes with large bodies, see Gate.paceBody.
 
 	tried         []pimentoroute.TargetID
 	sends         int        // Sends that a target may have executed or refused.
--- a/pimentoload/body.go
+++ b/pimentoload/body.go
@@ -64,8 +64,11 @@
 	return at
 }
 
-// Unsend takes back a body that was to be sent and wasn't.
-func (l *Link) Unsend(n int) { l.sentAt -= l.Transfer(n) }
+// Unsend takes back a body that was to be sent at a time and wasn't. The part of its turn that has
+// passed isn't given back, because bodies after it are sent by now.
+func (l *Link) Unsend(now, at time.Duration, n int) {
+	l.sentAt -= min(l.Transfer(n), max(0, at+l.Transfer(n)-now))
+}
 
 // BodyCost returns what a body that crosses regions costs a choice among targets, as a time: the
 // price of its bytes, but no more than what is left of the objective after the expected response,
--- a/pimentoload/body_test.go
+++ b/pimentoload/body_test.go
@@ -85,8 +85,12 @@
 	is.Equal(l.Send(0, 100_000), 100*time.Millisecond)
 	is.Equal(l.Send(time.Second, 100_000), time.Second)
 	is.Equal(l.Send(time.Second, 100_000), 1100*time.Millisecond)
-	l.Unsend(100_000)
+	l.Unsend(time.Second, 1100*time.Millisecond, 100_000)
 	is.Equal(l.Send(time.Second, 100_000), 1100*time.Millisecond)
+	l.Unsend(2*time.Second, time.Second, 100_000) // Its turn has passed.
+	is.Equal(l.Send(1100*time.Millisecond, 100_000), 1200*time.Millisecond)
+	l.Unsend(1250*time.Millisecond, 1200*time.Millisecond, 100_000) // Half of it has.
+	is.Equal(l.Send(1250*time.Millisecond, 100_000), 1250*time.Millisecond)
 }
 
 // A near target that is in time comes before a far one that is faster, and a near one that isn't
