pimentogate: a body above the limit is left to the limit

On routes of kind upload the link's rule was asked before the limit of a body, so a body that is too large was refused with 503 and a Retry-After while the link was busy or the time short, and its caller sent it again in vain. It now gets 413 at once, as elsewhere. The test failed before (a response of the link for a body one byte above the limit).

--- a/pimentogate/bodies.go
+++ b/pimentogate/bodies.go
@@ -21,11 +21,11 @@
 }
 
 // refuseBody returns the response to a request whose body can't arrive and be sent to a target in
-// time, given what is underway, or doesn't fit in the memory, and nil for one that is read. The
-// length of a chunked body isn't known; it counts when it has arrived.
+// time, given what is underway, or doesn't fit in the memory, and nil for one that is read, or refused
+// by its length alone. The length of a chunked body isn't known; it counts when it has arrived.
 func (g *Gate) refuseBody(c *call) *response {
 	n := c.req.Header.ContentLength()
-	if !g.hasLargeBody(c) || n <= 0 {
+	if !g.hasLargeBody(c) || n <= 0 || n > g.limits().BodyBytes {
 		return nil
 	}
 	b := &g.bodies
--- a/pimentogate/bodies_test.go
+++ b/pimentogate/bodies_test.go
@@ -41,3 +41,20 @@
 		is.Equal(time.Since(began), 1500*time.Millisecond)
 	})
 }
+
+// A body above the limit isn't refused because of the link, with a time to return after: it is never
+// taken.
+func TestTooLargeBodyIsNotAskedBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, cleanup := pipeGate(t, nil)
+		defer cleanup()
+		c := newUploadCall(g, 0)
+		c.deadline = time.Now().Add(100 * time.Millisecond)
+		limit := g.limits().BodyBytes
+		c.req.Header.SetContentLength(limit)
+		is.Equal(g.refuseBody(c).reason, reasonLink)
+		c.req.Header.SetContentLength(limit + 1)
+		is.True(g.refuseBody(c) == nil)
+	})
+}
