pimentogate: the test of bodies above the limit states its limit

It now sets the limit, passes, and fails without the rule (a response of the link one byte above the limit).

--- a/pimentogate/bodies_test.go
+++ b/pimentogate/bodies_test.go
@@ -51,7 +51,8 @@
 		defer cleanup()
 		c := newUploadCall(g, 0)
 		c.deadline = time.Now().Add(100 * time.Millisecond)
-		limit := g.limits().BodyBytes
+		const limit = 1 << 20
+		c.table.Config.Limits.BodyBytes = limit
 		c.req.Header.SetContentLength(limit)
 		is.Equal(g.refuseBody(c).reason, reasonLink)
 		c.req.Header.SetContentLength(limit + 1)
