pimentogate, pimentoload: a late response ends the suspicion of silence

A response that is long overdue at a long queue made the service count as silent when full for five minutes, at all entries, also when the response then came: slow targets with long queues that take everything were held to the queue seen, requests to them were refused, and callers got 504 50 ms sooner. Suspicion is now kept apart from silence that was seen (gone, deadline): it acts at this entry only, isn't told to others, and ends when the response comes. The tests failed before (silent after the response; told to others).

--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -83,6 +83,7 @@
 			r.running--
 			delete(r.watch.sends, s)
 			r.gate.recordOutcome(c, s)
+			r.gate.clearSuspicion(c, s)
 			if s.outcome == outcomeResponse || r.running == 0 {
 				return s
 			}
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -38,6 +38,8 @@
 	// send, and sawLong is set if it may have been full.
 	longest int
 	sawLong bool
+	// suspected is set when the target was recorded as silent because the response is overdue.
+	suspected bool
 	// deliveredBy is the age at which the target's kernel was first seen to have the whole
 	// request, 0 if it wasn't.
 	deliveredBy time.Duration
--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -227,15 +227,32 @@
 	ts := &g.traffic
 	ts.mu.Lock()
 	q := &ts.service(c.serviceName()).queue
-	q.SawSilent(g.now(), s.longest)
+	if s.suspected = how == silenceOverdue; s.suspected {
+		q.Suspect(g.now(), s.longest)
+	} else {
+		q.SawSilent(g.now(), s.longest)
+	}
 	length := q.Length(g.now())
 	ts.mu.Unlock()
-	g.cluster.notifyPeers()
+	if !s.suspected {
+		g.cluster.notifyPeers()
+	}
 	g.metrics.count(fmt.Sprintf(`pimento_silent_sends_total{how=%q}`, string(how)))
 	g.logLine(level.WarnValue(), "msg", "target silent while its queue was long", "id", c.id, "service", c.serviceName(),
 		"target", s.candidate.target.ID, "how", how, "waiting", s.longest, "learned", length, "ms", time.Since(s.started).Milliseconds())
 }
 
+// clearSuspicion records that a send to a target that was suspected to be silent has got a response.
+func (g *Gate) clearSuspicion(c *call, s *send) {
+	if !s.suspected || s.outcome != outcomeResponse && s.outcome != outcomeFailed && s.outcome != outcomeNotExecuted {
+		return
+	}
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.service(c.serviceName()).queue.Answered()
+}
+
 // awaitEnd leaves a send whose deadline has passed open for responseSlack, if its target may be
 // silent: a target that has the request responds at its deadline, and one that never took it
 // doesn't. It reports false if the send is to be cancelled at once.
--- a/pimentogate/silence_test.go
+++ b/pimentogate/silence_test.go
@@ -92,6 +92,32 @@
 	}
 }
 
+// A response that comes although it was long overdue ends the suspicion that its target was silent,
+// which other entries aren't told of.
+func TestLateResponseEndsSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		targets := []*pipeTarget{{id: "i-0", probes: []behaviour{{}}, requests: []behaviour{{Millis: 250}}}}
+		g, cleanup := pipeGate(t, targets)
+		defer cleanup()
+		c, candidates := newRaceCall(g, 1)
+		c.deadline = time.Now().Add(2 * time.Second)
+		c.route.Attempts = 1
+		c.req.Header.SetMethod("POST")
+		first := candidates[0]
+		first.report, first.expected = longQueue, 100*time.Millisecond
+		time.AfterFunc(240*time.Millisecond, func() {
+			is.True(g.isSilent(c))
+			is.Equal(len(g.silences()), 0)
+		})
+		is.Equal(g.sendHedged(c, first).outcome, outcomeResponse)
+		is.True(!g.isSilent(c))
+		targets[0].closeAll()
+		g.client.CloseAllIdle()
+		synctest.Wait()
+	})
+}
+
 // A report that another request asked for before a send was delivered says nothing about the send,
 // also if it arrives later. One from a question of its own does.
 func TestReportFromBeforeDelivery(t *testing.T) {
--- a/pimentogate/silencemessage.go
+++ b/pimentogate/silencemessage.go
@@ -52,7 +52,8 @@
 	})
 }
 
-// silences returns the services whose targets are known to be silent when full. Each entry would
+// silences returns the services whose targets were seen silent when full, here or elsewhere, and
+// not those that are only suspected. Each entry would
 // otherwise lose a request of its own to learn it.
 func (g *Gate) silences() []silence {
 	now := g.now()
@@ -61,7 +62,7 @@
 	defer ts.mu.Unlock()
 	var list []silence
 	for name, s := range ts.services {
-		if n := s.queue.Length(now); n > 0 && len(list) < maxSilences {
+		if n := s.queue.Length(now); n > 0 && s.queue.Shown(now) && len(list) < maxSilences {
 			list = append(list, silence{service: name, length: n, age: s.queue.Age(now)})
 		}
 	}
--- a/pimentoload/silence.go
+++ b/pimentoload/silence.go
@@ -36,6 +36,7 @@
 	length      float64
 	seen        bool
 	refused     bool // A target refused a request because its queue was full.
+	shown       bool // Silence was seen, and not only suspected.
 	silentUntil time.Duration
 	arrivals    float64 // Recent ones, each with a weight that falls with its age.
 	countedAt   time.Duration
@@ -59,6 +60,25 @@
 // SawSilent records that a target didn't respond to a request beside which its longest queue was
 // longest.
 func (q *Queue) SawSilent(now time.Duration, longest int) {
+	q.learn(now, longest)
+	q.shown = true
+}
+
+// Suspect records the same of a target whose response is long overdue, and may still come.
+func (q *Queue) Suspect(now time.Duration, longest int) {
+	q.shown = q.shown && q.Silent(now)
+	q.learn(now, longest)
+}
+
+// Answered records that a response came to a request whose target was suspected. Unless silence was
+// seen, nothing counts as silent any more: slow targets are suspected too.
+func (q *Queue) Answered() { q.seen = q.seen && q.shown }
+
+// Shown reports whether targets were lately seen silent while full, and not only suspected.
+func (q *Queue) Shown(now time.Duration) bool { return q.Silent(now) && q.shown }
+
+// learn records the longest queue beside a request without a response.
+func (q *Queue) learn(now time.Duration, longest int) {
 	switch n := float64(longest); {
 	case !q.Silent(now):
 		q.length = n
@@ -105,7 +125,7 @@
 		return false
 	}
 	if news = !q.Silent(now); news || until > q.silentUntil {
-		q.seen, q.silentUntil, q.length = true, until, float64(length)
+		q.seen, q.shown, q.silentUntil, q.length = true, true, until, float64(length)
 	}
 	return news
 }
--- a/pimentoload/silence_test.go
+++ b/pimentoload/silence_test.go
@@ -64,6 +64,25 @@
 	is.True(!q.Full(time.Hour, 6, 24, 6, 10))
 }
 
+// A response that comes late clears its target of the suspicion, and not of silence that was seen.
+func TestQueueSuspicionEnds(t *testing.T) {
+	is := is.New(t)
+	var q pimentoload.Queue
+	q.Suspect(0, 12)
+	is.True(q.Full(0, 6, 12, 6, 6))
+	is.True(!q.Shown(0))
+	q.Answered()
+	is.True(!q.Silent(0))
+	is.True(!q.Full(0, 6, 12, 6, 6))
+	q.SawSilent(0, 12)
+	q.Suspect(0, 12)
+	q.Answered()
+	is.True(q.Shown(time.Minute))
+	q.Suspect(time.Hour, 12) // What was seen is forgotten.
+	is.True(q.Silent(time.Hour))
+	is.True(!q.Shown(time.Hour))
+}
+
 // What another entry has learned is taken over with its age, and isn't renewed by passing it on.
 func TestQueueMerges(t *testing.T) {
 	is := is.New(t)
