pimentogate: the last attempt of an idempotent request is awaited

A send that its target should have run eight work times ago was ended although no other attempt was left, or no retry in the budget: the caller got 502 although a response could still come from a slow target. Such a send is now given up only if the request may be sent elsewhere; a target that runs and queues nothing still ends it. The test failed before (given up without another attempt).

--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -96,7 +96,7 @@
 			r.watch.check(r.gate, c)
 		case report := <-r.watch.reports:
 			r.gate.suspect(c, r.watch, report)
-			if r.watch.isGone(report) {
+			if r.watch.isGone(report, r.gate.mayHedge(c) && r.gate.hasRetry(c)) {
 				r.gate.dropSilent(c, report.send)
 				delete(r.watch.sends, report.send)
 			}
--- a/pimentogate/retries.go
+++ b/pimentogate/retries.go
@@ -40,6 +40,14 @@
 	return true
 }
 
+// hasRetry reports whether the budget of the request's service has a retry left.
+func (g *Gate) hasRetry(c *call) bool {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return g.retryAllowance(c.serviceName()).Left(g.now()) >= 1
+}
+
 // returnRetry gives back a retry that wasn't sent.
 func (g *Gate) returnRetry(c *call) {
 	ts := &g.traffic
--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -111,7 +111,7 @@
 	refuses := ts.service(c.serviceName()).fullQueue > 0
 	ts.mu.Unlock()
 	if !refuses && s.candidate.report.Slots > 0 {
-		w.sends[s] = &pimentoload.Overdue{RoundTrip: g.roundTrip(s.candidate.target), Usual: g.usualWork(c), Certain: !c.retryable()}
+		w.sends[s] = &pimentoload.Overdue{RoundTrip: g.roundTrip(s.candidate.target), Usual: g.usualWork(c)}
 	}
 }
 
@@ -191,12 +191,14 @@
 	}
 }
 
-// isGone records the result of a check, and reports whether no response will come to its send.
-func (w *watch) isGone(r *watchReport) bool {
+// isGone records the result of a check, and reports whether no response will come to its send. Without
+// another attempt, a response that is only improbable is awaited.
+func (w *watch) isGone(r *watchReport, canRetry bool) bool {
 	if r == nil || w.sends[r.send] == nil {
 		return false
 	}
 	o := w.sends[r.send]
+	o.Certain = !canRetry
 	o.Observe(r.asked, r.arrived, r.report.Running, r.report.Waiting, r.report.Slowdown)
 	return r.send.sawLong && o.Gone(time.Since(r.send.started))
 }
--- a/pimentogate/silence_test.go
+++ b/pimentogate/silence_test.go
@@ -112,12 +112,39 @@
 		})
 		is.Equal(g.sendHedged(c, first).outcome, outcomeResponse)
 		is.True(!g.isSilent(c))
+		time.Sleep(time.Second) // Probes end.
 		targets[0].closeAll()
 		g.client.CloseAllIdle()
 		synctest.Wait()
 	})
 }
 
+// An idempotent request that its target should have run long ago is given up only if it may be sent
+// elsewhere.
+func TestLastAttemptIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, cleanup := pipeGate(t, []*pipeTarget{{id: "i-0"}})
+		defer cleanup()
+		c, candidates := newRaceCall(g, 1)
+		w, stop := newWatch(c.route.Objective)
+		defer stop()
+		s := g.newSend(c, candidates[0])
+		s.candidate.report = longQueue
+		g.addWatched(c, w, s)
+		r := &watchReport{send: s, asked: time.Second, arrived: time.Second, report: LoadReport{Running: 3, Slots: 3, Slowdown: 100}}
+		is.True(!w.isGone(r, true))
+		time.Sleep(time.Minute)
+		is.True(!w.isGone(r, false))
+		is.True(w.isGone(r, true))
+		is.True(g.hasRetry(c))
+		for g.spendRetry(c) {
+			c.sends++ // The budget is spent.
+		}
+		is.True(!g.hasRetry(c))
+	})
+}
+
 // A report that another request asked for before a send was delivered says nothing about the send,
 // also if it arrives later. One from a question of its own does.
 func TestReportFromBeforeDelivery(t *testing.T) {
