--- a/pimentogate/bodies.go
+++ b/pimentogate/bodies.go
@@ -21,11 +21,11 @@
 }
 
 // refuseBody returns the response to a request whose body can't arrive and be sent to a target in
-// time, given what is underway, or doesn't fit in the memory, and nil for one that is read. The
-// length of a chunked body isn't known; it counts when it has arrived.
+// time, given what is underway, or doesn't fit in the memory, and nil for one that is read, or refused
+// by its length alone. The length of a chunked body isn't known; it counts when it has arrived.
 func (g *Gate) refuseBody(c *call) *response {
 	n := c.req.Header.ContentLength()
-	if !g.hasLargeBody(c) || n <= 0 {
+	if !g.hasLargeBody(c) || n <= 0 || n > g.limits().BodyBytes {
 		return nil
 	}
 	b := &g.bodies
@@ -68,30 +68,34 @@
 }
 
 // paceBody waits until a large body may be sent to a target beside others, so that small requests and
-// responses pass the link between them. The target is chosen after that. It reports false if the
-// request has ended meanwhile.
-func (g *Gate) paceBody(c *call) bool {
+// responses pass the link between them. The target is chosen after that. It returns why the body isn't
+// sent, at once if its turn comes too late, or reasonNone.
+func (g *Gate) paceBody(c *call) reason {
 	if !g.hasLargeBody(c) {
-		return true
+		return reasonNone
 	}
 	b := &g.bodies
 	b.mu.Lock()
 	now := g.now()
-	wait := b.link.Send(now, len(c.req.Body())) - now
+	c.bodyTurn = b.link.Send(now, len(c.req.Body()))
+	wait := c.bodyTurn - now
 	b.mu.Unlock()
 	if wait <= 0 {
-		return true
+		return reasonNone
+	}
+	if wait >= time.Until(c.deadline) {
+		g.unsendBody(c)
+		return reasonLink
 	}
 	g.metrics.count("pimento_bodies_paced_total")
 	select {
 	case <-c.done:
 	case <-g.cutoffReached:
 	case <-time.After(wait):
-		return true
-	case <-time.After(time.Until(c.deadline)):
+		return reasonNone
 	}
 	g.unsendBody(c)
-	return false
+	return reasonStopping
 }
 
 // unsendBody takes back a body that was to be sent, when the request is refused instead.
@@ -101,7 +105,7 @@
 	}
 	b := &g.bodies
 	b.mu.Lock()
-	b.link.Unsend(len(c.req.Body()))
+	b.link.Unsend(g.now(), c.bodyTurn, len(c.req.Body()))
 	b.mu.Unlock()
 }
 
--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -84,6 +84,7 @@
 			r.running--
 			delete(r.watch.sends, s)
 			r.gate.recordOutcome(c, s)
+			r.gate.clearSuspicion(c, s)
 			if s.outcome == outcomeResponse || r.running == 0 {
 				return s
 			}
@@ -96,7 +97,7 @@
 			r.watch.check(r.gate, c)
 		case report := <-r.watch.reports:
 			r.gate.suspect(c, r.watch, report)
-			if r.watch.isGone(report) {
+			if r.watch.isGone(report, r.gate.mayHedge(c) && r.gate.hasRetry(c)) {
 				r.gate.dropSilent(c, report.send)
 				delete(r.watch.sends, report.send)
 			}
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -39,6 +39,11 @@
 	// send, and sawLong is set if it may have been full.
 	longest int
 	sawLong bool
+	// suspected is set when the target was recorded as silent because the response is overdue.
+	suspected bool
+	// deliveredBy is the age at which the target's kernel was first seen to have the whole
+	// request, 0 if it wasn't.
+	deliveredBy time.Duration
 	// silent is set when the send is cancelled because no response will come.
 	silent atomic.Bool
 }
@@ -98,8 +103,8 @@
 
 // chooseAndCheck chooses the target of the next send, once the request's body may be sent.
 func (g *Gate) chooseAndCheck(c *call) (*candidate, reason) {
-	if !g.paceBody(c) {
-		return nil, g.checkBeforeSend(c, nil, reasonStopping)
+	if why := g.paceBody(c); why != reasonNone {
+		return nil, g.checkBeforeSend(c, nil, why)
 	}
 	cand, why := g.chooseTarget(c, c.tried)
 	if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
--- a/pimentogate/silence.go
+++ b/pimentogate/silence.go
@@ -57,11 +57,11 @@
 	return c.deadline
 }
 
-// targetTime returns the time that a target may take for a request. Where it may have to wait in a
-// queue, the target's statement that its time has passed there arrives before the response is due.
+// targetTime returns the time that a target may take for a request. Where targets are silent when
+// full, the target's statement that its time has passed there arrives before the response is due.
 func (g *Gate) targetTime(c *call, cand *candidate) time.Duration {
 	left := time.Until(g.answerBy(c))
-	if cand.mayBeSilent() || g.isSilent(c) {
+	if g.isSilent(c) {
 		left -= g.roundTrip(cand.target)
 	}
 	return max(time.Millisecond, left)
@@ -111,7 +111,7 @@
 	refuses := ts.service(c.serviceName()).fullQueue > 0
 	ts.mu.Unlock()
 	if !refuses && s.candidate.report.Slots > 0 {
-		w.sends[s] = &pimentoload.Overdue{RoundTrip: g.roundTrip(s.candidate.target), Usual: g.usualWork(c), Certain: !c.retryable()}
+		w.sends[s] = &pimentoload.Overdue{RoundTrip: g.roundTrip(s.candidate.target), Usual: g.usualWork(c)}
 	}
 }
 
@@ -125,11 +125,18 @@
 		return // The last check hasn't been looked at.
 	}
 	for s, o := range w.sends {
-		if !o.Overdue(time.Since(s.started), s.candidate.expected) {
+		if !o.Overdue(time.Since(s.started), s.candidate.expected) || !g.mayBeLost(c, s) {
 			continue
 		}
+		if s.deliveredBy == 0 {
+			if !s.exchange.Delivered() {
+				continue
+			}
+			s.deliveredBy = time.Since(s.started)
+		}
+		delivered := s.deliveredBy
 		go func() {
-			r := g.askBeside(c, s)
+			r := g.askBeside(c, s, delivered)
 			select {
 			case w.reports <- r:
 			default: // The race is over, or slow.
@@ -138,20 +145,30 @@
 	}
 }
 
-// askBeside asks the target of a send for a report. It returns nil if there is none that was made
-// after the question, or if the target hasn't received the whole request.
-func (g *Gate) askBeside(c *call, s *send) *watchReport {
-	if !s.exchange.Delivered() {
-		return nil
+// mayBeLost reports whether a send may have found its target full, so that asking the target is worth
+// a probe: targets of the service were seen silent, or a report that was made anyway, for the choice
+// of the target or for other requests since, shows a long queue.
+func (g *Gate) mayBeLost(c *call, s *send) bool {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if tg := ts.target(s.candidate.target.ID); tg.hasReport && !g.startedAt.Add(tg.reportedAt).Before(s.started) {
+		s.longest = max(s.longest, tg.report.Waiting)
+		s.sawLong = s.sawLong || pimentoload.IsLong(tg.report.Running, tg.report.Waiting, tg.report.Slots)
 	}
-	r := &watchReport{send: s, asked: time.Since(s.started)}
+	return s.sawLong || ts.service(c.serviceName()).queue.Silent(g.now())
+}
+
+// askBeside asks the target of a send for a report. It returns nil if there is none that was asked
+// for after the target had received the whole request: one from before may have been made before.
+func (g *Gate) askBeside(c *call, s *send, delivered time.Duration) *watchReport {
 	cand := g.probeTarget(c, s.candidate.target)
 	defer cand.release()
-	if cand.err != nil || cand.report.Slots == 0 || cand.reportedAt.Before(s.started.Add(r.asked)) {
+	asked := cand.askedAt.Sub(s.started)
+	if cand.err != nil || cand.report.Slots == 0 || asked < delivered {
 		return nil
 	}
-	r.arrived, r.report = time.Since(s.started), cand.report
-	return r
+	return &watchReport{send: s, asked: asked, arrived: time.Since(s.started), report: cand.report}
 }
 
 // suspect records that targets may be silent when full, if the response to a send is long overdue
@@ -174,21 +191,26 @@
 	}
 }
 
-// isGone records the result of a check, and reports whether no response will come to its send.
-func (w *watch) isGone(r *watchReport) bool {
+// isGone records the result of a check, and reports whether no response will come to its send. Without
+// another attempt, a response that is only improbable is awaited.
+func (w *watch) isGone(r *watchReport, canRetry bool) bool {
 	if r == nil || w.sends[r.send] == nil {
 		return false
 	}
 	o := w.sends[r.send]
+	o.Certain = !canRetry
 	o.Observe(r.asked, r.arrived, r.report.Running, r.report.Waiting, r.report.Slowdown)
 	return r.send.sawLong && o.Gone(time.Since(r.send.started))
 }
 
 // dropSilent ends a send to which no response will come. Its connection is closed. A response
-// that has arrived meanwhile counts.
+// of which a part has arrived counts: a target runs nothing while its long response is under way.
 func (g *Gate) dropSilent(c *call, s *send) {
 	s.silent.Store(true)
-	s.exchange.Cancel()
+	if !s.exchange.CancelUnanswered() {
+		s.silent.Store(false)
+		return
+	}
 	g.recordSilence(c, s, silenceGone)
 }
 
@@ -207,15 +229,32 @@
 	ts := &g.traffic
 	ts.mu.Lock()
 	q := &ts.service(c.serviceName()).queue
-	q.SawSilent(g.now(), s.longest)
+	if s.suspected = how == silenceOverdue; s.suspected {
+		q.Suspect(g.now(), s.longest)
+	} else {
+		q.SawSilent(g.now(), s.longest)
+	}
 	length := q.Length(g.now())
 	ts.mu.Unlock()
-	g.cluster.notifyPeers()
+	if !s.suspected {
+		g.cluster.notifyPeers()
+	}
 	g.metrics.count(fmt.Sprintf(`pimento_silent_sends_total{how=%q}`, string(how)))
 	g.logLine(level.WarnValue(), "msg", "target silent while its queue was long", "id", c.id, "service", c.serviceName(),
 		"target", s.candidate.target.ID, "how", how, "waiting", s.longest, "learned", length, "ms", time.Since(s.started).Milliseconds())
 }
 
+// clearSuspicion records that a send to a target that was suspected to be silent has got a response.
+func (g *Gate) clearSuspicion(c *call, s *send) {
+	if !s.suspected || s.outcome != outcomeResponse && s.outcome != outcomeFailed && s.outcome != outcomeNotExecuted {
+		return
+	}
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.service(c.serviceName()).queue.Answered()
+}
+
 // awaitEnd leaves a send whose deadline has passed open for responseSlack, if its target may be
 // silent: a target that has the request responds at its deadline, and one that never took it
 // doesn't. It reports false if the send is to be cancelled at once.
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -70,10 +70,11 @@
 	// Strays is the number of skipped responses to other requests. Do sets it.
 	Strays int
 
-	mu        sync.Mutex // Guards conn, cancelled and sent.
-	conn      *Conn
-	cancelled bool
-	sent      bool
+	mu         sync.Mutex // Guards conn, cancelled, sent and responding.
+	conn       *Conn
+	cancelled  bool
+	sent       bool
+	responding bool // Part of the response has arrived.
 
 	// writeDone is set with sent.
 	writeDone   chan struct{} // Closed when a long request was written. Nil for others.
@@ -195,42 +196,6 @@
 	}
 }
 
-// Sent reports whether any byte of the request may have reached the target.
-func (x *Exchange) Sent() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.sent
-}
-
-// Cancel closes the connection, which cancels the request at the target. It may be
-// called at any time; after the end of the exchange it has no effect.
-func (x *Exchange) Cancel() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.cancelled = true
-	if x.conn != nil {
-		x.conn.destroy()
-	}
-}
-
-// attach makes cn the connection that Cancel closes. It reports false if the
-// exchange is already cancelled.
-func (x *Exchange) attach(cn *Conn) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.conn = cn
-	return !x.cancelled
-}
-
-// detach makes later calls of Cancel leave the connection open. It reports false if the
-// exchange is already cancelled.
-func (x *Exchange) detach() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.conn = nil
-	return !x.cancelled
-}
-
 // write writes the request, and sets sent if any byte may have left.
 func (x *Exchange) write(cn *Conn) error {
 	err := x.Req.Write(cn.w)
@@ -245,6 +210,12 @@
 
 // readHead reads the head of the final response, and skips informational ones.
 func (x *Exchange) readHead(r *bufio.Reader) error {
+	if _, err := r.Peek(1); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	x.responding = true
+	x.mu.Unlock()
 	for range maxInformational {
 		if err := checkStatusLine(r); err != nil {
 			return err
--- a/pimentoload/silence_test.go
+++ b/pimentoload/silence_test.go
@@ -64,6 +64,25 @@
 	is.True(!q.Full(time.Hour, 6, 24, 6, 10))
 }
 
+// A response that comes late clears its target of the suspicion, and not of silence that was seen.
+func TestQueueSuspicionEnds(t *testing.T) {
+	is := is.New(t)
+	var q pimentoload.Queue
+	q.Suspect(0, 12)
+	is.True(q.Full(0, 6, 12, 6, 6))
+	is.True(!q.Shown(0))
+	q.Answered()
+	is.True(!q.Silent(0))
+	is.True(!q.Full(0, 6, 12, 6, 6))
+	q.SawSilent(0, 12)
+	q.Suspect(0, 12)
+	q.Answered()
+	is.True(q.Shown(time.Minute))
+	q.Suspect(time.Hour, 12) // What was seen is forgotten.
+	is.True(q.Silent(time.Hour))
+	is.True(!q.Shown(time.Hour))
+}
+
 // What another entry has learned is taken over with its age, and isn't renewed by passing it on.
 func TestQueueMerges(t *testing.T) {
 	is := is.New(t)
@@ -195,3 +214,15 @@
 	is.True(!o.Gone(130 * time.Millisecond)) // The response may be under way.
 	is.True(o.Gone(time.Second))
 }
+
+// A target that was slow to read the request ran nothing before, and isn't left while it runs.
+func TestOverdueAtSlowReader(t *testing.T) {
+	is := is.New(t)
+	o := pimentoload.Overdue{RoundTrip: time.Millisecond, Usual: 100 * time.Millisecond, Certain: true}
+	o.Observe(time.Second, time.Second, 0, 0, 100)
+	o.Observe(2*time.Second, 2*time.Second, 1, 0, 100)
+	is.True(!o.Gone(3 * time.Second))
+	o.Observe(4*time.Second, 4*time.Second, 0, 0, 100)
+	is.True(!o.Gone(4 * time.Second)) // Its response may be under way.
+	is.True(o.Gone(5 * time.Second))
+}
