pimentoquota: a returned token of a forgotten organisation leaves no count below zero

An organisation that leaves the configuration is forgotten after a life. Callers saw nothing of it: the token itself expires as before.

--- a/pimentoquota/ledger.go
+++ b/pimentoquota/ledger.go
@@ -171,7 +171,7 @@
 	if a == nil {
 		return
 	}
-	a.spent--
+	a.spent -= min(a.spent, 1) // It is 0 if the organisation was forgotten meanwhile.
 	a.pool.add(Lot{t.MintedAt, 1})
 	a.pool.expire(now - a.life)
 }
--- a/pimentoquota/ledger_test.go
+++ b/pimentoquota/ledger_test.go
@@ -109,6 +109,21 @@
 	is.Equal(takeAll(l, 150*time.Millisecond), 1)
 }
 
+// A token that comes back after its organisation was forgotten leaves no count below zero.
+func TestReturnForgotten(t *testing.T) {
+	is := is.New(t)
+	limits := map[pimentoregister.OrganisationName]Limit{choir: {Rate: 10}}
+	l := newLedger(1, 1, limits[choir])
+	token, v := l.Take(time.Second, choir)
+	is.Equal(v, Granted)
+	l.SetLimits(time.Second, nil)
+	l.SetLimits(time.Minute, nil)
+	l.SetLimits(time.Minute, limits)
+	l.Return(time.Minute, choir, token)
+	s, _ := l.Status(time.Minute, choir)
+	is.Equal(s.Spent, uint64(0))
+}
+
 // exchange lets a child ask a hub; the ask is on its way for out, and the reply for back.
 func exchange(child, hub *Ledger, now, out, back time.Duration) {
 	ask := child.Ask(now, hub.Run)
