pimentoquota: tokens find requests sooner after all entries have started

Now an entry mints from a head start on (0.05 of what may run beyond the rate, bounded for three starts in a window and a life), asks sooner and hands small parts over while it starts, its start begins with the first limit, and a refusal in it names half of that time. TestStart's 250 ms became 1.5 s, since that is what changed; TestHistories plays the start of the whole fleet too. TestFleetStart fails without the head start and without the hand-over of parts; TestLateConfiguration without the later begin.

--- a/pimentogate/quota.go
+++ b/pimentogate/quota.go
@@ -39,7 +39,7 @@
 	q.asking = make(chan struct{}, 1)
 	q.ledger = pimentoquota.Ledger{
 		Bounds: pimentoquota.Bounds{Window: time.Duration(s.LimitWindow), Overshoot: s.LimitOvershoot, Slack: s.LimitSlack},
-		Run:    run, Alone: true,
+		Run:    run, Alone: true, HeadStart: true,
 	}
 }
 
@@ -123,9 +123,18 @@
 	maxStartWait      = time.Second
 )
 
+// quotaStarting reports whether this entry is still to find the fleet.
+func (g *Gate) quotaStarting() bool {
+	now := g.quotaNow()
+	q := &g.quotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Starting(now)
+}
+
 // quotaWait returns the time for which a request of a route waits for a token.
 func (g *Gate) quotaWait(r *pimentoroute.Route) time.Duration {
-	if g.quotaNow() < pimentoquota.StartTime {
+	if g.quotaStarting() {
 		return min(time.Duration(startWaitFraction*float64(r.Objective)), maxStartWait)
 	}
 	return min(time.Duration(quotaWaitFraction*float64(r.Objective)), maxQuotaWait)
--- a/pimentogate/quotaask.go
+++ b/pimentogate/quotaask.go
@@ -18,6 +18,12 @@
 	quotaInterval = 500 * time.Millisecond
 	minQuotaGap   = 20 * time.Millisecond
 	maxQuotaGap   = 40 * time.Millisecond
+	// startIntervalPerEntry times the number of entries, from minStartInterval up to
+	// quotaInterval, is the time between two asks soon after the start: entries then learn
+	// the time of a hub with one ask, and hand over tokens with the next. It bounds what a
+	// hub is asked by a large fleet.
+	startIntervalPerEntry = time.Millisecond
+	minStartInterval      = 100 * time.Millisecond
 	// quotaTimeout bounds the exchange of one ask and its reply. It is several times the
 	// round trip to the farthest region.
 	quotaTimeout = 600 * time.Millisecond
@@ -57,11 +63,20 @@
 		case <-ctx.Done():
 			return
 		case <-q.asking:
-		case <-time.After(quotaInterval - randomUpTo(quotaInterval/5)):
+		case <-time.After(g.quotaInterval()):
 		}
 	}
 }
 
+// quotaInterval returns the time until the next ask when nothing is lacking.
+func (g *Gate) quotaInterval() time.Duration {
+	d := quotaInterval
+	if g.quotaStarting() {
+		d = min(d, max(minStartInterval, startIntervalPerEntry*time.Duration(g.quotaEntries(g.table.Load()))))
+	}
+	return d - randomUpTo(d/5)
+}
+
 // chooseHub chooses whom to ask, and logs a change.
 func (g *Gate) chooseHub(now time.Duration) pimentoquota.Choice {
 	cs := g.cluster
--- a/pimentoquota/exchange.go
+++ b/pimentoquota/exchange.go
@@ -50,8 +50,8 @@
 
 const (
 	// minHandOver is the amount from which tokens are handed over at once. Less waits until
-	// the hub lacks some, or the oldest have lived 1/patience of their life, so that messages don't list all
-	// organisations each time.
+	// the hub lacks some, or the oldest have lived 1/patience of their life, so that messages
+	// don't list all organisations each time.
 	minHandOver = 0.25
 	patience    = 8
 	// leastHandOver is the amount below which nothing is handed over.
@@ -199,6 +199,19 @@
 	}
 }
 
+// wantedPart returns the amount from which tokens that the hub lacks are handed over at once.
+// After the start of all entries each of them has a small part of a token only, and the hub
+// needs the parts of all.
+func (l *Ledger) wantedPart(now time.Duration) float64 {
+	if l.Starting(now) {
+		return startHandOver
+	}
+	return 1
+}
+
+// startHandOver is the amount of wantedPart soon after the start.
+const startHandOver = 0.02
+
 // Needs reports whether an organisation lacks tokens, or the hub lacks some that this entry
 // can spare, so that the hub is to be asked at once.
 func (l *Ledger) Needs(now time.Duration) bool {
@@ -210,7 +223,7 @@
 		if lacking > 0 && now >= a.shortUntil && held < lacking {
 			return true
 		}
-		if now < a.wantedUntil && lacking == 0 && held-a.keep(now, l.Hub) >= 1 {
+		if now < a.wantedUntil && lacking == 0 && held-a.keep(now, l.Hub) >= l.wantedPart(now) {
 			return true
 		}
 	}
--- a/pimentoquota/ledger.go
+++ b/pimentoquota/ledger.go
@@ -19,9 +19,14 @@
 	// Hub is set while other entries hand their tokens to this one, and Alone while there
 	// is no entry to ask.
 	Hub, Alone bool
+	// HeadStart lets the entry mint from Bounds.headStart before its start on. It is set
+	// before the first call.
+	HeadStart bool
 
 	accounts map[pimentoregister.OrganisationName]*account
 	servedAt time.Duration // When another entry last asked this one.
+	// begunAt is when there was the first limit, 0 before that.
+	begunAt time.Duration
 	// parent is the run of the entry that was asked last, with the time that its last
 	// reply stated, and when that was received here.
 	parent        uint64
@@ -46,10 +51,13 @@
 	if l.accounts == nil {
 		l.accounts = make(map[pimentoregister.OrganisationName]*account, len(limits))
 	}
+	if l.begunAt == 0 && len(limits) > 0 {
+		l.begunAt = max(now, 1)
+	}
 	for name, limit := range limits {
 		a := l.accounts[name]
 		if a == nil {
-			a = new(account)
+			a = &account{mintedTo: -l.headStart(limit)}
 			l.accounts[name] = a
 		} else {
 			a.refresh(now, l.Entries) // At the rate that has applied until now.
@@ -80,13 +88,21 @@
 	}
 	for _, a := range l.accounts {
 		a.refresh(now, l.Entries)
-		if l.Entries > 0 && n > 0 && n < l.Entries && now < StartTime {
-			a.mint(max(0, now-a.life), now, a.limit.Rate/float64(n)-a.limit.Rate/float64(l.Entries))
+		if l.Entries > 0 && n > 0 && n < l.Entries && l.Starting(now) {
+			a.mint(max(-l.headStart(a.limit), now-a.life), now, a.limit.Rate/float64(n)-a.limit.Rate/float64(l.Entries))
 		}
 	}
 	l.Entries = n
 }
 
+// headStart returns the time before the start from which on tokens of a limit are minted.
+func (l *Ledger) headStart(limit Limit) time.Duration {
+	if !l.HeadStart {
+		return 0
+	}
+	return l.Bounds.headStart(limit)
+}
+
 // account returns the account of an organisation with a limit, up to date, or nil.
 func (l *Ledger) account(now time.Duration, name pimentoregister.OrganisationName) *account {
 	a := l.accounts[name]
@@ -117,14 +133,19 @@
 	return Token{}, Wait
 }
 
-// StartTime is the time after the start in which an entry finds the fleet and its hub.
-// Requests wait for tokens then, instead of being refused at once.
+// StartTime is the time in which an entry finds the fleet and its hub. It begins with the
+// first configuration that limits an organisation: before that no request needed a token, and
+// the members may be as unknown as the configuration.
 const StartTime = 3 * time.Second
 
+// Starting reports whether the entry is still to find the fleet and its hub. Requests wait for
+// tokens then, instead of being refused at once.
+func (l *Ledger) Starting(now time.Duration) bool { return now < l.begunAt+StartTime }
+
 // hasNone reports whether no token can be expected soon: there is none where this entry
 // asks, or it asks nobody and others bring it too few.
 func (l *Ledger) hasNone(now time.Duration, a *account) bool {
-	if now < StartTime {
+	if l.Starting(now) {
 		return false
 	}
 	if l.Alone {
@@ -145,8 +166,8 @@
 	}
 	a.denied++
 	a.refused.add(now, 1)
-	if now < StartTime {
-		return minReturn // What is refused now tells nothing about the quota.
+	if l.Starting(now) {
+		return startReturn // What is refused now tells nothing about the quota.
 	}
 	refused := a.refused.value(now)
 	part := refused / (refused + a.use.value(now))
@@ -154,6 +175,10 @@
 }
 
 const (
+	// startReturn is that time soon after the start. Callers come back a few times only: one
+	// that is refused twice tries for the third time when the start is over, and meanwhile
+	// the tokens are for requests that can still be in time.
+	startReturn = StartTime / 2
 	// minReturn and maxReturn bound the time after which a refused caller is to return.
 	minReturn = 250 * time.Millisecond
 	maxReturn = 3 * time.Second
