--- a/pimentoquota/ledger.go
+++ b/pimentoquota/ledger.go
@@ -25,7 +25,8 @@
 
 	accounts map[pimentoregister.OrganisationName]*account
 	servedAt time.Duration // When another entry last asked this one.
-	// begunAt is when there was the first limit, 0 before that.
+	// begun is set once there was a limit, since begunAt.
+	begun   bool
 	begunAt time.Duration
 	// parent is the run of the entry that was asked last, with the time that its last
 	// reply stated, and when that was received here.
@@ -51,8 +52,8 @@
 	if l.accounts == nil {
 		l.accounts = make(map[pimentoregister.OrganisationName]*account, len(limits))
 	}
-	if l.begunAt == 0 && len(limits) > 0 {
-		l.begunAt = max(now, 1)
+	if !l.begun && len(limits) > 0 {
+		l.begun, l.begunAt = true, now
 	}
 	for name, limit := range limits {
 		a := l.accounts[name]
