--- a/pimentogate/quota_test.go
+++ b/pimentogate/quota_test.go
@@ -77,3 +77,17 @@
 	choir.mayHaveRun = true
 	is.Equal(g.refuseQuota(choir).http.StatusCode(), 502) // 429 would say that it hasn't run.
 }
+
+// While an entry is still to find the fleet, a request waits for a token longer than later,
+// each time up to a bound.
+func TestQuotaWait(t *testing.T) {
+	is := is.New(t)
+	g := newQuotaGate(1)
+	route := &pimentoroute.Route{Objective: time.Second}
+	is.Equal(g.quotaWait(route), 500*time.Millisecond)
+	is.Equal(g.quotaWait(&pimentoroute.Route{Objective: time.Minute}), maxStartWait)
+	g.quotas.bootedAt -= pimentoquota.StartTime
+	g.startedAt = g.startedAt.Add(-pimentoquota.StartTime)
+	is.Equal(g.quotaWait(route), 300*time.Millisecond)
+	is.Equal(g.quotaWait(&pimentoroute.Route{Objective: time.Minute}), maxQuotaWait)
+}
