pimentospread, pimentogate: room by domain in sync messages, and spill-over from it

Entries state the load of each service's targets by domain, as means over slots with origin, number and age, so that of two views the newer replaces the other and nothing counts double. Where a configuration binds routes or organisations to home regions or has uploads, requests of a domain above 0.8 of its slots go elsewhere by bounded shares, and free kinds make way for bound ones that are refused. Without fresh figures the choice is the one before.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -81,6 +81,9 @@
 	Retries map[pimentoregister.ServiceName]RetryStatus `json:"retries"`
 	// OutDomains lists the failure domains that are out of service.
 	OutDomains []pimentoregister.DomainName `json:"out"`
+	// Spread has, by service, where requests go when demand and room are uneven. It is empty
+	// where the configuration doesn't call for that.
+	Spread map[pimentoregister.ServiceName]SpreadStatus `json:"spread,omitempty"`
 }
 
 // TargetStatus is the state of one target, as measured by this entry.
@@ -119,6 +122,7 @@
 	g.traffic.mu.Lock()
 	v.Retries = g.retryStatus()
 	g.traffic.mu.Unlock()
+	v.Spread = g.spreadStatus(now)
 	t := g.table.Load()
 	if t == nil {
 		return v
--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoroute"
 )
 
@@ -63,6 +64,7 @@
 	if r.Slots == 0 {
 		return
 	}
+	g.observeRoom(tg, r)
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
@@ -84,10 +86,19 @@
 )
 
 func (g *Gate) distance(tg *pimentoroute.Target) distance {
+	return g.distanceOf(tg.Domain, tg.Region)
+}
+
+// domainDistance returns the distance of a domain of the settings.
+func (g *Gate) domainDistance(domain pimentoregister.DomainName) distance {
+	return g.distanceOf(domain, g.settings.Regions[domain])
+}
+
+func (g *Gate) distanceOf(domain pimentoregister.DomainName, region pimentoregister.RegionName) distance {
 	switch {
-	case tg.Domain == g.settings.Domain:
+	case domain == g.settings.Domain:
 		return sameDomain
-	case tg.Region == g.region:
+	case region == g.region:
 		return sameRegion
 	}
 	return otherRegion
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -57,6 +57,7 @@
 	onceConfigured sync.Once
 	cluster        *clusterState
 	traffic        trafficStats
+	spread         spread
 	client         pimentohttp.Client
 	node           pimentolink.Node
 	workers        *ants.Pool
@@ -135,6 +136,7 @@
 		Name: s.Name, Address: s.PeersAddr, Region: g.region, Domain: s.Domain,
 		RunID: rand.Uint64() | 1, Version: uint64(time.Now().UnixMilli()),
 	})
+	g.spread = newSpread(&s, g.cluster.runID())
 	g.seedAddrs.Store(&s.Seeds)
 	if s.FirstStart && len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.PeersAddr) {
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -50,6 +50,7 @@
 		fields = append(fields, c.lastSend.bodyFields()...)
 	}
 	fields = append(fields, c.candidateFields()...)
+	fields = append(fields, c.spreadFields()...)
 	if resp.reason == reasonBudget {
 		fields = append(fields, g.retryFields(c)...)
 	}
@@ -118,7 +119,9 @@
 	}
 	g.countRequest(c)
 	resp := g.sendWithRetries(c)
-	g.traffic.recordEnd(c.serviceName(), resp.reason != reasonNone && !c.mayHaveRun)
+	refused := resp.reason != reasonNone && !c.mayHaveRun
+	g.traffic.recordEnd(c.serviceName(), refused)
+	g.observeBound(c, refused)
 	return resp
 }
 
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -101,6 +101,16 @@
 	return s.MemoryMiB << 20 * heldPercent / 100
 }
 
+// hasRegion reports whether a domain of the settings is in a region.
+func (s *Settings) hasRegion(name pimentoregister.RegionName) bool {
+	for _, region := range s.Regions {
+		if region == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Region returns the VM's region.
 func (s *Settings) Region() pimentoregister.RegionName { return s.Regions[s.Domain] }
 
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -267,12 +267,15 @@
 // the peer's membership, and peerSums its checksums, nil if unknown. A peer with the
 // same membership gets only a short record of this entry.
 func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums) *syncMessage {
-	now, digest := g.now(), g.crashDigest()
+	msg := &syncMessage{crashDigest: g.crashDigest()}
+	g.addFigures(msg)
+	now := g.now()
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own()}
+	msg.sender, msg.membersHash, msg.revision, msg.ageMillis = cs.members.Self(), sums.Hash(), cs.feed.AsOf(), -1
+	msg.readings, msg.entries = cs.currentReadings(now), cs.size.own()
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
@@ -339,6 +342,7 @@
 		cs.mu.Unlock()
 	}
 	g.mergeCrashes(msg.crashes, msg.sender.Name)
+	g.mergeFigures(msg)
 }
 
 // unknownAge stands for the age of a feed that no reader has confirmed.
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -30,6 +30,10 @@
 	crashDigest uint64
 	crashes     []pimentoretry.Report
 	entries     int // The size of the fleet that the sender has seen, 0 if unknown.
+	// rooms and shortages are the sender's fresh figures. Their times are relative to the
+	// message.
+	rooms     []roomFigure
+	shortages []shortageFigure
 }
 
 var (
@@ -43,7 +47,8 @@
 //   Member sender = 1; fixed64 members_hash = 2; repeated Member members = 3;
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
-//   fixed64 crash_digest = 11; uint64 entries = 12;
+//   fixed64 crash_digest = 11; uint64 entries = 12; repeated Room rooms = 17;
+//   repeated Shortage shortages = 18;
 // }
 //
 // Field 7 was used for another purpose.
@@ -73,6 +78,12 @@
 	}
 	mm.AppendFixed64(11, msg.crashDigest)
 	mm.AppendUint64(12, uint64(msg.entries))
+	for i := range msg.rooms {
+		marshalRoom(mm.AppendMessage(17), &msg.rooms[i])
+	}
+	for i := range msg.shortages {
+		marshalShortage(mm.AppendMessage(18), &msg.shortages[i])
+	}
 	return m.Marshal(nil)
 }
 
@@ -190,6 +201,14 @@
 			var n uint64
 			n, ok = fc.Uint64()
 			msg.entries = int(min(n, maxStatedEntries))
+		case 17:
+			var f roomFigure
+			f, ok = roomField(fc)
+			msg.rooms = append(msg.rooms, f)
+		case 18:
+			var f shortageFigure
+			f, ok = shortageField(fc)
+			msg.shortages = append(msg.shortages, f)
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -10,6 +10,7 @@
 	"pimentoarch/pimentofeed"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoretry"
+	"pimentoarch/pimentospread"
 )
 
 func sampleSyncMessage() *syncMessage {
@@ -25,6 +26,14 @@
 		crashes:     []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
 		crashDigest: 99,
 		entries:     140,
+		rooms: []roomFigure{{
+			key:  pimentospread.RoomKey{Service: "s", Domain: "d"},
+			room: pimentospread.Room{Stamp: pimentospread.Stamp{Origin: 7, Number: 2, At: -300 * time.Millisecond}, Busy: 1200, Slowdown: 130},
+		}},
+		shortages: []shortageFigure{{
+			key:      pimentospread.RegionKey{Service: "s", Region: "r"},
+			shortage: pimentospread.Shortage{Stamp: pimentospread.Stamp{Origin: 8, Number: 1 << 20}, Refused: 40},
+		}},
 	}
 }
 
--- /dev/null
+++ b/pimentospread/shares.go
@@ -0,0 +1,229 @@
+package pimentospread
+
+import (
+	"time"
+
+	"pimentoarch/pimentoregister"
+)
+
+const (
+	// highBusy is the load of a domain above which part of its requests goes elsewhere: three
+	// probes find no free slot in half of the cases (0.8 to the third power).
+	highBusy = 0.8
+	// lowBusy is the load of a domain up to which others fill it. It is below highBusy, so
+	// that what others send doesn't drive away its own requests.
+	lowBusy = 0.65
+	// fullBusy is the load from which a domain counts as full: as many requests run and wait
+	// as it has slots.
+	fullBusy = 1.0
+	// stepInterval is the time between two changes of shares.
+	stepInterval = 500 * time.Millisecond
+	// stepGain is the fraction of a difference that one change evens out. Figures show the
+	// effect of a change about a second later, after two further changes.
+	stepGain = 0.2
+	// maxStep bounds one change of the share of a domain.
+	maxStep = 0.06
+	// yieldStep is the change of the share of free requests that make way, and calmYieldStep
+	// that back, which is slower, because the shortage ends when they make way.
+	yieldStep     = 0.1
+	calmYieldStep = 0.02
+	// shortLimit is the fraction of refused requests from which bound ones are short of room.
+	shortLimit Permille = 20
+	// maxAway bounds the fraction of requests whose first choice is another domain, so that
+	// the own domain's figures stay known.
+	maxAway = 0.9
+)
+
+// shares are the fractions of this entry's requests to one service whose first choice is
+// another domain, and what they follow from.
+type shares struct {
+	steppedAt time.Duration
+	stepped   bool
+	away      [MaxDomains]float64 // By the index of the domain; 0 for the own one.
+	loads     [MaxDomains]load
+	// yield is the fraction of free requests that leave the room in this region to bound ones.
+	yield float64
+}
+
+// load is the room of a domain in slots.
+type load struct {
+	slots, busy float64
+	age         time.Duration
+	slowdown    Percent
+	known       bool
+}
+
+// excess returns the requests in a domain that should go elsewhere, and spare those that
+// others may send there.
+func (l *load) excess() float64 { return max(0, l.busy-highBusy*l.slots) }
+func (l *load) spare() float64  { return max(0, lowBusy*l.slots-l.busy) }
+
+// Step updates the shares of a service if stepInterval has passed. slots returns the slots of
+// the service's targets in a domain, and pressure is the fraction of requests to it that this
+// entry refuses.
+func (v *View) Step(now time.Duration, service pimentoregister.ServiceName, pressure float64, slots func(pimentoregister.DomainName) int) {
+	if len(v.domains) > MaxDomains {
+		return
+	}
+	s := v.services[service]
+	if s == nil {
+		s = new(shares)
+		put(&v.services, service, s)
+	}
+	if s.stepped && now-s.steppedAt < stepInterval {
+		return
+	}
+	s.stepped, s.steppedAt = true, now
+	for i, d := range v.domains {
+		r, known := v.Room(now, RoomKey{Service: service, Domain: d.Name})
+		n := float64(slots(d.Name))
+		s.loads[i] = load{slots: n, busy: n * float64(r.Busy) / 1000, age: now - r.At, slowdown: max(usualSlowdown, r.Slowdown), known: known && n > 0}
+	}
+	v.stepYield(now, s, service)
+	v.stepAway(s, pressure)
+}
+
+// stepYield changes the fraction of free requests that make way.
+func (v *View) stepYield(now time.Duration, s *shares, service pimentoregister.ServiceName) {
+	region := v.ownRegion()
+	short, ok := v.shortages[RegionKey{Service: service, Region: region}]
+	if ok && now-short.At <= FreshLimit && short.Refused >= shortLimit {
+		s.yield = min(1, s.yield+yieldStep)
+		return
+	}
+	s.yield = max(0, s.yield-calmYieldStep)
+}
+
+// ownRegion returns the region of the entry.
+func (v *View) ownRegion() pimentoregister.RegionName {
+	for _, d := range v.domains {
+		if d.Distance == SameDomain {
+			return d.Region
+		}
+	}
+	return ""
+}
+
+// stepAway changes the shares of the other domains by a bounded step towards those that even
+// out what the fresh figures show. Each domain moves only its own part of what is to move, so
+// that all entries together don't move more than there is room for.
+func (v *View) stepAway(s *shares, pressure float64) {
+	home, homeBusy, homeExcess, homeSpare, homeAge := v.home(s)
+	if !home {
+		s.away = [MaxDomains]float64{}
+		return
+	}
+	homeExcess += pressure * homeBusy
+	moved := v.moves(s, homeExcess)
+	total := 0.0
+	for i := range v.domains {
+		l := &s.loads[i]
+		if v.isHome(s, i) || !l.known {
+			s.away[i] = 0
+			continue
+		}
+		trust := max(0, 1-float64(max(l.age, homeAge))/float64(FreshLimit))
+		change := moved[i]
+		if change == 0 {
+			change = -max(l.excess(), homeSpare)
+		}
+		change *= stepGain * trust / max(1, homeBusy)
+		s.away[i] = max(0, s.away[i]+min(maxStep, max(-maxStep, change)))
+		total += s.away[i]
+	}
+	if total > maxAway {
+		for i := range v.domains {
+			s.away[i] *= maxAway / total
+		}
+	}
+}
+
+// isHome reports whether a domain is one that this entry's requests go to anyway: its own, or
+// those of its region if its own has no targets.
+func (v *View) isHome(s *shares, i int) bool {
+	switch v.domains[i].Distance {
+	case SameDomain:
+		return true
+	case SameRegion:
+		return !v.ownHasTargets(s)
+	}
+	return false
+}
+
+func (v *View) ownHasTargets(s *shares) bool {
+	for i, d := range v.domains {
+		if d.Distance == SameDomain {
+			return s.loads[i].slots > 0
+		}
+	}
+	return false
+}
+
+// home sums up the domains that this entry's requests go to anyway. It returns false if the
+// figure of one with targets isn't known.
+func (v *View) home(s *shares) (ok bool, busy, excess, spare float64, age time.Duration) {
+	for i := range v.domains {
+		l := &s.loads[i]
+		if !v.isHome(s, i) || l.slots == 0 {
+			continue
+		}
+		if !l.known {
+			return false, 0, 0, 0, 0
+		}
+		ok = true
+		busy, excess, spare = busy+l.busy, excess+l.excess(), spare+l.spare()
+		age = max(age, l.age)
+	}
+	return ok, busy, excess, spare, age
+}
+
+// moves returns the requests that should move from this entry's home to each domain: first to
+// the domains of the region, and the rest to other regions. Where there is less spare room
+// than the domains concerned want to move, each moves the same fraction.
+func (v *View) moves(s *shares, homeExcess float64) (moved [MaxDomains]float64) {
+	if homeExcess <= 0 {
+		return moved
+	}
+	nearExcess, nearSpare := v.regionSums(s, v.ownRegion())
+	near := min(1, nearSpare/max(nearExcess, homeExcess))
+	farExcess, farSpare := 0.0, 0.0
+	for i, d := range v.domains {
+		if i > 0 && v.domains[i-1].Region == d.Region {
+			continue // Domains are sorted by region.
+		}
+		excess, spare := v.regionSums(s, d.Region)
+		farExcess += max(0, excess-spare)
+		if d.Distance == OtherRegion {
+			farSpare += max(0, spare-excess)
+		}
+	}
+	rest := homeExcess * (1 - near)
+	far := min(1, farSpare/max(farExcess, rest, 1e-9))
+	for i, d := range v.domains {
+		l := &s.loads[i]
+		if !l.known || v.isHome(s, i) {
+			continue
+		}
+		if d.Distance == SameRegion && nearSpare > 0 {
+			moved[i] = homeExcess * near * l.spare() / nearSpare
+		}
+		if d.Distance == OtherRegion && farSpare > 0 {
+			excess, spare := v.regionSums(s, d.Region)
+			if spare > excess {
+				moved[i] = rest * far * l.spare() / spare * (spare - excess) / farSpare
+			}
+		}
+	}
+	return moved
+}
+
+// regionSums returns the excess and spare of a region's domains with fresh figures.
+func (v *View) regionSums(s *shares, region pimentoregister.RegionName) (excess, spare float64) {
+	for i, d := range v.domains {
+		if d.Region == region && s.loads[i].known {
+			excess += s.loads[i].excess()
+			spare += s.loads[i].spare()
+		}
+	}
+	return excess, spare
+}
