pimentospread: shares by the domains that may serve a request, and crowding before refusals

Shares are kept for each set of allowed domains now, and a domain is filled up to its slots for requests of which a tenth is refused.

--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -121,7 +121,7 @@
 	resp := g.sendWithRetries(c)
 	refused := resp.reason != reasonNone && !c.mayHaveRun
 	g.traffic.recordEnd(c.serviceName(), refused)
-	g.observeBound(c, refused)
+	g.observeEnd(c, refused)
 	return resp
 }
 
--- a/pimentogate/spread.go
+++ b/pimentogate/spread.go
@@ -15,8 +15,27 @@
 type spread struct {
 	mu   sync.Mutex // Guards the fields below. Nothing is called out while it is held.
 	view pimentospread.View
-	// bound are the moving averages of refused requests that are bound to home regions.
-	bound map[pimentospread.RegionKey]*movingRate
+	// refusals are the moving averages of refused requests.
+	refusals map[refusalKey]*movingRate
+}
+
+// refusalKey names the requests to one service that the same domains may serve.
+type refusalKey struct {
+	service pimentoregister.ServiceName
+	allowed uint64
+}
+
+// refusal returns the moving average of refused requests of a key. It is called with mu held.
+func (sp *spread) refusal(key refusalKey) *movingRate {
+	rate := sp.refusals[key]
+	if rate == nil {
+		rate = new(movingRate)
+		if sp.refusals == nil {
+			sp.refusals = make(map[refusalKey]*movingRate)
+		}
+		sp.refusals[key] = rate
+	}
+	return rate
 }
 
 // newSpread returns an entry's spread.
@@ -53,8 +72,9 @@
 		pimentospread.Report{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Slowdown: r.Slowdown})
 }
 
-// observeBound records whether this entry refused a request that is bound to home regions.
-func (g *Gate) observeBound(c *call, refused bool) {
+// observeEnd records whether this entry refused a request, and states how many of those that
+// are bound to home regions it refuses.
+func (g *Gate) observeEnd(c *call, refused bool) {
 	if !c.table.Uneven() {
 		return
 	}
@@ -62,24 +82,16 @@
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
 	domains := sp.view.Domains()
-	if _, bound := g.allowedDomains(c, domains); !bound {
+	allowed, bound := g.allowedDomains(c, domains)
+	rate := sp.refusal(refusalKey{c.serviceName(), allowed})
+	rate.observe(refused, pressureWeight)
+	if !bound {
 		return
 	}
 	for i, d := range domains {
-		if i > 0 && domains[i-1].Region == d.Region || !c.allows(d.Region) {
-			continue
-		}
-		key := pimentospread.RegionKey{Service: c.serviceName(), Region: d.Region}
-		rate := sp.bound[key]
-		if rate == nil {
-			rate = new(movingRate)
-			if sp.bound == nil {
-				sp.bound = make(map[pimentospread.RegionKey]*movingRate)
-			}
-			sp.bound[key] = rate
+		if allowed&(1<<i) != 0 {
+			sp.view.StateShortage(g.now(), pimentospread.RegionKey{Service: c.serviceName(), Region: d.Region}, pimentospread.Permille(1000**rate))
 		}
-		rate.observe(refused, pressureWeight)
-		sp.view.StateShortage(g.now(), key, pimentospread.Permille(1000**rate))
 	}
 }
 
@@ -101,7 +113,7 @@
 	if !t.Uneven() {
 		return pimentospread.Choice{}
 	}
-	usual, pressure := g.usualWork(c), g.traffic.pressure(c.serviceName())
+	usual := g.usualWork(c)
 	now := g.now()
 	q := pimentospread.Query{
 		Service: c.serviceName(), Usual: usual, Left: c.route.Objective - time.Since(c.received) - usual,
@@ -111,7 +123,8 @@
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
 	q.Allowed, q.Bound = g.allowedDomains(c, sp.view.Domains())
-	sp.view.Step(now, q.Service, pressure, func(d pimentoregister.DomainName) int { return slotsIn(t, q.Service, d) })
+	pressure := float64(*sp.refusal(refusalKey{q.Service, q.Allowed}))
+	sp.view.Step(now, q.Service, q.Allowed, pressure, func(d pimentoregister.DomainName) int { return slotsIn(t, q.Service, d) })
 	return sp.view.Choose(now, &q)
 }
 
@@ -162,9 +175,9 @@
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
 	sp.view.Prune(g.now(), known)
-	for key := range sp.bound {
-		if !known(key.Service) {
-			delete(sp.bound, key)
+	for key := range sp.refusals {
+		if !known(key.service) {
+			delete(sp.refusals, key)
 		}
 	}
 }
--- a/pimentospread/choose.go
+++ b/pimentospread/choose.go
@@ -75,7 +75,7 @@
 
 // Choose returns where a request goes first. Without fresh figures it is the nearest choice.
 func (v *View) Choose(now time.Duration, q *Query) Choice {
-	s := v.services[q.Service]
+	s := v.services[shareKey{q.Service, q.Allowed}]
 	if s == nil || !s.current(now) || len(v.domains) > MaxDomains {
 		return Choice{}
 	}
@@ -102,7 +102,7 @@
 	sum := 0.0
 	for i := range v.domains {
 		if v.domains[i].Distance == OtherRegion && v.reaches(s, q, i) {
-			sum += s.loads[i].spare()
+			sum += s.spare(i)
 		}
 	}
 	draw := q.Second * sum
@@ -110,7 +110,7 @@
 		if v.domains[i].Distance != OtherRegion || !v.reaches(s, q, i) {
 			continue
 		}
-		if spare := s.loads[i].spare(); spare > 0 {
+		if spare := s.spare(i); spare > 0 {
 			if draw < spare {
 				return Choice{Reason: why, Domain: i, Share: share, Age: s.loads[i].age, Passed: v.passed(s, q)}, true
 			}
@@ -144,14 +144,18 @@
 }
 
 // Shares returns the fractions of a service's requests that go to other domains first, and of
-// the free ones that make way, for operators.
+// the free ones that make way, for operators. Of the requests that different domains may
+// serve, it is the largest.
 func (v *View) Shares(service pimentoregister.ServiceName) (away, yield float64) {
-	s := v.services[service]
-	if s == nil {
-		return 0, 0
-	}
-	for _, x := range s.away {
-		away += x
+	for key, s := range v.services {
+		if key.service != service {
+			continue
+		}
+		sum := 0.0
+		for _, x := range s.away {
+			sum += x
+		}
+		away, yield = max(away, sum), max(yield, s.yield)
 	}
-	return away, s.yield
+	return away, yield
 }
--- a/pimentospread/load_test.go
+++ b/pimentospread/load_test.go
@@ -26,6 +26,11 @@
 	jump bool
 }
 
+// everywhere is the set of all domains.
+const everywhere = math.MaxUint64
+
+var testKey = shareKey{testService, everywhere}
+
 const (
 	tick       = 100 * time.Millisecond
 	smallDelay = time.Second
@@ -58,7 +63,7 @@
 		home := i % f.domains
 		part := f.demand[home] / float64((len(f.entries)+f.domains-1-home)/f.domains)
 		away := 0.0
-		if s := v.services[testService]; s != nil {
+		if s := v.services[testKey]; s != nil {
 			for j := range f.domains {
 				if f.slots[j] > 0 {
 					loads[j] += part * s.away[j] / float64(max(1, f.slots[j]))
@@ -98,12 +103,12 @@
 		times = int(1 / stepGain)
 	}
 	for range times {
-		v.Step(now, testService, 0, f.slotsOf)
+		v.Step(now, testService, everywhere, 0, f.slotsOf)
 		if f.jump {
-			v.services[testService].stepped = false
+			v.services[testKey].stepped = false
 		}
 	}
-	v.services[testService].stepped = true
+	v.services[testKey].stepped = true
 }
 
 func (f *fleet) slotsOf(d pimentoregister.DomainName) int {
@@ -199,16 +204,16 @@
 	f.demand = []float64{60, 95, 30, 30, 30, 30}
 	f.run(100)
 	f.slots[0] = 0
-	f.entries[0].services[testService].away[0] = 0.1 // Of before: it must not last.
+	f.entries[0].services[testKey].away[0] = 0.1 // Of before: it must not last.
 	f.run(300)
-	away := f.entries[0].services[testService].away
+	away := f.entries[0].services[testKey].away
 	is.Equal(away[0], 0.0)
 	is.True(away[2]+away[3]+away[4]+away[5] > 0.2)
 }
 
 // query returns a request of the test service that all domains may serve.
 func query() Query {
-	return Query{Service: testService, Left: time.Second, Usual: 200 * time.Millisecond, Allowed: math.MaxUint64, Draw: 0.5, Second: 0.01}
+	return Query{Service: testService, Left: time.Second, Usual: 200 * time.Millisecond, Allowed: everywhere, Draw: 0.5, Second: 0.01}
 }
 
 // loaded returns a view of domain 0 of two regions with two domains each, with loads.
@@ -229,7 +234,7 @@
 	v := loaded(0, 950, 950, 100, 100)
 	v.StateShortage(0, RegionKey{Service: testService, Region: "r0"}, 200)
 	for i := range 20 {
-		v.Step(time.Duration(i)*stepInterval/6*6, testService, 0, hundred)
+		v.Step(time.Duration(i)*stepInterval, testService, everywhere, 0, hundred)
 		for j, b := range []Permille{950, 950, 100, 100} {
 			v.MergeRoom(roomKey(j), Room{Stamp: Stamp{Origin: 2, Number: uint32(i + 2), At: time.Duration(i+1) * stepInterval}, Busy: b})
 		}
@@ -241,6 +246,7 @@
 	is.Equal(c.Reason, Yield)
 	is.Equal(v.domains[c.Domain].Region, pimentoregister.RegionName("r1"))
 	q.Bound, q.Allowed = true, 0b11
+	v.Step(now, testService, q.Allowed, 0, hundred)
 	c = v.Choose(now, &q)
 	is.Equal(c.Reason, Nearest)
 	// A request that can't be in time elsewhere stays.
@@ -250,7 +256,7 @@
 	// Once the bound ones have room, the free ones come back in small steps.
 	_, before := v.Shares(testService)
 	for i := 20; i < 120; i++ {
-		v.Step(time.Duration(i)*stepInterval, testService, 0, hundred)
+		v.Step(time.Duration(i)*stepInterval, testService, everywhere, 0, hundred)
 	}
 	_, after := v.Shares(testService)
 	is.Equal(before, 1.0)
@@ -263,13 +269,13 @@
 	is := is.New(t)
 	v := loaded(0, 1500, 1500, 100, 100)
 	for i := range 6 {
-		v.Step(time.Duration(i)*stepInterval, testService, 0, hundred)
+		v.Step(time.Duration(i)*stepInterval, testService, everywhere, 0, hundred)
 	}
 	q := query()
 	is.Equal(v.Choose(5*stepInterval, &q).Reason, Even)
 	old := 5*stepInterval + FreshLimit
 	is.Equal(v.Choose(old, &q), Choice{}) // No step lately.
-	v.Step(old, testService, 0, hundred)
+	v.Step(old, testService, everywhere, 0, hundred)
 	is.Equal(v.Choose(old, &q), Choice{}) // No fresh figure.
 	is.Equal(NewView(1, testDomains(4, 2, 0)).Choose(0, &q), Choice{})
 	is.Equal(new(View).Choose(0, &q), Choice{})
@@ -279,13 +285,14 @@
 func TestFullDomainsAreNotAsked(t *testing.T) {
 	is := is.New(t)
 	v := loaded(0, 700, 1200, 100, 1200)
-	v.Step(0, testService, 0, hundred)
+	v.Step(0, testService, everywhere, 0, hundred)
 	q := query()
 	is.Equal(v.Choose(0, &q).Passed, uint64(0b1010))
 	q.Bound, q.Allowed = true, 0b10
+	v.Step(0, testService, q.Allowed, 0, hundred)
 	is.Equal(v.Choose(0, &q).Passed, uint64(0)) // It may go nowhere else.
 	v = loaded(0, 1200, 1200, 1200, 1200)
-	v.Step(0, testService, 0, hundred)
+	v.Step(0, testService, everywhere, 0, hundred)
 	q = query()
 	is.Equal(v.Choose(0, &q).Passed, uint64(0)) // No room anywhere.
 }
@@ -295,7 +302,7 @@
 	is := is.New(t)
 	v := NewView(1, testDomains(MaxDomains+1, 3, 0))
 	v.MergeRoom(roomKey(0), Room{Busy: 2000})
-	v.Step(0, testService, 0, hundred)
+	v.Step(0, testService, everywhere, 0, hundred)
 	q := query()
 	is.Equal(v.Choose(0, &q), Choice{})
 }
@@ -306,7 +313,7 @@
 	for i := range 9 {
 		v.MergeRoom(roomKey(i), Room{Stamp: Stamp{Origin: 2, Number: 1}, Busy: Permille(300 + 150*(i%5))})
 	}
-	v.Step(0, testService, 0, func(pimentoregister.DomainName) int { return 1100 / 9 * 6 })
+	v.Step(0, testService, everywhere, 0, func(pimentoregister.DomainName) int { return 1100 / 9 * 6 })
 	q := query()
 	r := rand.New(rand.NewPCG(1, 2))
 	b.ReportAllocs()
@@ -324,7 +331,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		v.Step(0, testService, 0, func(pimentoregister.DomainName) int { return 1100 / 9 * 6 })
-		v.services[testService].stepped = false
+		v.Step(0, testService, everywhere, 0, func(pimentoregister.DomainName) int { return 1100 / 9 * 6 })
+		v.services[testKey].stepped = false
 	}
 }
--- a/pimentospread/shares.go
+++ b/pimentospread/shares.go
@@ -13,6 +13,12 @@
 	// lowBusy is the load of a domain up to which others fill it. It is below highBusy, so
 	// that what others send doesn't drive away its own requests.
 	lowBusy = 0.65
+	// crowdHighBusy and crowdLowBusy take their places for requests of which more than
+	// crowdPressure are refused: for them, a full domain is better than a refusal. Once the
+	// domains are full, their callers are refused alike.
+	crowdHighBusy = 1.1
+	crowdLowBusy  = 1.0
+	crowdPressure = 0.1
 	// fullBusy is the load from which a domain counts as full: as many requests run and wait
 	// as it has slots.
 	fullBusy = 1.0
@@ -41,6 +47,9 @@
 	stepped   bool
 	away      [MaxDomains]float64 // By the index of the domain; 0 for the own one.
 	loads     [MaxDomains]load
+	// homeDistance is the smallest distance at which there are targets.
+	homeDistance Distance
+	low, high    float64 // The loads up to which a domain is filled, and above which it is relieved.
 	// yield is the fraction of free requests that leave the room in this region to bound ones.
 	yield float64
 }
@@ -53,34 +62,47 @@
 	known       bool
 }
 
-// excess returns the requests in a domain that should go elsewhere, and spare those that
-// others may send there.
-func (l *load) excess() float64 { return max(0, l.busy-highBusy*l.slots) }
-func (l *load) spare() float64  { return max(0, lowBusy*l.slots-l.busy) }
+// excess returns the requests in a domain that should go elsewhere.
+func (s *shares) excess(i int) float64 { return max(0, s.loads[i].busy-s.high*s.loads[i].slots) }
 
-// Step updates the shares of a service if stepInterval has passed. slots returns the slots of
-// the service's targets in a domain, and pressure is the fraction of requests to it that this
-// entry refuses.
-func (v *View) Step(now time.Duration, service pimentoregister.ServiceName, pressure float64, slots func(pimentoregister.DomainName) int) {
+// spare returns the requests that others may send to a domain.
+func (s *shares) spare(i int) float64 { return max(0, s.low*s.loads[i].slots-s.loads[i].busy) }
+
+// Step updates the shares of the requests to a service that the allowed domains may serve, and
+// reports whether it did, which it does each stepInterval. slots returns the slots of the
+// service's targets in a domain, and pressure is the fraction of such requests that this entry
+// refuses.
+func (v *View) Step(now time.Duration, service pimentoregister.ServiceName, allowed uint64, pressure float64, slots func(pimentoregister.DomainName) int) bool {
 	if len(v.domains) > MaxDomains {
-		return
+		return false
 	}
-	s := v.services[service]
+	key := shareKey{service, allowed}
+	s := v.services[key]
 	if s == nil {
 		s = new(shares)
-		put(&v.services, service, s)
+		put(&v.services, key, s)
 	}
 	if s.stepped && now-s.steppedAt < stepInterval {
-		return
+		return false
 	}
 	s.stepped, s.steppedAt = true, now
+	s.low, s.high = lowBusy, highBusy
+	if pressure > crowdPressure {
+		s.low, s.high = crowdLowBusy, crowdHighBusy
+	}
 	for i, d := range v.domains {
+		s.loads[i] = load{}
+		if allowed&(1<<i) == 0 {
+			continue
+		}
 		r, known := v.Room(now, RoomKey{Service: service, Domain: d.Name})
 		n := float64(slots(d.Name))
 		s.loads[i] = load{slots: n, busy: n * float64(r.Busy) / 1000, age: now - r.At, slowdown: max(usualSlowdown, r.Slowdown), known: known && n > 0}
 	}
+	s.homeDistance = v.findHome(s)
 	v.stepYield(now, s, service)
 	v.stepAway(s, pressure)
+	return true
 }
 
 // stepYield changes the fraction of free requests that make way.
@@ -125,7 +147,7 @@
 		trust := max(0, 1-float64(max(l.age, homeAge))/float64(FreshLimit))
 		change := moved[i]
 		if change == 0 {
-			change = -max(l.excess(), homeSpare)
+			change = -max(s.excess(i), homeSpare)
 		}
 		change *= stepGain * trust / max(1, homeBusy)
 		s.away[i] = max(0, s.away[i]+min(maxStep, max(-maxStep, change)))
@@ -138,25 +160,19 @@
 	}
 }
 
-// isHome reports whether a domain is one that this entry's requests go to anyway: its own, or
-// those of its region if its own has no targets.
-func (v *View) isHome(s *shares, i int) bool {
-	switch v.domains[i].Distance {
-	case SameDomain:
-		return true
-	case SameRegion:
-		return !v.ownHasTargets(s)
-	}
-	return false
-}
+// isHome reports whether a domain is one that this entry's requests go to anyway: those at the
+// smallest distance at which there are targets.
+func (v *View) isHome(s *shares, i int) bool { return v.domains[i].Distance <= s.homeDistance }
 
-func (v *View) ownHasTargets(s *shares) bool {
+// findHome returns the smallest distance at which there are targets.
+func (v *View) findHome(s *shares) Distance {
+	home := OtherRegion
 	for i, d := range v.domains {
-		if d.Distance == SameDomain {
-			return s.loads[i].slots > 0
+		if s.loads[i].slots > 0 {
+			home = min(home, d.Distance)
 		}
 	}
-	return false
+	return home
 }
 
 // home sums up the domains that this entry's requests go to anyway. It returns false if the
@@ -171,7 +187,7 @@
 			return false, 0, 0, 0, 0
 		}
 		ok = true
-		busy, excess, spare = busy+l.busy, excess+l.excess(), spare+l.spare()
+		busy, excess, spare = busy+l.busy, excess+s.excess(i), spare+s.spare(i)
 		age = max(age, l.age)
 	}
 	return ok, busy, excess, spare, age
@@ -205,12 +221,12 @@
 			continue
 		}
 		if d.Distance == SameRegion && nearSpare > 0 {
-			moved[i] = homeExcess * near * l.spare() / nearSpare
+			moved[i] = homeExcess * near * s.spare(i) / nearSpare
 		}
 		if d.Distance == OtherRegion && farSpare > 0 {
 			excess, spare := v.regionSums(s, d.Region)
 			if spare > excess {
-				moved[i] = rest * far * l.spare() / spare * (spare - excess) / farSpare
+				moved[i] = rest * far * s.spare(i) / spare * (spare - excess) / farSpare
 			}
 		}
 	}
@@ -221,8 +237,8 @@
 func (v *View) regionSums(s *shares, region pimentoregister.RegionName) (excess, spare float64) {
 	for i, d := range v.domains {
 		if d.Region == region && s.loads[i].known {
-			excess += s.loads[i].excess()
-			spare += s.loads[i].spare()
+			excess += s.excess(i)
+			spare += s.spare(i)
 		}
 	}
 	return excess, spare
--- a/pimentospread/view.go
+++ b/pimentospread/view.go
@@ -24,6 +24,13 @@
 	Distance Distance
 }
 
+// shareKey names the requests to one service that the same domains may serve. There are as many
+// for a service as the configuration has different sets of home regions.
+type shareKey struct {
+	service pimentoregister.ServiceName
+	allowed uint64
+}
+
 // MaxDomains is the number of domains up to which a view chooses among them.
 const MaxDomains = 64
 
@@ -37,7 +44,7 @@
 	windows   map[RoomKey]*window
 	rooms     map[RoomKey]Room
 	shortages map[RegionKey]Shortage
-	services  map[pimentoregister.ServiceName]*shares
+	services  map[shareKey]*shares
 }
 
 // NewView returns the view of an entry's run. domains are all failure domains; of more than
@@ -160,9 +167,9 @@
 			delete(v.shortages, key)
 		}
 	}
-	for name := range v.services {
-		if !known(name) {
-			delete(v.services, name)
+	for key, s := range v.services {
+		if !known(key.service) || now-s.steppedAt > FreshLimit {
+			delete(v.services, key)
 		}
 	}
 }
