pimentospread, pimentogate: levels from the mean load, bound requests don't yield, fewer probes

Domains are brought near the mean load of those that may serve a request, so that callers of the busiest aren't served worse; uploads cross regions only while they are refused otherwise. A near target that is safely in time is taken when the figures promise no better one.

--- a/pimentogate/spread.go
+++ b/pimentogate/spread.go
@@ -117,7 +117,8 @@
 	now := g.now()
 	q := pimentospread.Query{
 		Service: c.serviceName(), Usual: usual, Left: c.route.Objective - time.Since(c.received) - usual,
-		Draw: rand.Float64(), Second: rand.Float64(),
+		Large: c.route.Kind == pimentoroute.KindUpload,
+		Draw:  rand.Float64(), Second: rand.Float64(),
 	}
 	sp := &g.spread
 	sp.mu.Lock()
@@ -165,6 +166,34 @@
 	return !cand.queued && cand.room > 0 && g.decide(c, cand) == pimentoload.Send
 }
 
+// safeFraction is the fraction of the time left until the objective within which a response
+// must be expected so that no better target is looked for where the figures promise none. Work
+// takes up to half as long again as usual.
+const safeFraction = 0.65
+
+// sparesProbes reports whether the next targets needn't be asked, because the best one found so
+// far is safely in time, and the fresh figures of the next one's domain promise no better one.
+func (g *Gate) sparesProbes(c *call, best *candidate, next *pimentoroute.Target) bool {
+	left := c.route.Objective - time.Since(c.received)
+	if !g.spreads() || best.queued || best.room <= 0 || best.expected > time.Duration(safeFraction*float64(left)) {
+		return false
+	}
+	sp := &g.spread
+	sp.mu.Lock()
+	room, fresh := sp.view.Room(g.now(), pimentospread.RoomKey{Service: next.Service, Domain: next.Domain})
+	sp.mu.Unlock()
+	if !fresh {
+		return false
+	}
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	slots := max(1, next.Slots)
+	running := min(slots-1, slots*int(room.Busy)/1000)
+	work := float64(ts.routeWork(c.route).alone) * float64(max(100, room.Slowdown)) / 100 * ts.service(next.Service).curve.Ratio(running)
+	return best.score() <= time.Duration(work)+g.roundTrip(next)+g.byteCostOf(ts.routeWork(c.route), next)
+}
+
 // pruneSpread drops what is old or no longer published.
 func (g *Gate) pruneSpread(t *pimentoroute.Table) {
 	if t == nil {
--- a/pimentospread/choose.go
+++ b/pimentospread/choose.go
@@ -30,6 +30,9 @@
 	Left time.Duration
 	// Usual is that work time.
 	Usual time.Duration
+	// Large is set if the request has a large body. It crosses regions only while such
+	// requests are refused otherwise.
+	Large bool
 	// Bound is set if not all regions may serve the request. Allowed has a bit for each domain
 	// that may.
 	Bound   bool
@@ -63,6 +66,9 @@
 	}
 	need := q.Usual * time.Duration(l.slowdown-usualSlowdown) / 100
 	if v.domains[i].Distance == OtherRegion {
+		if q.Large && !s.crowded {
+			return false
+		}
 		need += regionWay
 	}
 	return need <= q.Left
--- a/pimentospread/load_test.go
+++ b/pimentospread/load_test.go
@@ -100,7 +100,7 @@
 func (f *fleet) step(v *View, now time.Duration) {
 	times := 1
 	if f.jump {
-		times = int(1 / stepGain)
+		times = int(math.Round(1 / stepGain))
 	}
 	for range times {
 		v.Step(now, testService, everywhere, 0, f.slotsOf)
--- a/pimentospread/shares.go
+++ b/pimentospread/shares.go
@@ -19,6 +19,8 @@
 	crowdHighBusy = 1.1
 	crowdLowBusy  = 1.0
 	crowdPressure = 0.1
+	// evenMargin is how far from the mean load domains are left alone.
+	evenMargin = 0.03
 	// fullBusy is the load from which a domain counts as full: as many requests run and wait
 	// as it has slots.
 	fullBusy = 1.0
@@ -26,7 +28,7 @@
 	stepInterval = 500 * time.Millisecond
 	// stepGain is the fraction of a difference that one change evens out. Figures show the
 	// effect of a change about a second later, after two further changes.
-	stepGain = 0.2
+	stepGain = 0.35
 	// maxStep bounds one change of the share of a domain.
 	maxStep = 0.06
 	// yieldStep is the change of the share of free requests that make way, and calmYieldStep
@@ -47,6 +49,7 @@
 	stepped   bool
 	away      [MaxDomains]float64 // By the index of the domain; 0 for the own one.
 	loads     [MaxDomains]load
+	crowded   bool // More than crowdPressure of these requests are refused.
 	// homeDistance is the smallest distance at which there are targets.
 	homeDistance Distance
 	low, high    float64 // The loads up to which a domain is filled, and above which it is relieved.
@@ -86,10 +89,7 @@
 		return false
 	}
 	s.stepped, s.steppedAt = true, now
-	s.low, s.high = lowBusy, highBusy
-	if pressure > crowdPressure {
-		s.low, s.high = crowdLowBusy, crowdHighBusy
-	}
+	s.crowded = pressure > crowdPressure
 	for i, d := range v.domains {
 		s.loads[i] = load{}
 		if allowed&(1<<i) == 0 {
@@ -99,14 +99,35 @@
 		n := float64(slots(d.Name))
 		s.loads[i] = load{slots: n, busy: n * float64(r.Busy) / 1000, age: now - r.At, slowdown: max(usualSlowdown, r.Slowdown), known: known && n > 0}
 	}
+	s.setLevels()
 	s.homeDistance = v.findHome(s)
-	v.stepYield(now, s, service)
+	v.stepYield(now, s, service, allowed)
 	v.stepAway(s, pressure)
 	return true
 }
 
-// stepYield changes the fraction of free requests that make way.
-func (v *View) stepYield(now time.Duration, s *shares, service pimentoregister.ServiceName) {
+// setLevels sets the levels of load from the mean one: if that is high, all domains are brought
+// near it, so that callers of the busiest aren't served worse than those of others.
+func (s *shares) setLevels() {
+	busy, slots := 0.0, 0.0
+	for i := range s.loads {
+		if l := &s.loads[i]; l.known {
+			busy, slots = busy+l.busy, slots+l.slots
+		}
+	}
+	mean := busy / max(1, slots)
+	s.low, s.high = max(lowBusy, mean-evenMargin), max(highBusy, mean+evenMargin)
+	if s.crowded {
+		s.low, s.high = max(s.low, crowdLowBusy), max(s.high, crowdHighBusy)
+	}
+}
+
+// stepYield changes the fraction of free requests that make way. Those that are bound
+// themselves don't.
+func (v *View) stepYield(now time.Duration, s *shares, service pimentoregister.ServiceName, allowed uint64) {
+	if every := uint64(1)<<len(v.domains) - 1; allowed&every != every {
+		return
+	}
 	region := v.ownRegion()
 	short, ok := v.shortages[RegionKey{Service: service, Region: region}]
 	if ok && now-short.At <= FreshLimit && short.Refused >= shortLimit {
