--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -172,6 +172,7 @@
 	gauge("pimento_memory_held_bytes", func() float64 { return float64(g.memory.Used()) })
 	gauge("pimento_memory_limit_bytes", func() float64 { return float64(g.memory.Limit()) })
 	gauge("pimento_memory_denied_total", func() float64 { return float64(g.memory.Denied()) })
+	gauge("pimento_spread_figures", g.countFigures)
 	gauge("pimento_ready", func() float64 {
 		if g.ready() {
 			return 1
--- a/pimentogate/spread.go
+++ b/pimentogate/spread.go
@@ -169,7 +169,7 @@
 // safeFraction is the fraction of the time left until the objective within which a response
 // must be expected so that no better target is looked for where the figures promise none. Work
 // takes up to half as long again as usual.
-const safeFraction = 0.65
+const safeFraction = 0.5
 
 // sparesProbes reports whether the next targets needn't be asked, because the best one found so
 // far is safely in time, and the fresh figures of the next one's domain promise no better one.
@@ -226,6 +226,16 @@
 	return []any{"spill", c.choice.Reason, "share", c.choice.Share, "figure_age_ms", c.choice.Age.Milliseconds()}
 }
 
+// countFigures returns the number of fresh figures of rooms.
+func (g *Gate) countFigures() float64 {
+	n := 0.0
+	sp := &g.spread
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	sp.view.EachRoom(g.now(), -1, func(pimentospread.RoomKey, pimentospread.Room) { n++ })
+	return n
+}
+
 // SpreadStatus is where the requests to a service go, as JSON at /status.
 type SpreadStatus struct {
 	// Away is the fraction whose first choice is another domain, and Yield that of the free
--- a/pimentospread/load_test.go
+++ b/pimentospread/load_test.go
@@ -335,3 +335,94 @@
 		v.services[testKey].stepped = false
 	}
 }
+
+// TestRefusedRequestsFillDomains answers requests that are refused while other domains are
+// nearly full: they go there, since a full domain is better than a refusal.
+func TestRefusedRequestsFillDomains(t *testing.T) {
+	is := is.New(t)
+	for _, pressure := range []float64{0, 0.5} {
+		v := loaded(0, 900, 900, 900, 900)
+		v.Step(0, testService, everywhere, pressure, hundred)
+		away, _ := v.Shares(testService)
+		is.Equal(away > 0, pressure > 0)
+	}
+}
+
+// TestRefusalsWithRoomMoveNothing answers targets that refuse requests although they have room,
+// as failing ones do: those of other domains are no better.
+func TestRefusalsWithRoomMoveNothing(t *testing.T) {
+	is := is.New(t)
+	v := loaded(0, 400, 300, 300, 300)
+	v.Step(0, testService, everywhere, 0.5, hundred)
+	away, _ := v.Shares(testService)
+	is.Equal(away, 0.0)
+}
+
+// TestLargeBodiesStayInTheRegion answers uploads from a full region: they cross regions only
+// while they are refused.
+func TestLargeBodiesStayInTheRegion(t *testing.T) {
+	is := is.New(t)
+	for _, pressure := range []float64{0, 0.5} {
+		v := loaded(0, 1500, 1500, 100, 100)
+		v.Step(0, testService, everywhere, pressure, hundred)
+		q := query()
+		q.Large = true
+		is.Equal(v.Choose(0, &q).Reason == Even, pressure > 0)
+		q.Large = false
+		is.Equal(v.Choose(0, &q).Reason, Even)
+	}
+}
+
+// TestBusiestDomainIsBroughtNearTheMean answers a load above all levels that is uneven.
+func TestBusiestDomainIsBroughtNearTheMean(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(18, 6, 3)
+	f.demand = []float64{140, 80, 80, 80, 80, 80}
+	loads := f.run(300)
+	t.Logf("loads %.2f", loads)
+	is.True(loads[0] < 0.95)
+	is.True(loads[5] > 0.81)
+}
+
+// TestRequestsOfOtherHomesHaveOwnShares answers two kinds of requests to one service, of which
+// one is bound to a full region: only the free ones leave it.
+func TestRequestsOfOtherHomesHaveOwnShares(t *testing.T) {
+	is := is.New(t)
+	v := loaded(0, 1500, 1500, 100, 100)
+	v.Step(0, testService, everywhere, 0, hundred)
+	v.Step(0, testService, 0b11, 0, hundred)
+	q := query()
+	is.Equal(v.Choose(0, &q).Reason, Even)
+	q.Bound, q.Allowed = true, 0b11
+	is.Equal(v.Choose(0, &q).Reason, Nearest)
+	is.Equal(v.services[shareKey{testService, 0b11}].away, [MaxDomains]float64{})
+}
+
+// TestSmallIdleDomainIsNotOverrun answers five full domains beside a small idle one: each moves
+// its own part only.
+func TestSmallIdleDomainIsNotOverrun(t *testing.T) {
+	for _, entries := range []int{20, 104} {
+		is := is.New(t)
+		f := newFleet(entries, 6, 3)
+		f.demand = []float64{130, 130, 130, 130, 130, 0}
+		f.slots[5] = 20
+		f.run(400)
+		peak := 0.0
+		for _, l := range f.history {
+			peak = max(peak, l[5])
+		}
+		t.Logf("%d entries: peak of the small idle one %.2f, swing %.2f", entries, peak, f.swing(5, 200))
+		is.True(peak < 1.4) // The mean load is 1.25.
+		is.True(f.swing(5, 200) < 0.1)
+	}
+}
+
+// TestOneFigureMovesLittle answers a figure that is far from the others, as a mistaken one is.
+func TestOneFigureMovesLittle(t *testing.T) {
+	is := is.New(t)
+	v := loaded(0, MaxPermille, 100, 100, 100)
+	v.Step(0, testService, everywhere, 0, hundred)
+	for _, x := range v.services[testKey].away {
+		is.True(x <= maxStep)
+	}
+}
--- a/pimentospread/shares.go
+++ b/pimentospread/shares.go
@@ -19,7 +19,7 @@
 	crowdHighBusy = 1.1
 	crowdLowBusy  = 1.0
 	crowdPressure = 0.1
-	// evenMargin is how far from the mean load domains are left alone.
+	// evenMargin is how far above the mean load domains are left alone.
 	evenMargin = 0.03
 	// fullBusy is the load from which a domain counts as full: as many requests run and wait
 	// as it has slots.
@@ -49,7 +49,9 @@
 	stepped   bool
 	away      [MaxDomains]float64 // By the index of the domain; 0 for the own one.
 	loads     [MaxDomains]load
-	crowded   bool // More than crowdPressure of these requests are refused.
+	// crowded is set while more than crowdPressure of these requests are refused and their home
+	// is busy. Targets that refuse although they have room are no reason to go elsewhere.
+	crowded bool
 	// homeDistance is the smallest distance at which there are targets.
 	homeDistance Distance
 	low, high    float64 // The loads up to which a domain is filled, and above which it is relieved.
@@ -89,7 +91,6 @@
 		return false
 	}
 	s.stepped, s.steppedAt = true, now
-	s.crowded = pressure > crowdPressure
 	for i, d := range v.domains {
 		s.loads[i] = load{}
 		if allowed&(1<<i) == 0 {
@@ -99,8 +100,9 @@
 		n := float64(slots(d.Name))
 		s.loads[i] = load{slots: n, busy: n * float64(r.Busy) / 1000, age: now - r.At, slowdown: max(usualSlowdown, r.Slowdown), known: known && n > 0}
 	}
-	s.setLevels()
 	s.homeDistance = v.findHome(s)
+	s.crowded = pressure > crowdPressure && v.homeIsBusy(s)
+	s.setLevels()
 	v.stepYield(now, s, service, allowed)
 	v.stepAway(s, pressure)
 	return true
@@ -116,7 +118,7 @@
 		}
 	}
 	mean := busy / max(1, slots)
-	s.low, s.high = max(lowBusy, mean-evenMargin), max(highBusy, mean+evenMargin)
+	s.low, s.high = max(lowBusy, mean), max(highBusy, mean+evenMargin)
 	if s.crowded {
 		s.low, s.high = max(s.low, crowdLowBusy), max(s.high, crowdHighBusy)
 	}
@@ -156,7 +158,9 @@
 		s.away = [MaxDomains]float64{}
 		return
 	}
-	homeExcess += pressure * homeBusy
+	if s.crowded {
+		homeExcess += pressure * homeBusy
+	}
 	moved := v.moves(s, homeExcess)
 	total := 0.0
 	for i := range v.domains {
@@ -196,6 +200,17 @@
 	return home
 }
 
+// homeIsBusy reports whether the load of the home is above highBusy.
+func (v *View) homeIsBusy(s *shares) bool {
+	busy, slots := 0.0, 0.0
+	for i := range v.domains {
+		if l := &s.loads[i]; l.known && v.isHome(s, i) {
+			busy, slots = busy+l.busy, slots+l.slots
+		}
+	}
+	return busy > highBusy*slots
+}
+
 // home sums up the domains that this entry's requests go to anyway. It returns false if the
 // figure of one with targets isn't known.
 func (v *View) home(s *shares) (ok bool, busy, excess, spare float64, age time.Duration) {
--- a/pimentospread/view.go
+++ b/pimentospread/view.go
@@ -124,7 +124,8 @@
 	return r, ok && now-r.At <= FreshLimit
 }
 
-// EachRoom calls f with each fresh figure of a room, at most limit of them.
+// EachRoom calls f with each fresh figure of a room, at most limit of them, or all if it
+// is negative.
 func (v *View) EachRoom(now time.Duration, limit int, f func(RoomKey, Room)) {
 	for key, r := range v.rooms {
 		if limit == 0 {
