pimentospread: another region costs the way twice, for the probe and for the send

A request that goes to another region asks a target there for its load first, so it needs 120 ms and not 60.

--- a/pimentospread/choose.go
+++ b/pimentospread/choose.go
@@ -54,8 +54,9 @@
 	Passed uint64
 }
 
-// regionWay is the time from one region to another one and back.
-const regionWay = 60 * time.Millisecond
+// regionWay is the time that a request takes longer in another region: that to it and back, of
+// 30 ms each, for the question for the target's load and once more for the request.
+const regionWay = 120 * time.Millisecond
 
 // reaches reports whether a request may go to a domain, would find targets there, and would be
 // in time.
