--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,11 @@
 	service *pimentoroute.Service
 	// organisation is the one that the request acts for, or nil.
 	organisation *pimentoroute.Organisation
+	// key is the digest of the request's key, if hasKey is set.
+	key    pimentoroute.Digest
+	hasKey bool
+	// quota is the token for the next send of an organisation with a limit, nil without one.
+	quota atomic.Pointer[heldToken]
 	// early is the response to a request that was refused by its head. Its body wasn't read.
 	early    *response
 	urgent   bool      // Requests to the service with a lower priority came lately.
@@ -55,7 +61,9 @@
 	// choice is the domain that the last choice of a target began with.
 	choice pimentospread.Choice
 	// rejected is the best target found when the request was refused, nil without one.
-	rejected   *candidate
+	rejected *candidate
+	// waiter is the call in the line of its service, nil if it hasn't been there.
+	waiter     *lineCall
 	lastSentAt time.Time
 	lastSend   *send // The last send whose outcome counted.
 
@@ -121,6 +129,13 @@
 	return true
 }
 
+// removeExchange makes a later end of the call leave an exchange open.
+func (c *call) removeExchange(x *pimentohttp.Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchanges = slices.DeleteFunc(c.exchanges, func(other *pimentohttp.Exchange) bool { return other == x })
+}
+
 // isAbandoned reports whether abandon was called.
 func (c *call) isAbandoned() bool {
 	c.mu.Lock()
--- a/pimentogate/caller.go
+++ b/pimentogate/caller.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentohttp"
 	"pimentoarch/pimentomemory"
 	"pimentoarch/pimentoroute"
 )
@@ -94,7 +95,7 @@
 	cc.readSafely()
 	close(cc.pending)
 	wg.Wait()
-	if !cc.endedIdle || unacknowledged(cc.Conn) > 0 {
+	if !cc.endedIdle || pimentohttp.Unacknowledged(cc.Conn) > 0 {
 		cc.linger()
 	}
 	_ = cc.Close()
@@ -123,6 +124,7 @@
 		if err != nil {
 			cc.endedIdle = cc.isIdleEnd(err)
 			cc.handleReadError(c, err)
+			cc.gate.dropQuota(c)
 			c.end()
 			cc.awaitResponses()
 			return
@@ -130,6 +132,7 @@
 		if !cc.addCall(c) {
 			// The response before this request closes the connection, so the
 			// request counts as unread.
+			cc.gate.dropQuota(c)
 			c.end()
 			cc.awaitResponses()
 			return
@@ -143,6 +146,7 @@
 		p := &pendingResponse{call: c, done: make(chan *response, 1)}
 		cc.pending <- p
 		if err := cc.gate.workers.Submit(func() { p.done <- cc.gate.serveRequest(c) }); err != nil {
+			cc.gate.dropQuota(c)
 			p.done <- cc.gate.refusal(c, reasonBusy, retryAfterBusy)
 		}
 		// The request after one that may change something must not be executed if
@@ -257,7 +261,7 @@
 	_ = cc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req := new(fasthttp.Request)
 	if err := req.Header.Read(cc.r); err != nil {
-		return nil, readError(err)
+		return nil, readError(&hiddenError{err})
 	}
 	c := newCall(req, &cc.gate.dialect, cc.callerIP, time.Now())
 	if err := checkHead(&req.Header, limits); err != nil {
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -42,6 +42,16 @@
 	// confirmedBy is sourcePlatform or the name of the entry that last confirmed the feed.
 	confirmedBy string
 	changed     chan struct{} // Closed and replaced when peers are to be sent something.
+	// freshness bounds the age of the feed, in time of bootTime. It is used while keys that
+	// are taken away must be refused, see Settings.Revocation.
+	freshness pimentofeed.Freshness
+	stamps    pimentofeed.Stamps
+	// undecoded is set while the newest published configuration can't be decoded, so that
+	// its keys aren't known.
+	undecoded bool
+	// answerDue is the time after an answer of the platform within which the next one comes:
+	// the duration of a watch, and a margin for the way there and back.
+	answerDue time.Duration
 	// confirmed is closed and replaced when the age of the feed becomes known or drops
 	// by more than confirmGain, or an answer of the platform is due much later.
 	confirmed chan struct{}
@@ -72,6 +82,8 @@
 		readings:    make(map[uint64]reading),
 		changed:     make(chan struct{}),
 		confirmed:   make(chan struct{}),
+		stamps:      pimentofeed.Stamps{Nonce: rand.Uint64()},
+		answerDue:   maxAnswerDue,
 	}
 }
 
@@ -124,7 +136,7 @@
 // readsNow reports whether this entry reads the platform successfully. It is called with
 // mu held.
 func (cs *clusterState) readsNow(now time.Duration) bool {
-	return cs.reading && now-cs.lastRead < answerDue
+	return cs.reading && now-cs.lastRead < cs.answerDue
 }
 
 // sourcePlatform is the name of the platform as a source of updates, beside the names
@@ -139,12 +151,15 @@
 	cs.mu.Lock()
 	age, known := cs.age(now)
 	outage := !known || age > outageAge
-	before := cs.feed.AsOf()
+	before := cs.feed.At()
 	changed := cs.feed.Merge(now, u)
 	for _, it := range changed {
-		g.applyItem(now, it, outage && before > 0)
+		g.applyItem(now, it, outage && before.Revision > 0)
 	}
-	advanced := cs.feed.AsOf() != before
+	if before.Revision > 0 && cs.feed.At().Era > before.Era {
+		g.logEra(before, from)
+	}
+	advanced := cs.feed.At() != before
 	if advanced {
 		cs.confirmedBy = from
 		cs.signalChange()
@@ -211,12 +226,12 @@
 	}
 }
 
-// knownRevision returns the revision up to which this entry's items are complete.
-func (g *Gate) knownRevision() pimentofeed.Revision {
+// knownPoint returns the point up to which this entry's items are complete.
+func (g *Gate) knownPoint() pimentofeed.Point {
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.feed.AsOf()
+	return cs.feed.At()
 }
 
 // maintainCluster does the periodic work on the cluster state until stop is closed.
@@ -240,12 +255,14 @@
 			g.resumeAfterPause(paused)
 		}
 		g.updateMembership()
+		g.settleItems()
 		if ticks++; ticks%sweepTicks == 0 {
 			g.client.Prune(time.Now())
 		}
 		if ticks%pruneTicks == 0 {
 			g.traffic.prune(g.now(), g.table.Load())
 			g.pruneSpread(g.table.Load())
+			g.pruneLines(g.table.Load())
 		}
 	}
 }
@@ -320,6 +337,7 @@
 	live := cs.members.LiveCount()
 	cs.size.observe(now, live, live == 1 && g.hasOtherSeeds())
 	n := int64(cs.size.value())
+	g.earlySize.Store(int64(cs.size.early(now)))
 	if n == g.clusterSize.Load() {
 		return
 	}
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -33,6 +33,9 @@
 	Source pimentoplatform.Source
 	// Decode decodes a published item.
 	Decode func(key string, value []byte) (pimentoroute.Record, error)
+	// Newer reports whether a value of a published item was surely written after another one.
+	// It may be nil.
+	Newer func(key string, value, old []byte) bool
 	// Reload returns the current settings. It may be nil.
 	Reload func() (Settings, error)
 }
@@ -49,8 +52,13 @@
 	logBudget lineBudget
 	metrics   *gateMetrics
 	memory    *pimentomemory.Budget // For bodies and messages that are held.
+	bodies    bodyTraffic
 	startedAt time.Time
 
+	revocation pimentofeed.RevocationBound
+	watchWait  time.Duration // The time for which a watch of the platform waits.
+	askedAt    time.Duration // When the platform was asked last. Of the follower's goroutine.
+
 	table atomic.Pointer[pimentoroute.Table]
 	// configured is closed when there is a first active configuration.
 	configured     chan struct{}
@@ -58,15 +66,20 @@
 	cluster        *clusterState
 	traffic        trafficStats
 	spread         spread
+	linesMu        sync.Mutex // Guards lines. Taken before their own mutexes.
+	lines          map[pimentoregister.ServiceName]*serviceLine
+	peerBacklogs   peerBacklogs
 	client         pimentohttp.Client
 	node           pimentolink.Node
 	workers        *ants.Pool
 	conns          connSet
+	quotas         quotas
 
 	// advanceDraw, from 0 to 1, decides whether this start may send retries before it
 	// knows the size of the fleet.
 	advanceDraw float64
 	clusterSize atomic.Int64 // The value of clusterState.size; 0 while unknown.
+	earlySize   atomic.Int64 // That of fleetSize.early.
 	// domainSize is one more than the recent peak number of entries in this entry's
 	// domain; 0 while unknown.
 	domainSize atomic.Int64
@@ -76,6 +89,8 @@
 	domainNames atomic.Pointer[[]pimentotarget.EntryName]
 	// domains are the domains at each distance.
 	domains [otherRegion + 1][]pimentoregister.DomainName
+	// regionNames are the names of all regions, sorted.
+	regionNames []pimentoregister.RegionName
 	// firstReadAt is the time since startedAt after which the platform is read if no
 	// items were received.
 	firstReadAt time.Duration
@@ -113,36 +128,41 @@
 		return nil, nil, fmt.Errorf("create pool of %d workers: %w", maxWorkers, err)
 	}
 	g := &Gate{
-		settings:   s,
-		region:     s.Region(),
-		domains:    domainsByDistance(s.Regions, s.Domain),
-		dialect:    p.Dialect,
-		decode:     p.Decode,
-		source:     p.Source,
-		reload:     p.Reload,
-		log:        logger,
-		metrics:    newGateMetrics(),
-		memory:     pimentomemory.NewBudget(s.heldBytes()),
-		startedAt:  time.Now(),
-		configured: make(chan struct{}),
-		workers:    workers,
-		conns:      connSet{most: maxCallerConns()},
+		settings:    s,
+		region:      s.Region(),
+		domains:     domainsByDistance(s.Regions, s.Domain),
+		regionNames: regionNames(s.Regions),
+		dialect:     p.Dialect,
+		decode:      p.Decode,
+		source:      p.Source,
+		reload:      p.Reload,
+		log:         logger,
+		metrics:     newGateMetrics(),
+		memory:      pimentomemory.NewBudget(s.heldBytes()),
+		startedAt:   time.Now(),
+		configured:  make(chan struct{}),
+		workers:     workers,
+		conns:       connSet{most: maxCallerConns()},
 
 		cutoffReached: make(chan struct{}),
 		advanceDraw:   rand.Float64(),
 	}
+	g.bodies.link.Rate = s.linkRate()
 	g.logBudget.linesPerSecond = s.LogLineRate
 	g.cluster = newClusterState(pimentopeer.Member{
 		Name: s.Name, Address: s.PeersAddr, Region: g.region, Domain: s.Domain,
 		RunID: rand.Uint64() | 1, Version: uint64(time.Now().UnixMilli()),
 	})
 	g.spread = newSpread(&s, g.cluster.runID())
+	g.limitFreshness()
+	g.cluster.feed.Newer = p.Newer
 	g.seedAddrs.Store(&s.Seeds)
 	if s.FirstStart && len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.PeersAddr) {
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
 	}
 	g.client = pimentohttp.Client{MaxIdle: targetIdleTimeout, DialTimeout: targetDialTimeout, UserTimeout: targetAckTimeout, Redial: true}
-	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync, Memory: pimentomemory.NewBudget(s.heldBytes() / messageShare)}
+	g.quotas.init(&s, g.cluster.runID())
+	g.node = pimentolink.Node{Log: logger, Workers: workers, OnSyncMessage: g.handleSync, OnQuotaAsk: g.handleQuotaAsk, Memory: pimentomemory.NewBudget(s.heldBytes() / messageShare)}
 	g.addGauges()
 	return g, workers.Release, nil
 }
@@ -218,6 +238,7 @@
 	wg.Go(func() { g.maintainCluster(ctx.Done()) })
 	wg.Go(func() { g.runPeerSyncs(ctx) })
 	wg.Go(func() { g.watchSettings(ctx, reload) })
+	wg.Go(func() { g.runQuotaAsks(ctx) })
 	callers := pimentohttp.NewDrainListener(l.callers)
 	wg.Go(func() { g.acceptCallers(callers) })
 	go g.followPlatform(ctx) // Not in wg: a waiting watch can't be cancelled.
@@ -235,10 +256,13 @@
 		Source:     g.source,
 		Log:        g.log,
 		ShouldRead: g.decideReading,
-		AsOf:       g.knownRevision,
+		At:         g.knownPoint,
 		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, sourcePlatform) },
 		OnReading:  g.setReading,
 		OnFailure:  func() { g.metrics.count("pimento_platform_failures_total") },
+		OnAsk:      g.noteAsked,
+		OnCurrent:  g.noteCurrent,
+		WatchWait:  g.watchWait,
 	}
 	f.Run(ctx)
 }
--- a/pimentogate/hedge.go
+++ b/pimentogate/hedge.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoroute"
 )
 
@@ -39,7 +40,7 @@
 	}
 	elapsed := time.Since(c.received)
 	inTime := elapsed+cand.expected < c.route.Objective || elapsed > c.route.Objective
-	if !inTime || cand.expected > time.Duration(hedgeGainFraction*float64(left)) {
+	if !inTime || cand.full || cand.expected > time.Duration(hedgeGainFraction*float64(left)) {
 		cand.release()
 		return nil
 	}
@@ -55,10 +56,15 @@
 // approveHedge reports whether the request is also sent to the second target. It
 // spends a retry for that, and logs what the decision is based on.
 func (g *Gate) approveHedge(c *call, first, second *candidate, ran time.Duration) bool {
-	if second == nil || !g.mayHedge(c) {
+	if second == nil || !g.mayHedge(c) || g.checkKey(c, second.target) != reasonNone {
+		return false
+	}
+	if v := g.takeQuota(c); v == pimentoquota.Wait || v == pimentoquota.Denied {
+		g.metrics.count("pimento_hedges_denied_total")
 		return false
 	}
 	if !g.spendRetry(c) {
+		g.dropQuota(c)
 		g.metrics.count("pimento_hedges_denied_total")
 		return false
 	}
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -16,11 +16,16 @@
 	reasonUnconfigured reason = "unconfigured" // No configuration is known yet.
 	reasonRoute        reason = "route"        // No route matches.
 	reasonKey          reason = "key"          // No organisation has its key.
+	reasonUnconfirmed  reason = "unconfirmed"  // Whether its key is still valid isn't known.
+	reasonMoved        reason = "moved"        // Its key or its home regions have changed.
+	reasonQuota        reason = "quota"        // Its organisation's quota is used up.
 	reasonInvalid      reason = "invalid"      // The request isn't valid or is too large.
 	reasonLarge        reason = "large"        // Unused: see reasonInvalid.
 	reasonTargets      reason = "targets"      // No target may be used.
 	reasonPaused       reason = "paused"       // All targets asked for a pause.
 	reasonBusy         reason = "busy"         // No target or worker can take it now.
+	reasonLineFull     reason = "line_full"    // Requests that cost callers more fill the line.
+	reasonLineLate     reason = "line_late"    // Room would come too late for it.
 	reasonBudget       reason = "budget"       // The retry allowance is spent.
 	reasonAttempts     reason = "attempts"     // The route's attempts are used up.
 	reasonTimeout      reason = "timeout"      // The deadline has passed.
@@ -29,6 +34,8 @@
 	reasonCallerGone   reason = "left"         // The call was abandoned.
 	reasonStopping     reason = "stopping"     // It would outlast the planned stop.
 	reasonMemory       reason = "memory"       // Its body doesn't fit in the memory now.
+	reasonLink         reason = "link"         // Its body can't arrive and be sent in time.
+	reasonSilent       reason = "silent"       // Its target was full and won't respond.
 	reasonUnread       reason = "unread"       // Unused: such requests get no response.
 )
 
@@ -53,6 +60,9 @@
 	case reasonRoute:
 		return fasthttp.StatusNotFound
 	case reasonKey:
+		if mayHaveRun {
+			return fasthttp.StatusBadGateway
+		}
 		return fasthttp.StatusUnauthorized
 	case reasonInvalid:
 		return fasthttp.StatusBadRequest
@@ -69,6 +79,9 @@
 	if mayHaveRun {
 		return fasthttp.StatusBadGateway
 	}
+	if r == reasonQuota {
+		return fasthttp.StatusTooManyRequests
+	}
 	return fasthttp.StatusServiceUnavailable
 }
 
@@ -81,7 +94,8 @@
 	if c != nil && c.id != "" {
 		resp.Header.Set(g.dialect.RequestID, c.id)
 	}
-	if resp.StatusCode() == fasthttp.StatusServiceUnavailable && retryAfter > 0 {
+	returns := resp.StatusCode() == fasthttp.StatusServiceUnavailable || resp.StatusCode() == fasthttp.StatusTooManyRequests
+	if returns && retryAfter > 0 {
 		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	g.metrics.countRefusal(why)
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,6 +24,7 @@
 type send struct {
 	candidate *candidate
 	exchange  *pimentohttp.Exchange
+	quota     *heldToken // That was spent on it, or nil.
 	started   time.Time
 	outcome   outcome
 	err       error
@@ -33,6 +35,12 @@
 	// forwarded is set once the response, with its stream and connection, belongs to the
 	// caller's response.
 	forwarded bool
+	// longest is the longest queue that the target reported when it was chosen and beside the
+	// send, and sawLong is set if it may have been full.
+	longest int
+	sawLong bool
+	// silent is set when the send is cancelled because no response will come.
+	silent atomic.Bool
 }
 
 // close closes the stream of a response that isn't forwarded, which ends its use of the
@@ -59,11 +67,14 @@
 		if g.outlastsStop(c, nil) {
 			return g.failRequest(c, failed, reasonStopping)
 		}
+		if why := g.checkKey(c, nil); why != reasonNone {
+			return g.failRequest(c, failed, why)
+		}
 		if isRetry && !g.spendRetry(c) {
 			return g.failRequest(c, failed, reasonBudget)
 		}
-		cand, why := g.chooseTarget(c, c.tried)
-		if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
+		cand, why := g.chooseAndCheck(c)
+		if why != reasonNone {
 			cand.releaseIfAny()
 			if isRetry {
 				g.returnRetry(c)
@@ -85,6 +96,18 @@
 	}
 }
 
+// chooseAndCheck chooses the target of the next send, once the request's body may be sent.
+func (g *Gate) chooseAndCheck(c *call) (*candidate, reason) {
+	if !g.paceBody(c) {
+		return nil, g.checkBeforeSend(c, nil, reasonStopping)
+	}
+	cand, why := g.chooseTarget(c, c.tried)
+	if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
+		g.unsendBody(c)
+	}
+	return cand, why
+}
+
 // awaitCrashCheck waits until it is known whether a send that lost its connection crashed
 // its target, because that decides whether the request is retried.
 func (g *Gate) awaitCrashCheck(c *call, s *send) {
@@ -112,7 +135,10 @@
 	case g.outlastsStop(c, cand):
 		return reasonStopping
 	}
-	return reasonNone
+	if why := g.awaitQuota(c); why != reasonNone {
+		return why
+	}
+	return g.checkKey(c, cand.target)
 }
 
 // releaseIfAny releases a candidate that may be nil.
@@ -147,8 +173,11 @@
 		return g.failRequest(c, *failed, reasonTimeout), false
 	}
 	c.retryReason = reasonIncomplete
+	if s.outcome == outcomeSilent {
+		c.retryReason = reasonSilent
+	}
 	if !c.retryable() {
-		return g.refusal(c, reasonIncomplete, 0), false
+		return g.refusal(c, c.retryReason, 0), false
 	}
 	return nil, true
 }
@@ -162,8 +191,13 @@
 	if after, paused := g.returnAfterPause(c); paused && why == reasonTargets {
 		return g.refusal(c, reasonPaused, after)
 	}
-	if why == reasonStopping {
+	switch why {
+	case reasonStopping:
 		return g.refusal(c, why, retryAfterStop)
+	case reasonUnconfirmed, reasonMoved:
+		return g.refusal(c, why, retryAfterUnconfirmed)
+	case reasonQuota:
+		return g.refuseQuota(c)
 	}
 	return g.refusal(c, why, g.returnAfter(c, why))
 }
@@ -176,6 +210,9 @@
 	}
 	shed := (why == reasonBudget || why == reasonAttempts) && c.retryReason == retryNotExecuted && c.lastCandidate.room > 0
 	r := pimentoload.Refusal{Left: left, Pressure: g.traffic.pressure(c.serviceName()), Urgent: c.urgent, Shed: shed}
+	if !shed {
+		r.Room = g.roomFor(c)
+	}
 	return r.ReturnAfter(rand.Float64())
 }
 
@@ -196,7 +233,7 @@
 	c.req.Header.CopyTo(&req.Header)
 	removeHopRequestHeaders(&req.Header)
 	req.SetBodyRaw(c.useBody())
-	left := max(time.Millisecond, time.Until(c.deadline))
+	left := g.targetTime(c, cand)
 	req.Header.Set(g.dialect.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	g.setOrganisation(c, &req.Header)
 	req.Header.Set(g.dialect.ExpectedTarget, string(cand.target.ID))
@@ -233,6 +270,12 @@
 		s.outcome = outcomeUnsent
 		return
 	}
+	// A connection may have taken a while, and the machine may have been suspended.
+	if g.checkKey(c, s.candidate.target) != reasonNone {
+		s.err, s.outcome = errKeyRefused, outcomeUnsent
+		s.candidate.release()
+		return
+	}
 	s.exchange.UseConn = s.candidate.conn
 	if !c.addExchange(s.exchange) {
 		s.outcome = outcomeCallerGone
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentosettings"
 	"pimentoarch/pimentotarget"
@@ -70,10 +71,23 @@
 	// HeldMiB bounds the bodies and messages that are held at a time, in MiB. 0 means
 	// heldPercent of the VM's memory.
 	HeldMiB int `json:"held"`
+	// Revocation bounds the time from the acknowledgement of a configuration until no request
+	// is sent any more with a key that it took away. An entry that can't be sure of that
+	// refuses requests that need a key. 0 means no bound.
+	Revocation Duration `json:"revoke"`
+	// LinkMbps is the rate of the VM's link in Mbit/s, by which large bodies are admitted and
+	// sent. 0 means that it isn't known.
+	LinkMbps float64 `json:"link"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log"`
 	// LogLineRate bounds the log lines per second about successful requests.
 	LogLineRate int `json:"lines"`
+	// LimitWindow, LimitOvershoot and LimitSlack bound the requests of an organisation
+	// with a quota that run in any LimitWindow, by all entries together: the quota times
+	// 1 + LimitOvershoot, plus LimitSlack.
+	LimitWindow    Duration `json:"period"`
+	LimitOvershoot float64  `json:"excess"`
+	LimitSlack     float64  `json:"spare"`
 }
 
 // DefaultSettings returns the defaults of the settings.
@@ -87,6 +101,9 @@
 		MemoryMiB:      256,
 		LogLevel:       "info",
 		LogLineRate:    20,
+		LimitWindow:    Duration(pimentoquota.DefaultWindow),
+		LimitOvershoot: 0.25,
+		LimitSlack:     20,
 	}
 }
 
@@ -111,6 +128,9 @@
 	return false
 }
 
+// linkRate returns the rate of the VM's link in bytes a second, 0 if it isn't known.
+func (s *Settings) linkRate() float64 { return s.LinkMbps * 1e6 / 8 }
+
 // Region returns the VM's region.
 func (s *Settings) Region() pimentoregister.RegionName { return s.Regions[s.Domain] }
 
@@ -166,6 +186,22 @@
 		pimentosettings.AtLeast("questions", s.ProbeRate, 0),
 		pimentosettings.AtLeast("memory", s.MemoryMiB, 16),
 		pimentosettings.AtLeast("held", s.HeldMiB, 0),
+		checkRevocation(time.Duration(s.Revocation)),
+		pimentosettings.AtLeast("link", s.LinkMbps, 0),
 		pimentosettings.AtLeast("lines", s.LogLineRate, 0),
+		pimentosettings.AtLeast("period", time.Duration(s.LimitWindow).Seconds(), 0.1),
+		pimentosettings.AtLeast("excess", s.LimitOvershoot, 0),
+		pimentosettings.AtLeast("spare", s.LimitSlack, 0),
 	)
 }
+
+// minRevocation is the shortest bound of Settings.Revocation that the messages between entries
+// can keep up with.
+const minRevocation = time.Second
+
+func checkRevocation(d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	return pimentosettings.AtLeast("revoke", d.Seconds(), minRevocation.Seconds())
+}
--- a/pimentogate/spread_test.go
+++ b/pimentogate/spread_test.go
@@ -77,8 +77,8 @@
 	is.Equal(g.chooseDomain(c, c.table), pimentospread.Choice{})
 	msg := unevenGate(1, 18, pimentoroute.KindUpload)
 	setLoads(msg, 1, 500)
-	g.applySyncMessage(msg.newSyncMessage(0, nil))
-	out := g.newSyncMessage(0, nil)
+	g.applySyncMessage(msg.newSyncMessage(0, nil, 0))
+	out := g.newSyncMessage(0, nil, 0)
 	is.Equal(len(out.rooms)+len(out.shortages), 0)
 	is.Equal(len(g.status().Spread), 0)
 }
@@ -92,7 +92,7 @@
 	from.spread.view.MergeRoom(pimentospread.RoomKey{Service: "gone", Domain: "d1"}, pimentospread.Room{Stamp: pimentospread.Stamp{At: from.now()}})
 	from.spread.view.StateShortage(from.now(), pimentospread.RegionKey{Service: "s", Region: "r0"}, 40)
 	from.spread.view.StateShortage(from.now(), pimentospread.RegionKey{Service: "s", Region: "nowhere"}, 40)
-	msg, err := unmarshalSyncMessage(from.newSyncMessage(0, nil).marshal())
+	msg, err := unmarshalSyncMessage(from.newSyncMessage(0, nil, 0).marshal())
 	is.NoErr(err)
 	is.Equal(len(msg.rooms), 3)
 	to.applySyncMessage(msg)
@@ -206,7 +206,7 @@
 				g.spread.view.MergeRoom(key, pimentospread.Room{Stamp: pimentospread.Stamp{Origin: 1 << 30, Number: 1 << 20, At: g.now() - time.Second}, Busy: 900, Slowdown: 150})
 			}
 		}
-		msg := g.newSyncMessage(g.membersHash(), nil)
+		msg := g.newSyncMessage(g.membersHash(), nil, 0)
 		with := len(msg.marshal())
 		msg.rooms, msg.shortages = nil, nil
 		figures := with - len(msg.marshal())
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -54,6 +54,8 @@
 	cancel context.CancelFunc
 
 	peerHash uint64 // Hash of the peer's membership, 0 if unknown.
+	// peerStamp is that of the peer's last reply, 0 without one.
+	peerStamp uint64
 }
 
 // runPeerSyncs starts and ends sync loops as members come and go, until ctx ends.
@@ -217,9 +219,9 @@
 // membership if that differs, so that nothing is sent that the peer has already.
 func (ps *peerSync) syncOnce(exchange func([]byte) ([]byte, error)) bool {
 	g := ps.gate
-	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil))
-	if ok && (msg.revision < g.knownRevision() || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
-		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg))
+	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil, ps.peerStamp))
+	if ok && (g.lacksItems(msg) || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
+		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums, ps.peerStamp), msg))
 	}
 	return ok
 }
@@ -239,7 +241,7 @@
 		g.logLine(level.WarnValue(), "msg", "invalid sync message ignored", "peer", ps.address, "err", err)
 		return nil, false
 	}
-	ps.peerHash = msg.membersHash
+	ps.peerHash, ps.peerStamp = msg.membersHash, msg.stamp()
 	g.applySyncMessage(msg)
 	return msg, true
 }
@@ -251,7 +253,7 @@
 		return nil, err
 	}
 	g.applySyncMessage(msg)
-	return g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg).marshal(), nil
+	return g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums, msg.stamp()), msg).marshal(), nil
 }
 
 // membersHash returns a hash of all that this entry knows about members.
@@ -265,17 +267,21 @@
 
 // newSyncMessage returns a sync message without an update. peerHash is the hash of
 // the peer's membership, and peerSums its checksums, nil if unknown. A peer with the
-// same membership gets only a short record of this entry.
-func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums) *syncMessage {
-	msg := &syncMessage{crashDigest: g.crashDigest()}
+// same membership gets only a short record of this entry. peerStamp is the stamp of the
+// peer's last message.
+func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums, peerStamp uint64) *syncMessage {
+	now, digest, backlogs, silences := g.now(), g.crashDigest(), g.ownBacklogs(), g.silences()
+	msg := &syncMessage{}
 	g.addFigures(msg)
-	now := g.now()
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg.sender, msg.membersHash, msg.revision, msg.ageMillis = cs.members.Self(), sums.Hash(), cs.feed.AsOf(), -1
+	msg.sender, msg.membersHash, msg.ageMillis = cs.members.Self(), sums.Hash(), -1
+	msg.at, msg.disputeDigest = cs.feed.At(), cs.feed.DisputeDigest()
 	msg.readings, msg.entries = cs.currentReadings(now), cs.size.own()
+	msg.confirmation = g.statement(peerStamp)
+	msg.crashDigest, msg.backlogs, msg.silences = digest, backlogs, silences
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
@@ -304,8 +310,8 @@
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.feed.AsOf() > last.revision {
-		u := cs.feed.Since(g.now(), last.revision)
+	if cs.lacksItems(last) {
+		u := cs.feed.Since(g.now(), last.at)
 		msg.update = &u
 	}
 	return msg
@@ -314,6 +320,7 @@
 // applySyncMessage merges a peer's sync message into the cluster state.
 func (g *Gate) applySyncMessage(msg *syncMessage) {
 	now := g.now()
+	g.peerBacklogs.set(now, msg.sender.Name, msg.backlogs)
 	cs := g.cluster
 	cs.mu.Lock()
 	cs.members.MergeDirect(now, msg.sender)
@@ -336,13 +343,15 @@
 		// The age of a newer revision doesn't hold for this entry's items. Their age
 		// isn't changed, so that applyUpdate can detect an outage from it when the
 		// update arrives.
-		if msg.revision == cs.feed.AsOf() {
+		if msg.at == cs.feed.At() {
 			cs.confirm(now, time.Duration(msg.ageMillis)*time.Millisecond, string(msg.sender.Name))
 		}
 		cs.mu.Unlock()
 	}
+	g.applyConfirmation(msg)
 	g.mergeCrashes(msg.crashes, msg.sender.Name)
 	g.mergeFigures(msg)
+	g.mergeSilences(msg.silences, msg.sender.Name)
 }
 
 // unknownAge stands for the age of a feed that no reader has confirmed.
