--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -97,9 +97,6 @@
 	QuotaHub pimentotarget.EntryName `json:"hub,omitempty"`
 	// OutDomains lists the failure domains that are out of service.
 	OutDomains []pimentoregister.DomainName `json:"out"`
-	// Spread has, by service, where requests go when demand and room are uneven. It is empty
-	// where the configuration doesn't call for that.
-	Spread map[pimentoregister.ServiceName]SpreadStatus `json:"spread,omitempty"`
 }
 
 // TargetStatus is the state of one target, as measured by this entry.
@@ -142,7 +139,6 @@
 	g.traffic.mu.Lock()
 	v.Retries = g.retryStatus()
 	g.traffic.mu.Unlock()
-	v.Spread = g.spreadStatus(now)
 	v.Quotas, v.QuotaHub = g.quotaStatus()
 	t := g.table.Load()
 	if t == nil {
@@ -207,7 +203,6 @@
 	gauge("pimento_memory_held_bytes", func() float64 { return float64(g.memory.Used()) })
 	gauge("pimento_memory_limit_bytes", func() float64 { return float64(g.memory.Limit()) })
 	gauge("pimento_memory_denied_total", func() float64 { return float64(g.memory.Denied()) })
-	gauge("pimento_spread_figures", g.countFigures)
 	gauge("pimento_silent_services", func() float64 { return float64(len(g.silences())) })
 	gauge("pimento_link_busy_seconds", func() float64 { return g.linkBusy().Seconds() })
 	gauge("pimento_ready", func() float64 {
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -14,7 +14,6 @@
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoretry"
 	"pimentoarch/pimentoroute"
-	"pimentoarch/pimentospread"
 )
 
 // call is one request of a caller while it is served.
@@ -58,8 +57,6 @@
 	mayHaveRun    bool       // The request was executed, or a send's outcome is unknown.
 	retryReason   reason     // Why the last send needed a retry.
 	lastCandidate *candidate // The last chosen target.
-	// choice is the domain that the last choice of a target began with.
-	choice pimentospread.Choice
 	// rejected is the best target found when the request was refused, nil without one.
 	rejected *candidate
 	// waiter is the call in the line of its service, nil if it hasn't been there.
--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -109,7 +109,7 @@
 		if len(group) == 0 || time.Until(c.deadline) < 0 || c.isAbandoned() {
 			break
 		}
-		if best != nil && (best.score() <= g.idleScore(c, group[0]) || g.suffices(c, best) || g.sparesProbes(c, best, group[0])) {
+		if best != nil && best.score() <= g.idleScore(c, group[0]) {
 			break
 		}
 		probed := g.probeTargets(c, group)
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -261,7 +261,6 @@
 		}
 		if ticks%pruneTicks == 0 {
 			g.traffic.prune(g.now(), g.table.Load())
-			g.pruneSpread(g.table.Load())
 			g.pruneLines(g.table.Load())
 		}
 	}
--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoroute"
 )
 
@@ -68,7 +67,6 @@
 	if r.Slots == 0 {
 		return
 	}
-	g.observeRoom(tg, r)
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
@@ -90,19 +88,10 @@
 )
 
 func (g *Gate) distance(tg *pimentoroute.Target) distance {
-	return g.distanceOf(tg.Domain, tg.Region)
-}
-
-// domainDistance returns the distance of a domain of the settings.
-func (g *Gate) domainDistance(domain pimentoregister.DomainName) distance {
-	return g.distanceOf(domain, g.settings.Regions[domain])
-}
-
-func (g *Gate) distanceOf(domain pimentoregister.DomainName, region pimentoregister.RegionName) distance {
 	switch {
-	case domain == g.settings.Domain:
+	case tg.Domain == g.settings.Domain:
 		return sameDomain
-	case region == g.region:
+	case tg.Region == g.region:
 		return sameRegion
 	}
 	return otherRegion
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -65,7 +65,6 @@
 	onceConfigured sync.Once
 	cluster        *clusterState
 	traffic        trafficStats
-	spread         spread
 	linesMu        sync.Mutex // Guards lines. Taken before their own mutexes.
 	lines          map[pimentoregister.ServiceName]*serviceLine
 	peerBacklogs   peerBacklogs
@@ -153,7 +152,6 @@
 		Name: s.Name, Address: s.PeersAddr, Region: g.region, Domain: s.Domain,
 		RunID: rand.Uint64() | 1, Version: uint64(time.Now().UnixMilli()),
 	})
-	g.spread = newSpread(&s, g.cluster.runID())
 	g.limitFreshness()
 	g.cluster.feed.Newer = p.Newer
 	g.seedAddrs.Store(&s.Seeds)
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -202,7 +202,6 @@
 	if pending.err = cand.err; pending.err == nil {
 		s.report, s.reportedAt, s.hasReport, s.sentSinceReport = cand.report, g.now(), true, 0
 		cand.reportedAt = g.startedAt.Add(s.reportedAt)
-		g.observeRoom(cand.target, cand.report)
 	}
 	ts.mu.Unlock()
 	close(pending.done)
--- a/pimentogate/race.go
+++ b/pimentogate/race.go
@@ -59,7 +59,6 @@
 	c.sends++
 	c.tried = append(c.tried, cand.target.ID)
 	c.lastCandidate, c.lastSentAt = cand, time.Now()
-	r.gate.countSpill(c, cand)
 	s := r.gate.newSend(c, cand)
 	s.quota = c.quota.Swap(nil)
 	r.sends = append(r.sends, s)
--- a/pimentogate/rank.go
+++ b/pimentogate/rank.go
@@ -6,7 +6,6 @@
 
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoroute"
-	"pimentoarch/pimentospread"
 	"pimentoarch/pimentotarget"
 )
 
@@ -45,7 +44,6 @@
 	// targets are nearest first, backedOff are those in backoff, and lastResort those
 	// that are leaving, which only get requests that no other target can serve.
 	targets, backedOff, lastResort []*pimentoroute.Target
-	first                          pimentoregister.DomainName // Whose targets come first, or empty.
 }
 
 // rankTargets returns the targets that a request may go to: nearest first, those of this
@@ -55,30 +53,13 @@
 // the entries of its own domain only.
 func (g *Gate) rankTargets(c *call, tried []pimentoroute.TargetID) (targets, lastResort []*pimentoroute.Target) {
 	r := &ranking{gate: g, table: g.table.Load(), call: c, tried: tried}
-	c.choice = g.chooseDomain(c, r.table)
-	r.addAll()
-	if len(r.targets) == 0 && c.choice != (pimentospread.Choice{}) {
-		// What was passed over may be all that there is.
-		c.choice = pimentospread.Choice{}
-		r = &ranking{gate: g, table: r.table, call: c, tried: tried}
-		r.addAll()
-	}
-	return append(r.targets, r.backedOff...), r.lastResort
-}
-
-// addAll adds the targets of the domain that the request spills over to, and then those of all
-// domains by their distance.
-func (r *ranking) addAll() {
-	g := r.gate
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	if r.call.choice.Reason != pimentospread.Nearest {
-		r.addFirst(g.domainName(r.call.choice))
-	}
 	for d := range g.domains {
 		r.addDistance(distance(d))
 	}
+	return append(r.targets, r.backedOff...), r.lastResort
 }
 
 // addDistance adds targets at one distance up to its limit: those in this entry's aperture,
@@ -87,9 +68,6 @@
 	limit := len(r.targets) + maxRanked[d]
 	var preferred []*pimentoroute.Target
 	for _, domain := range r.gate.domains[d] {
-		if r.leavesOut(domain) {
-			continue
-		}
 		list, start, count := r.aperture(d, domain)
 		for i := range count {
 			preferred = append(preferred, list[(start+i)%len(list)])
@@ -100,29 +78,10 @@
 		r.add(tg, d, limit)
 	}
 	for _, i := range rand.Perm(len(r.gate.domains[d])) {
-		if domain := r.gate.domains[d][i]; !r.leavesOut(domain) {
-			r.addOthers(d, domain, limit)
-		}
+		r.addOthers(d, r.gate.domains[d][i], limit)
 	}
 }
 
-// addFirst adds targets of the domain that the request spills over to, for one probe round.
-func (r *ranking) addFirst(domain pimentoregister.DomainName) {
-	d := r.gate.domainDistance(domain)
-	list, start, count := r.aperture(d, domain)
-	for _, i := range rand.Perm(count) {
-		r.add(list[(start+i)%len(list)], d, probeFanout)
-	}
-	r.addOthers(d, domain, probeFanout)
-	r.first = domain
-}
-
-// leavesOut reports whether a domain's targets aren't added with the others at its distance:
-// they come first, or are known to be full.
-func (r *ranking) leavesOut(domain pimentoregister.DomainName) bool {
-	return domain == r.first || r.gate.isPassed(r.call.choice, domain)
-}
-
 // addOthers adds the targets of a domain that aren't in this entry's aperture, from a
 // random one on.
 func (r *ranking) addOthers(d distance, domain pimentoregister.DomainName, limit int) {
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -51,7 +51,6 @@
 		fields = append(fields, c.lastSend.bodyFields()...)
 	}
 	fields = append(fields, c.candidateFields()...)
-	fields = append(fields, c.spreadFields()...)
 	fields = append(fields, c.lineFields()...)
 	if resp.reason == reasonBudget {
 		fields = append(fields, g.retryFields(c)...)
@@ -124,9 +123,7 @@
 	}
 	g.countRequest(c)
 	resp := g.sendWithRetries(c)
-	refused := resp.reason != reasonNone && !c.mayHaveRun
-	g.traffic.recordEnd(c.serviceName(), refused)
-	g.observeEnd(c, refused)
+	g.traffic.recordEnd(c.serviceName(), resp.reason != reasonNone && !c.mayHaveRun)
 	return resp
 }
 
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -118,16 +118,6 @@
 	return s.MemoryMiB << 20 * heldPercent / 100
 }
 
-// hasRegion reports whether a domain of the settings is in a region.
-func (s *Settings) hasRegion(name pimentoregister.RegionName) bool {
-	for _, region := range s.Regions {
-		if region == name {
-			return true
-		}
-	}
-	return false
-}
-
 // linkRate returns the rate of the VM's link in bytes a second, 0 if it isn't known.
 func (s *Settings) linkRate() float64 { return s.LinkMbps * 1e6 / 8 }
 
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -271,17 +271,23 @@
 // peer's last message.
 func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums, peerStamp uint64) *syncMessage {
 	now, digest, backlogs, silences := g.now(), g.crashDigest(), g.ownBacklogs(), g.silences()
-	msg := &syncMessage{}
-	g.addFigures(msg)
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg.sender, msg.membersHash, msg.ageMillis = cs.members.Self(), sums.Hash(), -1
-	msg.at, msg.disputeDigest = cs.feed.At(), cs.feed.DisputeDigest()
-	msg.readings, msg.entries = cs.currentReadings(now), cs.size.own()
-	msg.confirmation = g.statement(peerStamp)
-	msg.crashDigest, msg.backlogs, msg.silences = digest, backlogs, silences
+	msg := &syncMessage{
+		sender:        cs.members.Self(),
+		membersHash:   sums.Hash(),
+		at:            cs.feed.At(),
+		disputeDigest: cs.feed.DisputeDigest(),
+		ageMillis:     -1,
+		readings:      cs.currentReadings(now),
+		crashDigest:   digest,
+		entries:       cs.size.own(),
+		confirmation:  g.statement(peerStamp),
+		backlogs:      backlogs,
+		silences:      silences,
+	}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
@@ -350,7 +356,6 @@
 	}
 	g.applyConfirmation(msg)
 	g.mergeCrashes(msg.crashes, msg.sender.Name)
-	g.mergeFigures(msg)
 	g.mergeSilences(msg.silences, msg.sender.Name)
 }
 
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -37,10 +37,6 @@
 	confirmation *pimentofeed.Statement
 	// backlogs are those of the sender's lines.
 	backlogs []serviceBacklog
-	// rooms and shortages are the sender's fresh figures. Their times are relative to the
-	// message.
-	rooms     []roomFigure
-	shortages []shortageFigure
 }
 
 var (
@@ -55,8 +51,7 @@
 //   uint64 revision = 4; Update update = 5; sint64 age_millis = 6;
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
 //   fixed64 crash_digest = 11; uint64 entries = 12; Eras eras = 13;
-//   Confirmation confirmation = 14; repeated Room rooms = 17;
-//   repeated Shortage shortages = 18; repeated Backlog backlogs = 19;
+//   Confirmation confirmation = 14; repeated Backlog backlogs = 19;
 //   repeated Silence silences = 20;
 // }
 //
@@ -95,12 +90,6 @@
 	if msg.confirmation != nil {
 		marshalConfirmation(mm.AppendMessage(14), msg.confirmation)
 	}
-	for i := range msg.rooms {
-		marshalRoom(mm.AppendMessage(17), &msg.rooms[i])
-	}
-	for i := range msg.shortages {
-		marshalShortage(mm.AppendMessage(18), &msg.shortages[i])
-	}
 	for i := range msg.backlogs {
 		marshalBacklog(mm.AppendMessage(19), &msg.backlogs[i])
 	}
@@ -246,14 +235,6 @@
 				ok = unmarshalSilence(data, &s) == nil
 				msg.silences = append(msg.silences, s)
 			}
-		case 17:
-			var f roomFigure
-			f, ok = roomField(fc)
-			msg.rooms = append(msg.rooms, f)
-		case 18:
-			var f shortageFigure
-			f, ok = shortageField(fc)
-			msg.shortages = append(msg.shortages, f)
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -11,7 +11,6 @@
 	"pimentoarch/pimentoload"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoretry"
-	"pimentoarch/pimentospread"
 )
 
 func sampleSyncMessage() *syncMessage {
@@ -35,14 +34,6 @@
 		entries:       140,
 		confirmation:  &pimentofeed.Statement{Stamp: 1 << 60, Echo: 9, Age: 1234 * time.Millisecond, Known: true},
 		backlogs:      []serviceBacklog{{"s", pimentoload.Backlog{Waiting: 2.5, Rate: 17.25}, 300 * time.Millisecond}, {service: "t"}},
-		rooms: []roomFigure{{
-			key:  pimentospread.RoomKey{Service: "s", Domain: "d"},
-			room: pimentospread.Room{Stamp: pimentospread.Stamp{Origin: 7, Number: 2, At: -300 * time.Millisecond}, Busy: 1200, Slowdown: 130},
-		}},
-		shortages: []shortageFigure{{
-			key:      pimentospread.RegionKey{Service: "s", Region: "r"},
-			shortage: pimentospread.Shortage{Stamp: pimentospread.Stamp{Origin: 8, Number: 1 << 20}, Refused: 40},
-		}},
 	}
 }
 
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -167,7 +167,6 @@
 	// shared has the services that requests of different classes go to.
 	shared      map[pimentoregister.ServiceName]bool
 	targetCount int
-	uneven      bool // See Uneven.
 }
 
 // domainLists has the targets of one service by domain, sorted by ID.
@@ -187,25 +186,6 @@
 	return lists
 }
 
-// Uneven reports whether the configuration binds a route or an organisation to home regions,
-// or has uploads, so that not each domain with room may or should serve each request.
-func (t *Table) Uneven() bool { return t.uneven }
-
-// uneven computes what Table.Uneven returns.
-func (cfg *Config) uneven() bool {
-	for _, r := range cfg.Routes {
-		if len(r.Homes) > 0 || r.Kind == KindUpload {
-			return true
-		}
-	}
-	for _, o := range cfg.Organisations {
-		if len(o.Homes) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // TargetCount returns the number of targets in service.
 func (t *Table) TargetCount() int { return t.targetCount }
 
@@ -240,7 +220,6 @@
 		t.Config.index.Do(func() { t.Config.keys = newKeyIndex(t.Config) })
 		t.keys = t.Config.keys
 		t.indexShared()
-		t.uneven = t.Config.uneven()
 	}
 	return t
 }
