pimentogate: entries that hold quotas meet soon after all have started

After the loss of all entries, each asked its seeds at once, before these had started: the question timed out after 1 s, and the next one followed 1 s later, so that entries met 2 s after their start. Until then no tokens move between them, and requests within the quota waited or were refused. While an entry that holds quotas knows no other one, it now waits 0.4 s for a reply and 0.2 s before the next question.

Without quotas nothing changes.

--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -28,6 +28,11 @@
 	syncTimeout = 1000 * time.Millisecond
 	// syncBackoff replaces a shorter interval after an exchange that failed.
 	syncBackoff = time.Second
+	// firstSyncTimeout and firstSyncBackoff take the place of syncTimeout and syncBackoff while
+	// an entry that holds quotas knows no other one. Seeds that start with it may not respond
+	// yet, and it needs the others to let requests through.
+	firstSyncTimeout = 400 * time.Millisecond
+	firstSyncBackoff = 200 * time.Millisecond
 	// minSyncGap is the minimum time between two exchanges with one entry.
 	minSyncGap = 30 * time.Millisecond
 	// linksPerDomain is the number of entries of each domain that sync with other
@@ -168,9 +173,10 @@
 
 func (ps *peerSync) run(ctx context.Context) {
 	client, closeClient := ps.gate.node.SyncClient(ps.address)
-	client.Timeout = syncTimeout
 	defer closeClient()
 	for ctx.Err() == nil {
+		var backoff time.Duration
+		client.Timeout, backoff = ps.gate.syncPatience()
 		changed, confirmed := ps.gate.cluster.signals()
 		if !ps.onChange {
 			changed = nil
@@ -180,7 +186,7 @@
 		}
 		wait := ps.interval
 		if !ps.syncOnce(client.Exchange) {
-			wait = max(syncBackoff, ps.interval)
+			wait = max(backoff, ps.interval)
 			changed, confirmed = nil, nil
 		}
 		if !sleepContext(ctx, minSyncGap) {
@@ -196,6 +202,18 @@
 	}
 }
 
+// syncPatience returns the timeout of an exchange with a peer, and the time to the next one after
+// a failure.
+func (g *Gate) syncPatience() (timeout, backoff time.Duration) {
+	cs := g.cluster
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if g.settings.LimitWindow > 0 && cs.members.LiveCount() == 1 {
+		return firstSyncTimeout, firstSyncBackoff
+	}
+	return syncTimeout, syncBackoff
+}
+
 // sleepContext waits for d, and reports false if ctx ends.
 func sleepContext(ctx context.Context, d time.Duration) bool {
 	select {
