--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -13,7 +13,7 @@
 // ready reports whether the balancer may send callers here.
 func (g *Gate) ready() bool {
 	t := g.table.Load()
-	return !g.stopping.Load() && t != nil && t.Config != nil && len(t.Targets) > 0
+	return !g.stopping.Load() && t != nil && t.Config != nil && len(t.Targets) > 0 && !g.awaitsKeys(t.Config)
 }
 
 // maxSideBody bounds in bytes the body of a request of the balancer or of operators.
@@ -62,7 +62,11 @@
 	Ready         bool                    `json:"ready"`
 	ConfigVersion pimentoroute.Version    `json:"version"`
 	// Revision is the platform's revision up to which the items are complete.
-	Revision  uint64 `json:"asof"`
+	Revision uint64 `json:"asof"`
+	// Era counts how often the platform's store has come back from an older copy. Disputed
+	// is the number of items that are kept although the store has others since.
+	Era       uint64 `json:"era"`
+	Disputed  int    `json:"disputed"`
 	AgeMillis int64  `json:"age"` // Age of the items in ms, -1 if unknown.
 	// ReadsPlatform is set while this entry reads the platform for others.
 	ReadsPlatform bool `json:"reads"`
@@ -79,6 +83,18 @@
 	ShareEntries int64 `json:"share"`
 	// Retries has this entry's share of the retry limit of each service that had requests.
 	Retries map[pimentoregister.ServiceName]RetryStatus `json:"retries"`
+	// Organisations is the number of organisations of the configuration.
+	Organisations int `json:"organisations"`
+	// KeysAgeMillis is the age in ms of the known keys at most, -1 if unknown. KeysLimitMillis
+	// is the age above which requests with a key are refused, 0 without a limit, and
+	// KeysRefused is set while they are.
+	KeysAgeMillis   int64 `json:"keysage"`
+	KeysLimitMillis int64 `json:"keyslimit"`
+	KeysRefused     bool  `json:"keysrefused"`
+	// Quotas has the organisations with a limit, those with the most use here first, and
+	// QuotaHub the entry that this one asks for tokens, empty if it is the hub of all.
+	Quotas   []QuotaStatus           `json:"quotas,omitempty"`
+	QuotaHub pimentotarget.EntryName `json:"hub,omitempty"`
 	// OutDomains lists the failure domains that are out of service.
 	OutDomains []pimentoregister.DomainName `json:"out"`
 }
@@ -103,11 +119,11 @@
 }
 
 func (g *Gate) status() Status {
-	now := g.now()
+	now, ready := g.now(), g.ready()
 	cs := g.cluster
 	cs.mu.Lock()
 	v := Status{
-		Name: g.settings.Name, Ready: g.ready(), Revision: uint64(cs.feed.AsOf()), AgeMillis: -1, ReadsPlatform: cs.reading,
+		Name: g.settings.Name, Ready: ready, Revision: uint64(cs.feed.AsOf()), AgeMillis: -1, Era: uint64(cs.feed.At().Era), Disputed: cs.feed.Disputed(), ReadsPlatform: cs.reading,
 		Entries: cs.members.LiveCount(), DomainEntries: len(cs.members.DomainMembers(g.settings.Domain)),
 		Targets: make(map[pimentoregister.ServiceName][]TargetStatus),
 		Run:     cs.members.Self().RunID, UpMillis: now.Milliseconds(), ShareEntries: g.clusterSize.Load(),
@@ -116,15 +132,21 @@
 		v.AgeMillis = age.Milliseconds()
 	}
 	cs.mu.Unlock()
+	v.KeysAgeMillis, v.KeysLimitMillis, v.KeysRefused = -1, g.revocation.Limit().Milliseconds(), !g.keysConfirmed()
+	if age, known := g.feedAge(); known {
+		v.KeysAgeMillis = age.Milliseconds()
+	}
 	g.traffic.mu.Lock()
 	v.Retries = g.retryStatus()
 	g.traffic.mu.Unlock()
+	v.Quotas, v.QuotaHub = g.quotaStatus()
 	t := g.table.Load()
 	if t == nil {
 		return v
 	}
 	if t.Config != nil {
 		v.ConfigVersion = t.Config.Version
+		v.Organisations = len(t.Config.Organisations)
 	}
 	for domain := range t.OutDomains {
 		v.OutDomains = append(v.OutDomains, domain)
@@ -151,7 +173,13 @@
 // addGauges registers the gauges of this entry's state.
 func (g *Gate) addGauges() {
 	gauge := func(name string, value func() float64) { g.metrics.set.NewGauge(name, value) }
-	gauge("pimento_state_revision", func() float64 { return float64(g.knownRevision()) })
+	gauge("pimento_state_revision", func() float64 { return float64(g.knownPoint().Revision) })
+	gauge("pimento_state_era", func() float64 { return float64(g.knownPoint().Era) })
+	gauge("pimento_state_disputed", func() float64 {
+		g.cluster.mu.Lock()
+		defer g.cluster.mu.Unlock()
+		return float64(g.cluster.feed.Disputed())
+	})
 	gauge("pimento_state_age_seconds", func() float64 {
 		cs := g.cluster
 		cs.mu.Lock()
@@ -162,12 +190,21 @@
 		}
 		return age.Seconds()
 	})
+	gauge("pimento_keys_age_seconds", func() float64 {
+		age, known := g.feedAge()
+		if !known {
+			return -1
+		}
+		return age.Seconds()
+	})
 	gauge("pimento_entries", func() float64 { return float64(g.clusterSize.Load()) })
 	gauge("pimento_callers_open", func() float64 { return float64(g.conns.size()) })
 	gauge("pimento_targets_open", func() float64 { return float64(g.client.OpenConns()) })
 	gauge("pimento_memory_held_bytes", func() float64 { return float64(g.memory.Used()) })
 	gauge("pimento_memory_limit_bytes", func() float64 { return float64(g.memory.Limit()) })
 	gauge("pimento_memory_denied_total", func() float64 { return float64(g.memory.Denied()) })
+	gauge("pimento_silent_services", func() float64 { return float64(len(g.silences())) })
+	gauge("pimento_link_busy_seconds", func() float64 { return g.linkBusy().Seconds() })
 	gauge("pimento_ready", func() float64 {
 		if g.ready() {
 			return 1
--- a/pimentogate/call.go
+++ b/pimentogate/call.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,11 @@
 	service *pimentoroute.Service
 	// organisation is the one that the request acts for, or nil.
 	organisation *pimentoroute.Organisation
+	// key is the digest of the request's key, if hasKey is set.
+	key    pimentoroute.Digest
+	hasKey bool
+	// quota is the token for the next send of an organisation with a limit, nil without one.
+	quota atomic.Pointer[heldToken]
 	// early is the response to a request that was refused by its head. Its body wasn't read.
 	early    *response
 	urgent   bool      // Requests to the service with a lower priority came lately.
@@ -43,8 +49,9 @@
 	// are nil until the head of the request was checked.
 	memory        *pimentomemory.Grant
 	releaseMemory func()
-	bodyBytes     int          // Those of the request's body.
-	bodyUsers     atomic.Int32 // The call while it is served, and its sends.
+	bodyBytes     int           // Those of the request's body.
+	bodyUsers     atomic.Int32  // The call while it is served, and its sends.
+	bodyTurn      time.Duration // When it is sent, on routes with large bodies, see Gate.paceBody.
 
 	tried         []pimentoroute.TargetID
 	sends         int        // Sends that a target may have executed or refused.
@@ -52,7 +59,9 @@
 	retryReason   reason     // Why the last send needed a retry.
 	lastCandidate *candidate // The last chosen target.
 	// rejected is the best target found when the request was refused, nil without one.
-	rejected   *candidate
+	rejected *candidate
+	// waiter is the call in the line of its service, nil if it hasn't been there.
+	waiter     *lineCall
 	lastSentAt time.Time
 	lastSend   *send // The last send whose outcome counted.
 
@@ -118,6 +127,13 @@
 	return true
 }
 
+// removeExchange makes a later end of the call leave an exchange open.
+func (c *call) removeExchange(x *pimentohttp.Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchanges = slices.DeleteFunc(c.exchanges, func(other *pimentohttp.Exchange) bool { return other == x })
+}
+
 // isAbandoned reports whether abandon was called.
 func (c *call) isAbandoned() bool {
 	c.mu.Lock()
--- a/pimentogate/early.go
+++ b/pimentogate/early.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"pimentoarch/pimentoquota"
 	"pimentoarch/pimentoroute"
 )
 
@@ -23,7 +24,13 @@
 	c.table = t
 	c.setRoute(route)
 	if why := g.identify(c); why != reasonNone {
-		return g.refusal(c, why, 0)
+		return g.refusal(c, why, retryAfterUnconfirmed) // Only stated where a later try may succeed.
+	}
+	if resp := g.refuseBody(c); resp != nil {
+		return resp
+	}
+	if g.takeQuota(c) == pimentoquota.Denied {
+		return g.refuseQuota(c)
 	}
 	return nil
 }
--- a/pimentogate/estimate.go
+++ b/pimentogate/estimate.go
@@ -49,6 +49,10 @@
 	if cand.room <= 0 {
 		cand.crowdCost = time.Duration(alone * float64(min(running, slots)) * (curve.Ratio(slots-1) - 1) / 2)
 	}
+	if cand.full = g.isFull(c, cand, service, s.sentSinceReport); cand.full {
+		cand.crowdCost += fullCost
+	}
+	cand.byteCost += g.bodyCost(c, cand.target, expected)
 	expected += time.Duration(float64(s.failureRate) * float64(failurePenalty))
 	if !cand.report.Healthy {
 		expected += unhealthyPenalty
@@ -71,7 +75,7 @@
 		return
 	}
 	s.report.Running, s.report.Waiting, s.report.Slots, s.report.Slowdown = r.Running, r.Waiting, r.Slots, r.Slowdown
-	s.reportedAt, s.sentSinceReport = g.now()-g.roundTrip(tg)/2, 0
+	s.reportedAt, s.askedAt, s.sentSinceReport = g.now()-g.roundTrip(tg)/2, 0, 0
 }
 
 // distance says how far away a target is.
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -12,6 +12,7 @@
 // serveRequest handles one request, counts and logs it.
 func (g *Gate) serveRequest(c *call) *response {
 	defer c.dropBody()
+	defer g.dropQuota(c)
 	resp := g.handleSafely(c)
 	took := time.Since(c.received)
 	status := resp.http.StatusCode()
@@ -50,6 +51,7 @@
 		fields = append(fields, c.lastSend.bodyFields()...)
 	}
 	fields = append(fields, c.candidateFields()...)
+	fields = append(fields, c.lineFields()...)
 	if resp.reason == reasonBudget {
 		fields = append(fields, g.retryFields(c)...)
 	}
@@ -106,7 +108,10 @@
 	}
 	c.setRoute(route)
 	if why := g.identify(c); why != reasonNone {
-		return g.refusal(c, why, 0)
+		return g.refusal(c, why, retryAfterUnconfirmed)
+	}
+	if why := g.awaitQuota(c); why != reasonNone {
+		return g.refuseQuota(c)
 	}
 	split := g.traffic.nextSplitService(route)
 	if split == nil {
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -28,6 +28,11 @@
 	syncTimeout = 1000 * time.Millisecond
 	// syncBackoff replaces a shorter interval after an exchange that failed.
 	syncBackoff = time.Second
+	// firstSyncTimeout and firstSyncBackoff take the place of syncTimeout and syncBackoff while
+	// an entry that holds quotas knows no other one. Seeds that start with it may not respond
+	// yet, and it needs the others to let requests through.
+	firstSyncTimeout = 400 * time.Millisecond
+	firstSyncBackoff = 200 * time.Millisecond
 	// minSyncGap is the minimum time between two exchanges with one entry.
 	minSyncGap = 30 * time.Millisecond
 	// linksPerDomain is the number of entries of each domain that sync with other
@@ -54,6 +59,8 @@
 	cancel context.CancelFunc
 
 	peerHash uint64 // Hash of the peer's membership, 0 if unknown.
+	// peerStamp is that of the peer's last reply, 0 without one.
+	peerStamp uint64
 }
 
 // runPeerSyncs starts and ends sync loops as members come and go, until ctx ends.
@@ -166,9 +173,10 @@
 
 func (ps *peerSync) run(ctx context.Context) {
 	client, closeClient := ps.gate.node.SyncClient(ps.address)
-	client.Timeout = syncTimeout
 	defer closeClient()
 	for ctx.Err() == nil {
+		var backoff time.Duration
+		client.Timeout, backoff = ps.gate.syncPatience()
 		changed, confirmed := ps.gate.cluster.signals()
 		if !ps.onChange {
 			changed = nil
@@ -178,7 +186,7 @@
 		}
 		wait := ps.interval
 		if !ps.syncOnce(client.Exchange) {
-			wait = max(syncBackoff, ps.interval)
+			wait = max(backoff, ps.interval)
 			changed, confirmed = nil, nil
 		}
 		if !sleepContext(ctx, minSyncGap) {
@@ -194,6 +202,18 @@
 	}
 }
 
+// syncPatience returns the timeout of an exchange with a peer, and the time to the next one after
+// a failure.
+func (g *Gate) syncPatience() (timeout, backoff time.Duration) {
+	cs := g.cluster
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if g.settings.LimitWindow > 0 && cs.members.LiveCount() == 1 {
+		return firstSyncTimeout, firstSyncBackoff
+	}
+	return syncTimeout, syncBackoff
+}
+
 // sleepContext waits for d, and reports false if ctx ends.
 func sleepContext(ctx context.Context, d time.Duration) bool {
 	select {
@@ -217,9 +237,9 @@
 // membership if that differs, so that nothing is sent that the peer has already.
 func (ps *peerSync) syncOnce(exchange func([]byte) ([]byte, error)) bool {
 	g := ps.gate
-	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil))
-	if ok && (msg.revision < g.knownRevision() || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
-		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg))
+	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil, ps.peerStamp))
+	if ok && (g.lacksItems(msg) || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
+		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums, ps.peerStamp), msg))
 	}
 	return ok
 }
@@ -239,7 +259,7 @@
 		g.logLine(level.WarnValue(), "msg", "invalid sync message ignored", "peer", ps.address, "err", err)
 		return nil, false
 	}
-	ps.peerHash = msg.membersHash
+	ps.peerHash, ps.peerStamp = msg.membersHash, msg.stamp()
 	g.applySyncMessage(msg)
 	return msg, true
 }
@@ -251,7 +271,7 @@
 		return nil, err
 	}
 	g.applySyncMessage(msg)
-	return g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums), msg).marshal(), nil
+	return g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums, msg.stamp()), msg).marshal(), nil
 }
 
 // membersHash returns a hash of all that this entry knows about members.
@@ -265,14 +285,27 @@
 
 // newSyncMessage returns a sync message without an update. peerHash is the hash of
 // the peer's membership, and peerSums its checksums, nil if unknown. A peer with the
-// same membership gets only a short record of this entry.
-func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums) *syncMessage {
-	now, digest := g.now(), g.crashDigest()
+// same membership gets only a short record of this entry. peerStamp is the stamp of the
+// peer's last message.
+func (g *Gate) newSyncMessage(peerHash uint64, peerSums *pimentopeer.Checksums, peerStamp uint64) *syncMessage {
+	now, digest, backlogs, silences := g.now(), g.crashDigest(), g.ownBacklogs(), g.silences()
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	sums := cs.members.Checksums()
-	msg := &syncMessage{sender: cs.members.Self(), membersHash: sums.Hash(), revision: cs.feed.AsOf(), ageMillis: -1, readings: cs.currentReadings(now), crashDigest: digest, entries: cs.size.own()}
+	msg := &syncMessage{
+		sender:        cs.members.Self(),
+		membersHash:   sums.Hash(),
+		at:            cs.feed.At(),
+		disputeDigest: cs.feed.DisputeDigest(),
+		ageMillis:     -1,
+		readings:      cs.currentReadings(now),
+		crashDigest:   digest,
+		entries:       cs.size.own(),
+		confirmation:  g.statement(peerStamp),
+		backlogs:      backlogs,
+		silences:      silences,
+	}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
@@ -301,8 +334,8 @@
 	cs := g.cluster
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.feed.AsOf() > last.revision {
-		u := cs.feed.Since(g.now(), last.revision)
+	if cs.lacksItems(last) {
+		u := cs.feed.Since(g.now(), last.at)
 		msg.update = &u
 	}
 	return msg
@@ -311,6 +344,7 @@
 // applySyncMessage merges a peer's sync message into the cluster state.
 func (g *Gate) applySyncMessage(msg *syncMessage) {
 	now := g.now()
+	g.peerBacklogs.set(now, msg.sender.Name, msg.backlogs)
 	cs := g.cluster
 	cs.mu.Lock()
 	cs.members.MergeDirect(now, msg.sender)
@@ -333,12 +367,14 @@
 		// The age of a newer revision doesn't hold for this entry's items. Their age
 		// isn't changed, so that applyUpdate can detect an outage from it when the
 		// update arrives.
-		if msg.revision == cs.feed.AsOf() {
+		if msg.at == cs.feed.At() {
 			cs.confirm(now, time.Duration(msg.ageMillis)*time.Millisecond, string(msg.sender.Name))
 		}
 		cs.mu.Unlock()
 	}
+	g.applyConfirmation(msg)
 	g.mergeCrashes(msg.crashes, msg.sender.Name)
+	g.mergeSilences(msg.silences, msg.sender.Name)
 }
 
 // unknownAge stands for the age of a feed that no reader has confirmed.
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"pimentoarch/pimentofeed"
+	"pimentoarch/pimentoload"
 	"pimentoarch/pimentopeer"
 	"pimentoarch/pimentoretry"
 )
@@ -18,13 +19,21 @@
 		membersHash: 5,
 		sums:        &pimentopeer.Checksums{1, 0, 7},
 		members:     []pimentopeer.Member{{Name: "b", Version: 3, Down: true}, {Name: "c", RunID: 1}},
-		revision:    12,
-		update:      &pimentofeed.Update{From: 3, AsOf: 12, Items: []pimentofeed.Item{{Key: "k", Value: []byte("v"), Revision: 4}, {Key: "x", Revision: 5, Removed: true}}},
-		ageMillis:   -1,
-		readings:    []reading{{run: 7, number: 3}, {run: 8, number: 1 << 40, at: -1200 * time.Millisecond}},
-		crashes:     []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
-		crashDigest: 99,
-		entries:     140,
+		at:          pimentofeed.Point{Era: 2, Revision: 12},
+		update: &pimentofeed.Update{
+			Era: 2, From: 3, AsOf: 12, Items: []pimentofeed.Item{{Key: "k", Value: []byte("v"), Revision: 4}, {Key: "x", Revision: 5, Removed: true}},
+			Disputes:  []pimentofeed.Dispute{{Kept: pimentofeed.Item{Key: "k", Value: []byte("w"), Revision: 9}, Era: 1, Stored: pimentofeed.Item{Key: "k", Value: []byte("v"), Revision: 4}, Base: 10}},
+			SettlesIn: 3 * time.Second,
+		},
+		disputeDigest: 17,
+		ageMillis:     -1,
+		readings:      []reading{{run: 7, number: 3}, {run: 8, number: 1 << 40, at: -1200 * time.Millisecond}},
+		crashes:       []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
+		crashDigest:   99,
+		silences:      []silence{{service: "s", length: 24, age: time.Second}},
+		entries:       140,
+		confirmation:  &pimentofeed.Statement{Stamp: 1 << 60, Echo: 9, Age: 1234 * time.Millisecond, Known: true},
+		backlogs:      []serviceBacklog{{"s", pimentoload.Backlog{Waiting: 2.5, Rate: 17.25}, 300 * time.Millisecond}, {service: "t"}},
 	}
 }
 
@@ -54,14 +63,35 @@
 }
 
 // FuzzNote decodes arbitrary bytes as a sync message. One without a sender must be
-// refused.
+// refused, and any other keeps its point, digest and disputes when it is encoded again.
 func FuzzNote(f *testing.F) {
 	f.Add(sampleSyncMessage().marshal())
+	noEra, removal, high := sampleSyncMessage(), sampleSyncMessage(), sampleSyncMessage()
+	noEra.at.Era, noEra.disputeDigest, noEra.update = 0, 0, nil
+	removal.update.Disputes[0].Stored = pimentofeed.Item{Key: "k", Revision: 12, Removed: true}
+	high.at, high.update.Era = pimentofeed.Point{Era: 1 << 63, Revision: 1 << 63}, 1<<63
+	high.update.SettlesIn = 1 << 60
+	for _, msg := range []*syncMessage{noEra, removal, high} {
+		f.Add(msg.marshal())
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		msg, err := unmarshalSyncMessage(data)
 		if err == nil && msg.sender.Name == "" {
 			t.Fatal("accepted a sync message without a sender")
 		}
+		if err != nil || msg.at.Era == 0 {
+			return
+		}
+		again, err := unmarshalSyncMessage(msg.marshal())
+		if err != nil {
+			t.Fatalf("own message: %v", err)
+		}
+		if again.at != msg.at || again.disputeDigest != msg.disputeDigest {
+			t.Fatalf("point %v and digest %d became %v and %d", msg.at, msg.disputeDigest, again.at, again.disputeDigest)
+		}
+		if msg.update != nil && !reflect.DeepEqual(again.update, msg.update) {
+			t.Fatalf("update %+v became %+v", msg.update, again.update)
+		}
 	})
 }
 
--- a/pimentogate/traffic.go
+++ b/pimentogate/traffic.go
@@ -85,8 +85,10 @@
 	inFlight int
 	// report is the last load report, if hasReport is set, and sentSinceReport
 	// counts this entry's sends since then.
-	report          LoadReport
-	reportedAt      time.Duration
+	report     LoadReport
+	reportedAt time.Duration
+	// askedAt is when the probe began that the report replies to, 0 if it came otherwise.
+	askedAt         time.Duration
 	hasReport       bool
 	sentSinceReport int
 	probing         *pendingProbe
@@ -234,6 +236,7 @@
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	g.retryAllowance(c.serviceName()).Earn(g.now())
+	ts.service(c.serviceName()).queue.Arrived(g.now())
 	c.urgent = ts.service(c.serviceName()).urgency.IsUrgent(g.now(), c.priority())
 	if !c.callerDeadline.IsZero() {
 		calm := ts.service(c.serviceName()).pressure < calmPressure
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -70,11 +70,13 @@
 	// Strays is the number of skipped responses to other requests. Do sets it.
 	Strays int
 
-	mu        sync.Mutex // Guards conn, cancelled and sent.
-	conn      *Conn
-	cancelled bool
-	sent      bool
+	mu         sync.Mutex // Guards conn, cancelled, sent and responding.
+	conn       *Conn
+	cancelled  bool
+	sent       bool
+	responding bool // Part of the response has arrived.
 
+	// writeDone is set with sent.
 	writeDone   chan struct{} // Closed when a long request was written. Nil for others.
 	writeFailed atomic.Bool
 }
@@ -169,8 +171,8 @@
 	}
 	x.mu.Lock()
 	x.sent = true
-	x.mu.Unlock()
 	x.writeDone = make(chan struct{})
+	x.mu.Unlock()
 	go func() {
 		defer close(x.writeDone)
 		if err := x.write(cn); err != nil {
@@ -194,42 +196,6 @@
 	}
 }
 
-// Sent reports whether any byte of the request may have reached the target.
-func (x *Exchange) Sent() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.sent
-}
-
-// Cancel closes the connection, which cancels the request at the target. It may be
-// called at any time; after the end of the exchange it has no effect.
-func (x *Exchange) Cancel() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.cancelled = true
-	if x.conn != nil {
-		x.conn.destroy()
-	}
-}
-
-// attach makes cn the connection that Cancel closes. It reports false if the
-// exchange is already cancelled.
-func (x *Exchange) attach(cn *Conn) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.conn = cn
-	return !x.cancelled
-}
-
-// detach makes later calls of Cancel leave the connection open. It reports false if the
-// exchange is already cancelled.
-func (x *Exchange) detach() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.conn = nil
-	return !x.cancelled
-}
-
 // write writes the request, and sets sent if any byte may have left.
 func (x *Exchange) write(cn *Conn) error {
 	err := x.Req.Write(cn.w)
@@ -244,6 +210,12 @@
 
 // readHead reads the head of the final response, and skips informational ones.
 func (x *Exchange) readHead(r *bufio.Reader) error {
+	if _, err := r.Peek(1); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	x.responding = true
+	x.mu.Unlock()
 	for range maxInformational {
 		if err := checkStatusLine(r); err != nil {
 			return err
@@ -258,23 +230,6 @@
 	return errors.New("too many informational responses")
 }
 
-var errNotHTTP = errors.New("the status line isn't that of an HTTP/1 response")
-
-// checkStatusLine checks the protocol and the status of the next response. fasthttp
-// is too lenient here: it reads a status of 0 as 200.
-func checkStatusLine(r *bufio.Reader) error {
-	const form = "HTTP/1.x 200"
-	start, err := r.Peek(len(form))
-	if err != nil {
-		return err
-	}
-	protocol, status := start[:7], start[9:]
-	if string(protocol) != form[:7] || start[8] != ' ' || status[0] < '1' || status[0] > '9' {
-		return errNotHTTP
-	}
-	return nil
-}
-
 // readBody buffers the body and ends the exchange, or leaves the body as a stream.
 func (x *Exchange) readBody(cn *Conn) error {
 	if x.hasNoBody() {
