--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -190,7 +190,7 @@
 		}
 	}
 	for i := range n {
-		b, stop, err := startBackend(d.store, d.rec, fmt.Sprintf("i-%s-%d", service, i), service, zone, work)
+		b, stop, err := startBackend(d.store, d.rec, fmt.Sprintf("i-%s-%s-%d", service, zone, i), service, zone, work)
 		if err != nil {
 			stopAll()
 			return nil, nil, err
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 
 var cases = map[string]caseFunc{
 	"halfbody": halfBody,
+	"restore":  restore,
 	"slowline": slowLine,
 	"slowbody": slowBody,
 }
