pimentohttp: a reset that a write met is no end of a body

Callers saw part of a body as a complete answer: a target answered a long upload early with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one system call only. A long upload is written beside the read of the answer. When the write got the reset, the next read ended as after an orderly close, which is the end of a body without a length. The probe that confirms such an end was answered, since the target lives. The comment that the read fails too was wrong.

Change: Conn.Read, through which heads and bodies of each framing are read, returns the error of the write in place of the end. At the end it stops a write that is in progress and waits for it, so that no error is seen too late.

--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -57,6 +57,8 @@
 	r            *bufio.Reader
 	w            *bufio.Writer
 	bytesWritten atomic.Int64 // Since the connection was acquired.
+	writing      sync.Mutex   // Held during a Write. Guards writeErr.
+	writeErr     error        // Of the first Write that failed.
 	lastUsed     time.Time    // Time of the last release to the pool. Zero before it.
 	// keepAlive is the time for which the target keeps the connection open while it
 	// is idle, less a margin. 0 means that the last buffered response had none.
@@ -65,13 +67,6 @@
 	closed    atomic.Bool
 }
 
-// Write implements net.Conn and counts the bytes.
-func (c *Conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytesWritten.Add(int64(n))
-	return n, err
-}
-
 // destroy closes the connection and stops counting it as open. It may be called at
 // any time and more than once.
 func (c *Conn) destroy() {
@@ -337,7 +332,7 @@
 // takeBuffers gives a connection buffers for an exchange.
 func (c *Conn) takeBuffers() {
 	c.r, c.w = readers.Get().(*bufio.Reader), writers.Get().(*bufio.Writer)
-	c.r.Reset(c.Conn)
+	c.r.Reset(c)
 	c.w.Reset(c)
 }
 
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -176,7 +176,7 @@
 	go func() {
 		defer close(x.writeDone)
 		if err := x.write(cn); err != nil {
-			// The read of the response fails too and returns the error.
+			// The response may be complete all the same. Otherwise Conn.Read fails too.
 			x.writeFailed.Store(true)
 		}
 	}()
