pimentohttp: a head with an invalid line is no answer

Callers got answers of targets in whose heads the name of a header held a blank or a control byte: with that line passed on, or with a body that wasn't the target's.

Cause: the parser of heads (fasthttp) is lenient. It accepts blanks in and after a name, joins a line that begins with a blank to the line before, so that a "Content-Length" there is lost, and ends a head at a line feed alone, so that the rest of the head becomes the body. Only the status line was checked before it.

Change: one check of the whole head, peekHead, stands before the parser wherever an Exchange reads one (final and interim heads, those of stray responses and load reports, in entries and gates) and for stored and forwarded heads. It wants each line to end with CR LF, names to be tokens, and values and the status line to have no control bytes. It checks each line when it has arrived, so that bytes that are no response are an error at once. Such an answer counts as any other that is broken: an idempotent request goes to another target, any other gets 502.

--- a/pimentoentry/path_test.go
+++ b/pimentoentry/path_test.go
@@ -170,6 +170,11 @@
 		"half":     "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
 		"unframed": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nas long as it lasts",
 		"chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal",
+		"blank":    "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nwhole",
+		"colon":    "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nwhole",
+		"folded":   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Good: 1\r\n X-Odd: 1\r\n\r\nwhole",
+		"linefeed": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\nX-Odd: 1\r\n\r\nwhole",
+		"interim":  "HTTP/1.1 103 Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
 	}
 	for name, response := range responses {
 		f.addRawTarget(pimentoregister.ServiceName(name), response)
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -217,10 +217,7 @@
 	x.responding = true
 	x.mu.Unlock()
 	for range maxInformational {
-		if err := checkStatusLine(r); err != nil {
-			return err
-		}
-		if err := x.Resp.Header.Read(r); err != nil {
+		if err := readHead(&x.Resp.Header, r); err != nil {
 			return err
 		}
 		if code := x.Resp.StatusCode(); code >= 200 {
--- /dev/null
+++ b/pimentohttp/head.go
@@ -0,0 +1,197 @@
+package pimentohttp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	errNotHTTP  = errors.New("the head isn't that of an HTTP/1 response")
+	errLongHead = errors.New("the head of the response is too long")
+)
+
+// statusLineBytes is the length of the part of a status line up to the byte after the status.
+const statusLineBytes = len("HTTP/1.1 200 ")
+
+// headCheck checks the head of a response while it arrives. The head's parser, that of
+// fasthttp, is more lenient: it joins lines that begin with a blank to the line before, ends a
+// head at a line feed without a carriage return, accepts blanks in names, and reads a status of 0
+// as 200. Such a response could be forwarded with another meaning than its target's, or with
+// another body.
+type headCheck struct {
+	next int // Where the first unchecked line begins.
+}
+
+// check checks the lines of buf that it hasn't checked before, and reports whether the head is
+// complete. buf holds the bytes of the head that have arrived so far, and may hold more than the
+// head.
+func (h *headCheck) check(buf []byte) (complete bool, err error) {
+	if h.next == 0 && len(buf) >= statusLineBytes {
+		if err := checkStatusStart(buf); err != nil { // The line may never end.
+			return false, err
+		}
+	}
+	for {
+		n := bytes.IndexByte(buf[h.next:], '\n')
+		if n < 0 {
+			return false, nil
+		}
+		line, err := trimLine(buf[h.next : h.next+n+1])
+		if err != nil {
+			return false, err
+		}
+		isStatus := h.next == 0
+		h.next += n + 1
+		switch {
+		case isStatus:
+			err = checkStatusLine(line)
+		case len(line) == 0:
+			return true, nil
+		default:
+			err = checkField(line)
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+}
+
+// trimLine returns a line without the carriage return and the line feed at its end.
+func trimLine(line []byte) ([]byte, error) {
+	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok || bytes.IndexByte(text, '\r') >= 0 {
+		return nil, fmt.Errorf("%w: a carriage return or line feed alone in line %q", errNotHTTP, line)
+	}
+	return text, nil
+}
+
+// checkStatusStart checks the first statusLineBytes of a response: the protocol, and a status of
+// three digits from 100 to 599.
+func checkStatusStart(start []byte) error {
+	const protocol = "HTTP/1."
+	minor, status, end := start[len(protocol)], start[9:12], start[12]
+	switch {
+	case !bytes.HasPrefix(start, []byte(protocol)), minor < '0' || minor > '9', start[8] != ' ',
+		status[0] < '1' || status[0] > '5', status[1] < '0' || status[1] > '9', status[2] < '0' || status[2] > '9',
+		end != ' ' && end != '\r':
+		return fmt.Errorf("%w: it begins with %q", errNotHTTP, start[:statusLineBytes])
+	}
+	return nil
+}
+
+// checkStatusLine checks the rest of a status line, which may have no text after the status.
+func checkStatusLine(line []byte) error {
+	if len(line) < statusLineBytes-1 || !isFieldValue(line) {
+		return fmt.Errorf("%w: status line %q", errNotHTTP, line)
+	}
+	return nil
+}
+
+// checkField checks the line of a header or of a trailer's field.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isFieldName(name) || !isFieldValue(value) {
+		return fmt.Errorf("%w: line %q", errNotHTTP, line)
+	}
+	return nil
+}
+
+// isFieldName reports whether a name is a token as in RFC 9110, section 5.6.2.
+func isFieldName(name []byte) bool {
+	notInToken := func(r rune) bool {
+		isLetter := 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z'
+		return !isLetter && !strings.ContainsRune("-0123456789!#$%&'*+.^_`|~", r)
+	}
+	return len(name) > 0 && bytes.IndexFunc(name, notInToken) < 0
+}
+
+// isFieldValue reports whether a text has no control bytes, apart from tabs.
+func isFieldValue(text []byte) bool {
+	isControl := func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+	return bytes.IndexFunc(text, isControl) < 0
+}
+
+// peekHead waits for the whole head of the next response and checks it. It leaves the head to be
+// read. A line is checked once it has arrived, so that bytes that are no response are an error
+// even if nothing follows them.
+func peekHead(r *bufio.Reader) error {
+	var h headCheck
+	for {
+		buf, err := r.Peek(r.Buffered())
+		if err != nil {
+			return err
+		}
+		if complete, err := h.check(buf); complete || err != nil {
+			return err
+		}
+		if _, err := r.Peek(len(buf) + 1); errors.Is(err, bufio.ErrBufferFull) {
+			return errLongHead
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
+// readHead reads and checks the head of the next response.
+func readHead(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
+	if err := peekHead(r); err != nil {
+		return err
+	}
+	return h.Read(r)
+}
+
+// ReadHead reads the head of a response that was stored or forwarded.
+func ReadHead(h *fasthttp.ResponseHeader, head []byte) error {
+	return readHead(h, bufio.NewReaderSize(bytes.NewReader(head), len(head)+1))
+}
+
+// CheckResponses returns a connection whose reads fail if a response begins with an invalid
+// status line, or is an informational one. It is for clients that read one response after each
+// request, and is used by one goroutine at a time.
+func CheckResponses(conn net.Conn) net.Conn { return &checkedConn{Conn: conn} }
+
+// checkedConn implements CheckResponses.
+type checkedConn struct {
+	net.Conn
+	awaiting bool // The next byte that is read is the first one of a response.
+	unread   []byte
+}
+
+// Write implements net.Conn.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	c.awaiting = true
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if c.awaiting {
+		start := make([]byte, statusLineBytes)
+		if _, err := io.ReadFull(c.Conn, start); err != nil {
+			return 0, err
+		}
+		if err := checkStatusStart(start); err != nil {
+			return 0, err
+		}
+		if start[9] == '1' {
+			return 0, errNotHTTP
+		}
+		c.awaiting, c.unread = false, start
+	}
+	if len(c.unread) > 0 {
+		n := copy(p, c.unread)
+		c.unread = c.unread[n:]
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
