pimentohttp: a head with contradictory framing is no answer

Callers got bodies that weren't the target's where the head doesn't say clearly where the body ends: the raw chunks of an HTTP/1.0 response with "Transfer-Encoding: chunked" as the body of a signed 200, one of two lengths with chunks, a 204 that has a body, the response behind a 101 that nobody had asked for.

Change: the check of heads wants at most one Content-Length or Transfer-Encoding, chunks only in HTTP/1.1, no body in 1xx and 204, and no 101, since requests are forwarded without Upgrade. "Content-Length: 0" in a 204, and either header in responses to HEAD and in 304, are allowed as before.

TestInvalidFramingInHead: 9 of 23 heads were accepted. The others (lengths that are no number, codings that aren't known, either header twice) were errors before as well and keep their test.

--- a/pimentohttp/head.go
+++ b/pimentohttp/head.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -26,7 +27,12 @@
 // as 200. Such a response could be forwarded with another meaning than its target's, or with
 // another body.
 type headCheck struct {
-	next int // Where the first unchecked line begins.
+	next   int // Where the first unchecked line begins.
+	http11 bool
+	status int
+	// lengths and codings are the numbers of Content-Length and Transfer-Encoding headers.
+	lengths, codings int
+	length           uint64
 }
 
 // check checks the lines of buf that it hasn't checked before, and reports whether the head is
@@ -51,11 +57,11 @@
 		h.next += n + 1
 		switch {
 		case isStatus:
-			err = checkStatusLine(line)
+			err = h.checkStatusLine(line)
 		case len(line) == 0:
-			return true, nil
+			return true, h.checkFraming()
 		default:
-			err = checkField(line)
+			err = h.checkField(line)
 		}
 		if err != nil {
 			return false, err
@@ -86,20 +92,40 @@
 	return nil
 }
 
-// checkStatusLine checks the rest of a status line, which may have no text after the status.
-func checkStatusLine(line []byte) error {
+// checkStatusLine checks the rest of a status line, and sets what it states. The line may have no
+// text after the status.
+func (h *headCheck) checkStatusLine(line []byte) error {
 	if len(line) < statusLineBytes-1 || !isFieldValue(line) {
 		return fmt.Errorf("%w: status line %q", errNotHTTP, line)
 	}
+	h.http11 = bytes.HasPrefix(line, []byte("HTTP/1.1"))
+	var err error
+	if h.status, err = strconv.Atoi(string(line[9:12])); err != nil {
+		return fmt.Errorf("%w: status line %q", errNotHTTP, line)
+	}
 	return nil
 }
 
 // checkField checks the line of a header or of a trailer's field.
-func checkField(line []byte) error {
+func (h *headCheck) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !isFieldName(name) || !isFieldValue(value) {
 		return fmt.Errorf("%w: line %q", errNotHTTP, line)
 	}
+	value = bytes.TrimSpace(value)
+	switch {
+	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
+		h.lengths++
+		var err error
+		if h.length, err = strconv.ParseUint(string(value), 10, 63); err != nil {
+			return fmt.Errorf("%w: Content-Length %q", errNotHTTP, value)
+		}
+	case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+		h.codings++
+		if !bytes.EqualFold(value, []byte("chunked")) {
+			return fmt.Errorf("%w: Transfer-Encoding %q", errNotHTTP, value)
+		}
+	}
 	return nil
 }
 
@@ -118,6 +144,23 @@
 	return bytes.IndexFunc(text, isControl) < 0
 }
 
+// checkFraming checks that the head states at most one way in which the body ends, that its
+// protocol knows that way, and that no body is stated where the status allows none.
+func (h *headCheck) checkFraming() error {
+	noBody := h.status < 200 || h.status == fasthttp.StatusNoContent
+	switch {
+	case h.lengths+h.codings > 1:
+		return fmt.Errorf("%w: %d Content-Length and %d Transfer-Encoding headers", errNotHTTP, h.lengths, h.codings)
+	case h.codings > 0 && !h.http11:
+		return fmt.Errorf("%w: Transfer-Encoding in another version than HTTP/1.1", errNotHTTP)
+	case noBody && (h.codings > 0 || h.length > 0):
+		return fmt.Errorf("%w: a body with status %d", errNotHTTP, h.status)
+	case h.status == fasthttp.StatusSwitchingProtocols:
+		return fmt.Errorf("%w: a change of protocol that wasn't asked for", errNotHTTP)
+	}
+	return nil
+}
+
 // peekHead waits for the whole head of the next response and checks it. It leaves the head to be
 // read. A line is checked once it has arrived, so that bytes that are no response are an error
 // even if nothing follows them.
--- a/pimentohttp/head_test.go
+++ b/pimentohttp/head_test.go
@@ -24,6 +24,14 @@
 	"Transfer-Encoding : chunked", " Transfer-Encoding: chunked", "\nTransfer-Encoding: chunked",
 }
 
+// invalidFramings are headers that don't say clearly where the body ends.
+var invalidFramings = []string{
+	"Content-Length: 2\r\nContent-Length: 2", "Content-Length: 2\r\nContent-Length: 1", "Content-Length: 2, 2", "Content-Length: -2", "Content-Length: +2",
+	"Content-Length: 0x2", "Content-Length: 2 2", "Content-Length:", "Content-Length: 99999999999999999999",
+	"Content-Length: 2\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 2", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+	"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity", "Transfer-Encoding: chunked;x", "Transfer-Encoding:",
+}
+
 // oddBodies are bodies that a head without a clear framing may come with.
 var oddBodies = []string{"ok", "2\r\nok\r\n0\r\n\r\n", ""}
 
@@ -111,6 +119,28 @@
 	}
 }
 
+// A response that doesn't say clearly where its body ends is no answer.
+func TestInvalidFramingInHead(t *testing.T) {
+	for _, headers := range invalidFramings {
+		t.Run(fmt.Sprintf("%q", headers), func(t *testing.T) {
+			t.Parallel()
+			checkInvalid(t, "HTTP/1.1 200 OK\r\n"+headers)
+			checkInvalid(t, "HTTP/1.1 503 Busy\r\nX-Good: 1\r\n"+headers)
+		})
+	}
+	for _, broken := range []string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked",
+		"HTTP/1.1 204 None\r\nTransfer-Encoding: chunked", "HTTP/1.1 204 None\r\nContent-Length: 2",
+		"HTTP/1.1 101 Change\r\nConnection: Upgrade\r\nUpgrade: x", "HTTP/1.1 100 Continue\r\nContent-Length: 2",
+		"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked",
+	} {
+		t.Run(fmt.Sprintf("%q", broken), func(t *testing.T) {
+			t.Parallel()
+			checkInvalid(t, broken)
+		})
+	}
+}
+
 // A head that is valid is read, whichever its framing and however it arrives.
 func TestValidHeads(t *testing.T) {
 	for head, body := range map[string]string{
