pimentohttp: a chunked body with an invalid trailer is incomplete

Callers got bodies as whole whose trailer held a name with a blank, a folded line or a line feed alone. A line feed alone ended the trailer, so that its rest was left in the connection. A response to another request could not be skipped at all if it was chunked, since its last line stayed unread: the sound response after it was lost.

Cause: fasthttp's decoder of chunks reads the trailer by itself, as leniently as heads; its other decoder, which skipped bodies, doesn't read the trailer.

Change: one reader of chunks, chunkReader, serves bodies that are buffered, streamed and skipped. It reads the trailer through the check of heads and then fasthttp's parser, which refuses more (such as Content-Type there), and wants the size, the end and the extension of each chunk to be valid. The decoder of net/http would do as well, but doesn't tell the number of chunks that maxSmallChunks bounds.

--- a/pimentohttp/body.go
+++ b/pimentohttp/body.go
@@ -1,6 +1,7 @@
 package pimentohttp
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -41,53 +42,38 @@
 		x.BodyBytes = len(body)
 		switch {
 		case errors.Is(err, io.EOF):
-			fasthttp.ReleaseResponse(b.decoder)
 			x.Resp.SetBodyRaw(body)
 			return nil
 		case err != nil:
+			return err
 		case len(body) > x.MaxBuffered:
-			err = fasthttp.ErrBodyTooLarge
+			return fasthttp.ErrBodyTooLarge
 		case reads > maxSmallChunks && len(body) < reads*minMeanChunk:
-			err = errSmallChunks
-		}
-		if err != nil {
-			fasthttp.ReleaseResponse(b.decoder)
-			return err
+			return errSmallChunks
 		}
 	}
 }
 
 // newBodyStream returns a stream of the body. size is its length, -1 if it is chunked.
 func (x *Exchange) newBodyStream(cn *Conn, size int) *bodyStream {
-	b := &bodyStream{x: x, cn: cn, size: size}
+	return &bodyStream{x: x, cn: cn, size: size, r: newBodyReader(cn.r, size)}
+}
+
+// newBodyReader returns a reader of a body. size is its length, -1 if it is chunked.
+func newBodyReader(r *bufio.Reader, size int) io.Reader {
 	if size >= 0 {
-		b.r = io.LimitReader(cn.r, int64(size))
-		return b
+		return io.LimitReader(r, int64(size))
 	}
-	b.decoder = fasthttp.AcquireResponse()
-	x.Resp.Header.CopyTo(&b.decoder.Header)
-	b.decoder.StreamBody = true
-	if err := b.decoder.ReadBody(cn.r, 0); err != nil {
-		b.r = errorReader{err}
-		return b
-	}
-	b.r = b.decoder.BodyStream()
-	return b
+	return &chunkReader{r: r}
 }
 
-// errorReader returns its error from each Read.
-type errorReader struct{ err error }
-
-func (f errorReader) Read([]byte) (int, error) { return 0, f.err }
-
 // bodyStream is a streamed response body. Read returns io.EOF only at the end of a
 // complete body.
 type bodyStream struct {
 	x         *Exchange
 	cn        *Conn
 	r         io.Reader
-	decoder   *fasthttp.Response // Decodes a chunked body. Otherwise nil.
-	size      int                // -1 if chunked.
+	size      int // -1 if chunked.
 	bytesRead int
 	complete  bool
 	failed    bool
@@ -144,10 +130,6 @@
 		return nil
 	}
 	b.closed = true
-	if b.decoder != nil {
-		_ = b.decoder.CloseBodyStream()
-		fasthttp.ReleaseResponse(b.decoder)
-	}
 	switch {
 	case !b.x.detach() || !b.complete || !b.x.fullyWritten() || b.x.Resp.ConnectionClose():
 		b.cn.destroy()
--- a/pimentohttp/exchange.go
+++ b/pimentohttp/exchange.go
@@ -294,9 +294,12 @@
 	return nil
 }
 
-func (x *Exchange) hasNoBody() bool {
+func (x *Exchange) hasNoBody() bool { return x.Req.Header.IsHead() || x.statusHasNoBody() }
+
+// statusHasNoBody reports whether no response with the status has a body.
+func (x *Exchange) statusHasNoBody() bool {
 	code := x.Resp.StatusCode()
-	return x.Req.Header.IsHead() || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
+	return code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
 }
 
 // finish ends an exchange whose response was read completely.
--- a/pimentohttp/fuzz_test.go
+++ b/pimentohttp/fuzz_test.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"testing"
 	"time"
-
-	"github.com/valyala/fasthttp"
 )
 
 // responses are the seeds: what a target may send, complete and truncated, with and
@@ -26,6 +24,12 @@
 	"HTTP/1.1 204 No Content\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 2\r\n\r\nhello",
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 5\r\n\r\nhello",
+	"HTTP/1.1 200 OK\r\n Content-Length: 5\r\n\r\nhello",
+	"HTTP/1.1 200 OK\r\n\nContent-Length: 5\r\n\r\nhello",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\nX-Odd: 1\r\n\r\n",
+	"HTTP/1.1 101 Change\r\nUpgrade: x\r\n\r\n",
 	"not an answer\r\n\r\n",
 	"",
 }
@@ -38,24 +42,8 @@
 		f.Add([]byte(r))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = ln.Close() }()
-		go func() {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			var req fasthttp.Request
-			if req.Read(bufio.NewReader(c)) == nil {
-				_, _ = c.Write(data)
-			}
-		}()
-		var client Client
-		x := newExchange(ln.Addr().String())
+		client := pipeClient(func(c net.Conn) { _, _ = c.Write(data) })
+		x := newExchange("target")
 		x.MaxBuffered = 1 << 16
 		x.Deadline = time.Now().Add(2 * time.Second)
 		x.BodyDeadline = x.Deadline
@@ -63,11 +51,6 @@
 			return
 		}
 		status, body, rest, err := readReference(data)
-		if err != nil {
-			// A body is complete with its last chunk, also without the empty line
-			// after it.
-			status, body, rest, err = readReference(append(bytes.Clone(data), "\r\n"...))
-		}
 		switch {
 		case err != nil:
 			t.Fatalf("accepted: status %d, body %q; net/http: %v", x.Resp.StatusCode(), x.Resp.Body(), err)
--- a/pimentohttp/head.go
+++ b/pimentohttp/head.go
@@ -15,21 +15,22 @@
 
 var (
 	errNotHTTP  = errors.New("the head isn't that of an HTTP/1 response")
-	errLongHead = errors.New("the head of the response is too long")
+	errLongHead = errors.New("the head or the trailer of the response is too long")
 )
 
 // statusLineBytes is the length of the part of a status line up to the byte after the status.
 const statusLineBytes = len("HTTP/1.1 200 ")
 
-// headCheck checks the head of a response while it arrives. The head's parser, that of
+// headCheck checks the head or the trailer of a response while it arrives. The head's parser, that of
 // fasthttp, is more lenient: it joins lines that begin with a blank to the line before, ends a
 // head at a line feed without a carriage return, accepts blanks in names, and reads a status of 0
 // as 200. Such a response could be forwarded with another meaning than its target's, or with
 // another body.
 type headCheck struct {
-	next   int // Where the first unchecked line begins.
-	http11 bool
-	status int
+	inTrailer bool // There is no status line, and nothing about the body.
+	next      int  // Where the first unchecked line begins.
+	http11    bool
+	status    int
 	// lengths and codings are the numbers of Content-Length and Transfer-Encoding headers.
 	lengths, codings int
 	length           uint64
@@ -39,7 +40,7 @@
 // complete. buf holds the bytes of the head that have arrived so far, and may hold more than the
 // head.
 func (h *headCheck) check(buf []byte) (complete bool, err error) {
-	if h.next == 0 && len(buf) >= statusLineBytes {
+	if h.next == 0 && !h.inTrailer && len(buf) >= statusLineBytes {
 		if err := checkStatusStart(buf); err != nil { // The line may never end.
 			return false, err
 		}
@@ -53,7 +54,7 @@
 		if err != nil {
 			return false, err
 		}
-		isStatus := h.next == 0
+		isStatus := h.next == 0 && !h.inTrailer
 		h.next += n + 1
 		switch {
 		case isStatus:
@@ -149,6 +150,10 @@
 func (h *headCheck) checkFraming() error {
 	noBody := h.status < 200 || h.status == fasthttp.StatusNoContent
 	switch {
+	case h.inTrailer && h.lengths+h.codings > 0:
+		return fmt.Errorf("%w: Content-Length or Transfer-Encoding in a trailer", errNotHTTP)
+	case h.inTrailer:
+		return nil
 	case h.lengths+h.codings > 1:
 		return fmt.Errorf("%w: %d Content-Length and %d Transfer-Encoding headers", errNotHTTP, h.lengths, h.codings)
 	case h.codings > 0 && !h.http11:
@@ -161,11 +166,10 @@
 	return nil
 }
 
-// peekHead waits for the whole head of the next response and checks it. It leaves the head to be
-// read. A line is checked once it has arrived, so that bytes that are no response are an error
-// even if nothing follows them.
-func peekHead(r *bufio.Reader) error {
-	var h headCheck
+// awaitLines waits for the whole head or trailer and checks it. It leaves the lines to be read. A
+// line is checked once it has arrived, so that bytes that are no response are an error even if
+// nothing follows them.
+func awaitLines(r *bufio.Reader, h *headCheck) error {
 	for {
 		buf, err := r.Peek(r.Buffered())
 		if err != nil {
@@ -184,7 +188,7 @@
 
 // readHead reads and checks the head of the next response.
 func readHead(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
-	if err := peekHead(r); err != nil {
+	if err := awaitLines(r, new(headCheck)); err != nil {
 		return err
 	}
 	return h.Read(r)
--- a/pimentohttp/head_test.go
+++ b/pimentohttp/head_test.go
@@ -57,6 +57,8 @@
 	x.Req.Header.SetMethod(method)
 	x.MaxBuffered = maxBuffered
 	x.Deadline = time.Now().Add(2 * time.Second)
+	x.EchoHeader = "X-Request-Id"
+	x.Req.Header.Set(x.EchoHeader, "own")
 	err := pipeClient(func(c net.Conn) { _, _ = io.WriteString(c, response) }).Do(x)
 	if err == nil && x.Resp.IsBodyStream() {
 		err = x.Resp.BodyWriteTo(new(strings.Builder))
--- a/pimentohttp/memory.go
+++ b/pimentohttp/memory.go
@@ -2,6 +2,9 @@
 
 import (
 	"bufio"
+	"io"
+
+	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentomemory"
 )
@@ -12,7 +15,23 @@
 		return pimentomemory.ErrUsedUp
 	}
 	defer x.Memory.Shrink(defaultMaxBuffered)
-	return x.Resp.ReadBody(r, defaultMaxBuffered)
+	size := x.Resp.Header.ContentLength()
+	switch {
+	case x.statusHasNoBody():
+		return nil
+	case size < -1:
+		return errUnframed
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(newBodyReader(r, size), defaultMaxBuffered+1))
+	switch {
+	case err != nil:
+		return err
+	case n > defaultMaxBuffered:
+		return fasthttp.ErrBodyTooLarge
+	case n < int64(size):
+		return io.ErrUnexpectedEOF
+	}
+	return nil
 }
 
 // AwaitWritten waits until nothing of the request is being written any more. It is called
