--- a/pimentocaller/client.go
+++ b/pimentocaller/client.go
@@ -1,9 +1,8 @@
 package pimentocaller
 
 import (
-	"errors"
+	"bytes"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -111,8 +110,12 @@
 	// attemptTimeout is the time limit of one attempt, so that a silent connection
 	// uses up only a part of the request's time.
 	attemptTimeout = 3 * time.Second
-	minBackoff     = 20 * time.Millisecond
-	maxBackoff     = 500 * time.Millisecond
+	// dialTimeout bounds the time to open a connection.
+	dialTimeout = 3 * time.Second
+	// maxIdle is the time after which an idle connection is no longer used.
+	maxIdle    = 20 * time.Second
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
 )
 
 // Client sends requests of one organisation. It is safe for concurrent use.
@@ -123,7 +126,7 @@
 	// platform's balancer in front of the entries.
 	Address func() string
 
-	http     fasthttp.Client
+	http     pimentohttp.Client
 	keyPool  keyPool
 	attempts atomic.Uint64
 }
@@ -131,20 +134,8 @@
 // New returns a client and its cleanup function, which closes idle connections.
 func New(organisation string, address func() string) (*Client, func()) {
 	c := &Client{Organisation: organisation, Address: address}
-	c.http = fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxIdleConnDuration:       20 * time.Second,
-		MaxConnsPerHost:           4096,
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := fasthttp.Dial(address)
-			if err != nil {
-				return nil, err
-			}
-			return pimentohttp.CheckResponses(conn), nil
-		},
-	}
-	return c, c.http.CloseIdleConnections
+	c.http = pimentohttp.Client{MaxIdle: maxIdle, DialTimeout: dialTimeout, Redial: true}
+	return c, c.http.PruneRegularly()
 }
 
 // Attempts returns the number of times that requests were sent so far.
@@ -213,11 +204,11 @@
 		}
 		c.key = key
 	}
-	resp, err := c.send()
+	resp, sent, err := c.send()
 	if err != nil {
 		c.err = err
 		c.response = nil
-		c.mayHaveRun = c.mayHaveRun || mayHaveSent(err)
+		c.mayHaveRun = c.mayHaveRun || sent
 		return false
 	}
 	c.response = resp
@@ -253,7 +244,9 @@
 	"queue": true, "targets": true, "refused": true, "failed": true,
 }
 
-func (c *call) send() (*Response, error) {
+// send sends the request once. After an error, sent reports whether any byte of it may have
+// reached an entry.
+func (c *call) send() (response *Response, sent bool, err error) {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -261,7 +254,8 @@
 	c.attempts++
 	c.client.attempts.Add(1)
 	left := max(time.Until(c.deadline), time.Millisecond)
-	req.SetRequestURI("http://" + c.client.Address() + "/" + c.request.Service + c.request.Path)
+	address := c.client.Address()
+	req.SetRequestURI("http://" + address + "/" + c.request.Service + c.request.Path)
 	req.Header.SetMethod(c.request.Method)
 	req.Header.Set("Pimento-Org", c.client.Organisation)
 	req.Header.Set("Pimento-Timeout", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
@@ -272,10 +266,26 @@
 		req.Header.Set(f.Name, f.Value)
 	}
 	req.SetBodyRaw(c.request.Body)
-	if err := c.client.http.DoTimeout(req, resp, c.attemptLimit(left)); err != nil {
-		return nil, err
+	body, sent, err := c.client.exchange(address, req, resp, c.attemptLimit(left))
+	if err != nil {
+		return nil, sent, err
 	}
-	return c.newResponse(resp), nil
+	return c.newResponse(resp, body), sent, nil
+}
+
+// exchange sends a request to an entry, and reads the response and its body. sent reports whether
+// any byte of the request may have reached the entry. Entries state where each body ends, so one
+// without a length is an error.
+func (c *Client) exchange(address string, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) (body []byte, sent bool, err error) {
+	limit := time.Now().Add(timeout)
+	x := &pimentohttp.Exchange{Address: address, Req: req, Resp: resp, Deadline: limit, BodyDeadline: limit}
+	defer x.AwaitWritten()
+	if err := c.http.Do(x); err != nil {
+		return nil, x.Sent(), err
+	}
+	var buf bytes.Buffer
+	err = resp.BodyWriteTo(&buf)
+	return buf.Bytes(), true, err
 }
 
 // attemptLimit returns the time limit of one attempt. The last attempt gets all the
@@ -288,18 +298,11 @@
 	return attemptTimeout
 }
 
-// mayHaveSent reports whether the request may have been sent in spite of an error. Only
-// a failed dial rules that out.
-func mayHaveSent(err error) bool {
-	var op *net.OpError
-	return !errors.As(err, &op) || op.Op != "dial"
-}
-
-// newResponse copies an HTTP response, and adds the keys that it brings to the pool.
-func (c *call) newResponse(resp *fasthttp.Response) *Response {
+// newResponse copies the head of an HTTP response, and adds the keys that it brings to the pool.
+func (c *call) newResponse(resp *fasthttp.Response, body []byte) *Response {
 	r := &Response{
 		Status:   resp.StatusCode(),
-		Body:     append([]byte(nil), resp.Body()...),
+		Body:     body,
 		Run:      Run(resp.Header.Peek("Pimento-Run")),
 		Reason:   string(resp.Header.Peek("Pimento-Reason")),
 		Key:      c.key,
--- a/pimentocaller/keypool.go
+++ b/pimentocaller/keypool.go
@@ -78,10 +78,11 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + c.Address() + "/.pimento/keys?service=" + service + "&n=" + strconv.Itoa(keyBatch))
+	address := c.Address()
+	req.SetRequestURI("http://" + address + "/.pimento/keys?service=" + service + "&n=" + strconv.Itoa(keyBatch))
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.Set("Pimento-Org", c.Organisation)
-	if err := c.http.DoTimeout(req, resp, min(attemptTimeout, time.Until(deadline))); err != nil {
+	if _, _, err := c.exchange(address, req, resp, min(attemptTimeout, time.Until(deadline))); err != nil {
 		return "", err
 	}
 	keys := string(resp.Header.Peek("Pimento-Keys"))
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -136,6 +136,28 @@
 	return stale
 }
 
+// PruneRegularly prunes the client until stop is called, which also closes all idle connections.
+// It is for users that don't call Prune.
+func (c *Client) PruneRegularly() (stop func()) {
+	stopped := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(c.maxIdle())
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				c.Prune(now)
+			case <-stopped:
+				return
+			}
+		}
+	}()
+	return sync.OnceFunc(func() {
+		close(stopped)
+		c.CloseAllIdle()
+	})
+}
+
 // closeStale closes idle connections that the target has closed and reports
 // whether there were any. One with unread data counts as closed.
 func (p *pool) closeStale() bool {
--- a/pimentohttp/head.go
+++ b/pimentohttp/head.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"strconv"
 	"strings"
 
@@ -198,47 +196,3 @@
 func ReadHead(h *fasthttp.ResponseHeader, head []byte) error {
 	return readHead(h, bufio.NewReaderSize(bytes.NewReader(head), len(head)+1))
 }
-
-// CheckResponses returns a connection whose reads fail if a response begins with an invalid
-// status line, or is an informational one. It is for clients that read one response after each
-// request, and is used by one goroutine at a time.
-func CheckResponses(conn net.Conn) net.Conn { return &checkedConn{Conn: conn} }
-
-// checkedConn implements CheckResponses.
-type checkedConn struct {
-	net.Conn
-	awaiting bool // The next byte that is read is the first one of a response.
-	unread   []byte
-}
-
-// Write implements net.Conn.
-func (c *checkedConn) Write(p []byte) (int, error) {
-	c.awaiting = true
-	return c.Conn.Write(p)
-}
-
-// Read implements net.Conn.
-func (c *checkedConn) Read(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	if c.awaiting {
-		start := make([]byte, statusLineBytes)
-		if _, err := io.ReadFull(c.Conn, start); err != nil {
-			return 0, err
-		}
-		if err := checkStatusStart(start); err != nil {
-			return 0, err
-		}
-		if start[9] == '1' {
-			return 0, errNotHTTP
-		}
-		c.awaiting, c.unread = false, start
-	}
-	if len(c.unread) > 0 {
-		n := copy(p, c.unread)
-		c.unread = c.unread[n:]
-		return n, nil
-	}
-	return c.Conn.Read(p)
-}
--- a/pimentohttp/statusline_test.go
+++ b/pimentohttp/statusline_test.go
@@ -59,18 +59,12 @@
 			address := serveStatuses(t, responseWith("200"), responseWith(status))
 			c := Client{MaxIdle: time.Second, DialTimeout: time.Second}
 			defer c.CloseAllIdle()
-			bare := fasthttp.Client{Dial: func(addr string) (net.Conn, error) {
-				conn, err := net.Dial("tcp", addr)
-				if err != nil {
-					return nil, err
-				}
-				return CheckResponses(conn), nil
-			}, MaxIdemponentCallAttempts: 1}
-			defer bare.CloseIdleConnections()
 			for i := range 2 {
-				code, _, err := bare.GetTimeout(nil, "http://"+address+"/", time.Second)
+				x := &Exchange{Address: address, Req: new(fasthttp.Request), Resp: new(fasthttp.Response), Deadline: time.Now().Add(time.Second)}
+				x.Req.Header.SetHost("h")
+				err := c.Do(x)
 				is.Equal(err == nil, i == 0)
-				is.True(err != nil || code == fasthttp.StatusOK)
+				is.True(err != nil || x.Resp.StatusCode() == fasthttp.StatusOK)
 			}
 			var h fasthttp.ResponseHeader
 			is.True(errors.Is(ReadHead(&h, []byte(responseWith(status))), errNotHTTP))
--- a/pimentoplatform/client.go
+++ b/pimentoplatform/client.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -71,7 +70,7 @@
 	// is considered silent.
 	WatchTimeout time.Duration
 
-	http     fasthttp.Client
+	http     pimentohttp.Client
 	nextAddr atomic.Uint32 // Index in Addresses, modulo their number.
 	calls    atomic.Uint64
 }
@@ -81,6 +80,8 @@
 	// dialTimeout bounds the time to open a connection, and the time for which sent
 	// bytes may stay unacknowledged (the TCP user timeout).
 	dialTimeout = time.Second
+	// maxIdle is the time after which an idle connection is no longer used.
+	maxIdle = 10 * time.Second
 	// maxResponseBytes bounds the body of a response, in bytes.
 	maxResponseBytes = 4 * pimentoregister.MaxBytes
 )
@@ -89,24 +90,8 @@
 // idle connections.
 func NewClient(addresses []string) (*Client, func()) {
 	c := &Client{Addresses: addresses, WatchTimeout: defaultWatchTimeout}
-	c.http = fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxResponseBytes,
-		ReadTimeout:               defaultWatchTimeout,
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := fasthttp.DialTimeout(address, dialTimeout)
-			if err != nil {
-				return nil, err
-			}
-			if err := pimentohttp.SetUserTimeout(conn, dialTimeout); err != nil {
-				_ = conn.Close()
-				return nil, err
-			}
-			return pimentohttp.CheckResponses(conn), nil
-		},
-	}
-	return c, c.http.CloseIdleConnections
+	c.http = pimentohttp.Client{MaxIdle: maxIdle, DialTimeout: dialTimeout, UserTimeout: dialTimeout, Redial: true}
+	return c, c.http.PruneRegularly()
 }
 
 // Calls returns the number of reads so far.
@@ -171,7 +156,12 @@
 	address := c.Addresses[int(c.nextAddr.Load())%len(c.Addresses)]
 	req.SetRequestURI("http://" + address + path)
 	c.calls.Add(1)
-	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
+	x := &pimentohttp.Exchange{Address: address, Req: req, Resp: resp, Deadline: time.Now().Add(timeout), MaxBuffered: maxResponseBytes}
+	err := c.http.Do(x)
+	if err == nil && resp.IsBodyStream() {
+		err = fasthttp.ErrBodyTooLarge
+	}
+	if err != nil {
 		c.nextAddr.Add(1)
 		kind := KindUnreachable
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
