pimentoentry: a body is held until its write has ended

Found while looking at early answers, on pimentoentry's own interface: a target that answered an upload early, with a body that is streamed, and read on got bytes of another request where the rest of the upload was due.

Cause: send released the request and its body when Do returned, which is before the end of a long write if the answer is early. The buffer went back to the pool and was filled by the next request.

Change: Exchange.AfterWritten releases both once nothing is being written any more.

--- a/pimentoentry/dispatch.go
+++ b/pimentoentry/dispatch.go
@@ -38,11 +38,15 @@
 
 // send performs the attempt and reports its end to the service's table and to the
 // quarantine, which must have allowed it. The caller has retained b, and send
-// releases it.
+// releases it, but not before the end of the write: a target may respond before it has
+// read the whole body, and read on.
 func (e *Entry) send(c *call, b *body, a *attempt) {
-	defer b.release()
-	a.Req = c.targetRequest(time.Until(c.deadline))
-	defer fasthttp.ReleaseRequest(a.Req)
+	req := c.targetRequest(time.Until(c.deadline))
+	a.Req = req
+	defer a.AfterWritten(func() {
+		fasthttp.ReleaseRequest(req)
+		b.release()
+	})
 	a.OnBodyEnd = func(end pimentohttp.BodyEnd) { e.onResponseEnd(c, a, end) }
 	a.err = e.client.Do(&a.Exchange)
 	if a.err == nil {
--- a/pimentoentry/path_test.go
+++ b/pimentoentry/path_test.go
@@ -212,6 +212,15 @@
 	}
 }
 
+// addService adds a service with one target.
+func (f *cluster) addService(name pimentoregister.ServiceName, address string) {
+	s := f.doc.Services[0]
+	s.Name = name
+	s.Class = pimentoregister.ClassRead
+	f.doc.Services = append(f.doc.Services, s)
+	f.doc.VMs = append(f.doc.VMs, pimentoregister.VM{Name: pimentoregister.VMName(name), Service: name, Domain: "west-a", Address: address})
+}
+
 // addRawTarget adds a service with one target, which reads a request, writes the given
 // bytes and closes the connection.
 func (f *cluster) addRawTarget(name pimentoregister.ServiceName, response string) {
@@ -231,13 +240,7 @@
 			}()
 		}
 	}()
-	s := f.doc.Services[0]
-	s.Name = name
-	s.Class = pimentoregister.ClassRead
-	f.doc.Services = append(f.doc.Services, s)
-	f.doc.VMs = append(f.doc.VMs, pimentoregister.VM{
-		Name: pimentoregister.VMName(name), Service: name, Domain: "west-a", Address: ln.Addr().String(),
-	})
+	f.addService(name, ln.Addr().String())
 }
 
 // Large responses must be streamed completely, also over a link between entries.
--- a/pimentohttp/memory.go
+++ b/pimentohttp/memory.go
@@ -41,3 +41,21 @@
 		<-x.writeDone
 	}
 }
+
+// AfterWritten calls f once nothing of the request is being written any more, at once if that is
+// so already. It is called after Do has returned.
+func (x *Exchange) AfterWritten(f func()) {
+	if x.writeDone == nil {
+		f()
+		return
+	}
+	select {
+	case <-x.writeDone:
+		f()
+	default:
+		go func() {
+			x.AwaitWritten()
+			f()
+		}()
+	}
+}
