--- a/pimentoentry/path_test.go
+++ b/pimentoentry/path_test.go
@@ -170,6 +170,7 @@
 		"half":     "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
 		"unframed": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nas long as it lasts",
 		"chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal",
+		"zero":     "HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\nwhole",
 		"blank":    "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nwhole",
 		"colon":    "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nwhole",
 		"folded":   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Good: 1\r\n X-Odd: 1\r\n\r\nwhole",
--- a/pimentohttp/chunk.go
+++ b/pimentohttp/chunk.go
@@ -54,7 +54,7 @@
 	digits, extension, _ := bytes.Cut(text, []byte(";"))
 	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, strconv.IntSize-1)
 	if err != nil || !isFieldValue(extension) {
-		return 0, fmt.Errorf("%w: size of a chunk in line %q", errNotHTTP, text)
+		return 0, fmt.Errorf("%w: size of a chunk in line %.40q", errNotHTTP, text)
 	}
 	if size > 0 {
 		return int(size), nil
@@ -72,7 +72,7 @@
 		return err
 	}
 	if string(end[:]) != "\r\n" {
-		return fmt.Errorf("%w: %q at the end of a chunk", errNotHTTP, end)
+		return fmt.Errorf("%w: %q at the end of a chunk", errNotHTTP, end[:])
 	}
 	return nil
 }
--- a/pimentohttp/head.go
+++ b/pimentohttp/head.go
@@ -12,7 +12,7 @@
 )
 
 var (
-	errNotHTTP  = errors.New("the head isn't that of an HTTP/1 response")
+	errNotHTTP  = errors.New("the response isn't valid HTTP/1")
 	errLongHead = errors.New("the head or the trailer of the response is too long")
 )
 
@@ -72,7 +72,7 @@
 func trimLine(line []byte) ([]byte, error) {
 	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
 	if !ok || bytes.IndexByte(text, '\r') >= 0 {
-		return nil, fmt.Errorf("%w: a carriage return or line feed alone in line %q", errNotHTTP, line)
+		return nil, fmt.Errorf("%w: a carriage return or line feed alone in line %.40q", errNotHTTP, line)
 	}
 	return text, nil
 }
@@ -95,12 +95,12 @@
 // text after the status.
 func (h *headCheck) checkStatusLine(line []byte) error {
 	if len(line) < statusLineBytes-1 || !isFieldValue(line) {
-		return fmt.Errorf("%w: status line %q", errNotHTTP, line)
+		return fmt.Errorf("%w: status line %.40q", errNotHTTP, line)
 	}
 	h.http11 = bytes.HasPrefix(line, []byte("HTTP/1.1"))
 	var err error
 	if h.status, err = strconv.Atoi(string(line[9:12])); err != nil {
-		return fmt.Errorf("%w: status line %q", errNotHTTP, line)
+		return fmt.Errorf("%w: status line %.40q", errNotHTTP, line)
 	}
 	return nil
 }
@@ -109,7 +109,7 @@
 func (h *headCheck) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !isFieldName(name) || !isFieldValue(value) {
-		return fmt.Errorf("%w: line %q", errNotHTTP, line)
+		return fmt.Errorf("%w: line %.40q", errNotHTTP, line)
 	}
 	value = bytes.TrimSpace(value)
 	switch {
@@ -117,12 +117,12 @@
 		h.lengths++
 		var err error
 		if h.length, err = strconv.ParseUint(string(value), 10, 63); err != nil {
-			return fmt.Errorf("%w: Content-Length %q", errNotHTTP, value)
+			return fmt.Errorf("%w: Content-Length %.40q", errNotHTTP, value)
 		}
 	case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
 		h.codings++
 		if !bytes.EqualFold(value, []byte("chunked")) {
-			return fmt.Errorf("%w: Transfer-Encoding %q", errNotHTTP, value)
+			return fmt.Errorf("%w: Transfer-Encoding %.40q", errNotHTTP, value)
 		}
 	}
 	return nil
