pimentohttp: skipBody beside the other readers of bodies, files named for their content

The status is computed from the digits that were checked before, instead of with an error that can't occur; blanks around lengths and codings are spaces and tabs only, as in HTTP.

--- a/pimentohttp/body.go
+++ b/pimentohttp/body.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"pimentoarch/pimentomemory"
 )
 
 const (
@@ -67,6 +69,31 @@
 	return &chunkReader{r: r}
 }
 
+// skipBody reads the body of a response to another request.
+func (x *Exchange) skipBody(r *bufio.Reader) error {
+	if !x.Memory.Grow(defaultMaxBuffered) {
+		return pimentomemory.ErrUsedUp
+	}
+	defer x.Memory.Shrink(defaultMaxBuffered)
+	size := x.Resp.Header.ContentLength()
+	switch {
+	case x.statusHasNoBody():
+		return nil
+	case size < -1:
+		return errUnframed
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(newBodyReader(r, size), defaultMaxBuffered+1))
+	switch {
+	case err != nil:
+		return err
+	case n > defaultMaxBuffered:
+		return fasthttp.ErrBodyTooLarge
+	case n < int64(size):
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // bodyStream is a streamed response body. Read returns io.EOF only at the end of a
 // complete body.
 type bodyStream struct {
--- a/pimentohttp/head.go
+++ b/pimentohttp/head.go
@@ -25,7 +25,7 @@
 // as 200. Such a response could be forwarded with another meaning than its target's, or with
 // another body.
 type headCheck struct {
-	inTrailer bool // There is no status line, and nothing about the body.
+	inTrailer bool // A trailer has no status line, and says nothing about the body.
 	next      int  // Where the first unchecked line begins.
 	http11    bool
 	status    int
@@ -91,17 +91,14 @@
 	return nil
 }
 
-// checkStatusLine checks the rest of a status line, and sets what it states. The line may have no
-// text after the status.
+// checkStatusLine checks the rest of a status line that checkStatusStart has checked, and sets what
+// it states. The line may have no text after the status.
 func (h *headCheck) checkStatusLine(line []byte) error {
 	if len(line) < statusLineBytes-1 || !isFieldValue(line) {
 		return fmt.Errorf("%w: status line %.40q", errNotHTTP, line)
 	}
 	h.http11 = bytes.HasPrefix(line, []byte("HTTP/1.1"))
-	var err error
-	if h.status, err = strconv.Atoi(string(line[9:12])); err != nil {
-		return fmt.Errorf("%w: status line %.40q", errNotHTTP, line)
-	}
+	h.status = 100*int(line[9]-'0') + 10*int(line[10]-'0') + int(line[11]-'0')
 	return nil
 }
 
@@ -111,7 +108,7 @@
 	if !ok || !isFieldName(name) || !isFieldValue(value) {
 		return fmt.Errorf("%w: line %.40q", errNotHTTP, line)
 	}
-	value = bytes.TrimSpace(value)
+	value = bytes.Trim(value, " \t")
 	switch {
 	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
 		h.lengths++
