pimentogate: log which items were kept until an era settled

After the store came back from an older copy, the log said how many items were kept in place of the store's, but not which. Each item that was still kept at the end has a line now.

--- a/pimentogate/eras.go
+++ b/pimentogate/eras.go
@@ -28,6 +28,7 @@
 	}
 	for _, it := range changed {
 		g.applyItem(now, it, false)
+		g.logChange("msg", "item kept until now", "key", it.Key, "removed", it.Removed, "revision", it.Revision)
 	}
 	g.updateTable()
 	g.logChange("msg", "what the platform's store has counts again", "era", cs.feed.At().Era, "items", len(changed))
