pimentofeed, pimentogate: an evacuation of a new era holds at once

Cause: the store had come back from a copy without an earlier evacuation and its removal. The entries knew the removal at a higher revision than the new evacuation has, as revisions are given out again, and nothing in the values tells the two evacuations apart. State.enterEra kept the removal until the era settled, 6 s later; that wait is made for targets. The log shows both entries in the new era within 0.2 s, and 'item kept until now key=op/evacuate/nadi-b' 6.2 s and 6.7 s after the acknowledgement, so it was neither a late read nor a peer.

Change: State.Restricts says which items only keep requests back. Such an item of the store's holds over a known removal, and a peer's dispute about such a removal isn't taken over (entries of an earlier release still send them). Why this works: what the store has is either the new order or one that its owner removes again, and following the second one for a moment sends nothing where it mustn't go. No wait is left, so the bound needs no sum of waits.

Tests, each failed before: TestEvacuationAfterRestore (sockets, three shapes: took over 5 s in each), TestRestrictionsHoldAfterRestores (generated histories; failed after 8 of them), TestRestrictionOfNewEraCounts, TestKeptRemovalDoesntEndRestriction. TestNothingGoesBackWithAnOlderCopy draws the restriction as a fifth key; its check lets an earlier write of that key show again only after a removal, and demands in turn that no state that has all changes misses it.

--- a/pimentofeed/era.go
+++ b/pimentofeed/era.go
@@ -30,8 +30,9 @@
 const settleTime = 6 * time.Second
 
 // enterEra replaces the items by those of a full update of a later era. An item is taken over
-// if it was surely written after the one that is known. Others are kept, as the store may have
-// lost a change that it has acknowledged. It returns the items that have changed.
+// if it was surely written after the one that is known, or is a restriction whose removal is
+// known. Others are kept, as the store may have lost a change that it has acknowledged. It
+// returns the items that have changed.
 func (s *State) enterEra(now time.Duration, u Update) []Item {
 	known, asOf := s.items, s.asOf
 	s.prior, s.written = s.points(), make(map[string]bool)
@@ -44,7 +45,7 @@
 	for _, it := range u.stored() {
 		old, ok := known[it.Key]
 		delete(known, it.Key)
-		if ok && !s.wasWrittenAfter(it, old) {
+		if ok && !s.restores(it, old) && !s.wasWrittenAfter(it, old) {
 			s.keep(old, it)
 			continue
 		}
@@ -123,6 +124,13 @@
 	return s.Newer(it.Key, it.Value, old.Value)
 }
 
+// restores reports whether an item of the store's is a restriction that holds although its
+// removal is known. It may have been written since the store came back, or be older than the
+// removal: their revisions can't be compared. Its owner removes it again in the second case.
+func (s *State) restores(stored, known Item) bool {
+	return known.Removed && !stored.Removed && s.Restricts != nil && s.Restricts(stored.Key, stored.Value)
+}
+
 // keep keeps an item in place of what the store has.
 func (s *State) keep(kept, stored Item) {
 	d := Dispute{Kept: kept, Era: s.prior[kept.Key].Era, Stored: stored, Base: s.asOf}
@@ -152,6 +160,9 @@
 	}
 	var changed []Item
 	for _, d := range u.Disputes {
+		if s.restores(d.Stored, d.Kept) {
+			continue // The peer runs an earlier release.
+		}
 		it, known := s.items[d.Kept.Key]
 		if known && it.Revision > d.Base || s.written[d.Kept.Key] {
 			continue
--- a/pimentofeed/state.go
+++ b/pimentofeed/state.go
@@ -64,6 +64,11 @@
 	// Newer reports whether one value of an item was surely written after another one. It
 	// is set before the first update, and may be nil.
 	Newer func(key string, value, old []byte) bool
+	// Restricts reports whether an item, as long as it exists, keeps requests from targets. It
+	// is set before the first update, and may be nil. When the store has come back from an
+	// older copy, such an item counts at once: obeying one that has ended costs less than
+	// missing one that the store has acknowledged.
+	Restricts func(key string, value []byte) bool
 
 	era Era
 	// disputes are by key. They end at settleAt.
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -152,7 +152,7 @@
 		RunID: rand.Uint64() | 1, Version: uint64(time.Now().UnixMilli()),
 	})
 	g.limitFreshness()
-	g.cluster.feed.Newer = p.Newer
+	g.cluster.feed.Newer, g.cluster.feed.Restricts = p.Newer, g.takesDomainOut
 	g.seedAddrs.Store(&s.Seeds)
 	if s.FirstStart && len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.PeersAddr) {
 		g.firstReadAt = firstReadWait + randomUpTo(firstReadJitter)
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// takesDomainOut reports whether a published item takes a failure domain out of service.
+func (g *Gate) takesDomainOut(key string, value []byte) bool {
+	r, err := g.decode(key, value)
+	return err == nil && r.Out != ""
+}
+
 // logUnknownKinds logs and counts the routes of a new configuration whose kind isn't known.
 func (g *Gate) logUnknownKinds(cfg *pimentoroute.Config) {
 	for _, r := range cfg.Routes {
