pimentofeed: a late message doesn't revive a dispute that has ended

After the store came back from an older copy, an entry keeps the removal of an item that the copy has. If a full read then shows that the owner has removed it again, the dispute ends, but the kept removal stayed at the revision from which disputes are still taken over. A late message of a peer revived the dispute; when the era settled, the item of the copy was in effect, although the store doesn't have it: a target that has left gets requests until the next full read.

Change: the kept removal gets the revision of the read that ended the dispute, as a removal that is read by a watch has. A message about an earlier revision can't replace it then.

TestEndedDisputeStaysEnded failed before (1 dispute after the late message) and passes.

--- a/pimentofeed/era.go
+++ b/pimentofeed/era.go
@@ -207,11 +207,16 @@
 }
 
 // dropRemovedDisputes ends the disputes about items that the store had when its era began and
-// doesn't have any more, as of a later revision: their owners have removed them since.
+// doesn't have any more, as of a later revision: their owners have removed them since. A kept
+// removal gets that revision, so that no late message revives the dispute.
 func (s *State) dropRemovedDisputes(listed map[string]bool, asOf Revision) {
 	for key, d := range s.disputes {
-		if !d.Stored.Removed && !listed[key] && asOf > d.Base {
-			delete(s.disputes, key)
+		if d.Stored.Removed || listed[key] || asOf <= d.Base {
+			continue
+		}
+		delete(s.disputes, key)
+		if d.Kept.Removed {
+			s.putKept(d.Kept, asOf)
 		}
 	}
 }
--- a/pimentofeed/era_test.go
+++ b/pimentofeed/era_test.go
@@ -332,3 +332,29 @@
 	fresh.Merge(0, Update{Era: 2, Full: true, AsOf: 2, Disputes: []Dispute{dispute}})
 	is.Equal(contents(fresh), map[string]string{restriction: "3"})
 }
+
+// A full read shows that the owner of an item, whose removal is kept, has removed it again. Guards
+// against a late message of a peer reviving the dispute: the item of the copy was in effect at its
+// end, although the store doesn't have it.
+func TestEndedDisputeStaysEnded(t *testing.T) {
+	is := is.New(t)
+	src := &restorable{publisher: publisher{items: make(map[string]Item), rev: 1}, written: make(map[string][]writtenItem)}
+	s := newObserver().state
+	src.write("a", false)
+	src.copyNow()
+	s.Merge(0, src.readNow())
+	src.write("a", true)
+	s.Merge(0, src.readNow())
+	src.restore()
+	s.Merge(0, src.readNow())
+	is.Equal(s.Disputed(), 1)
+	late := s.Since(0, Point{})
+	src.rewrite()
+	s.Merge(0, src.readNow())
+	is.Equal(s.Disputed(), 0)
+	s.Merge(0, transfer(t, late))
+	is.Equal(s.Disputed(), 0)
+	s.Confirm(settleTime, 0)
+	s.Settle()
+	is.Equal(contents(s), map[string]string{})
+}
