--- a/pimentofeed/era.go
+++ b/pimentofeed/era.go
@@ -45,7 +45,7 @@
 	for _, it := range u.stored() {
 		old, ok := known[it.Key]
 		delete(known, it.Key)
-		if ok && !s.restores(it, old) && !s.wasWrittenAfter(it, old) {
+		if ok && !s.overridesRemoval(it, old) && !s.wasWrittenAfter(it, old) {
 			s.keep(old, it)
 			continue
 		}
@@ -125,10 +125,10 @@
 	return s.Newer(it.Key, it.Value, old.Value)
 }
 
-// restores reports whether an item of the store's is a restriction that holds although its
-// removal is known. It may have been written since the store came back, or be older than the
-// removal: their revisions can't be compared. Its owner removes it again in the second case.
-func (s *State) restores(stored, known Item) bool {
+// overridesRemoval reports whether an item of the store's is a restriction that holds although
+// its removal is known. It may have been written since the store came back, or be older than
+// the removal: their revisions can't be compared. Its owner removes it again in the second case.
+func (s *State) overridesRemoval(stored, known Item) bool {
 	return known.Removed && !stored.Removed && s.Restricts != nil && s.Restricts(stored.Key, stored.Value)
 }
 
@@ -161,7 +161,7 @@
 	}
 	var changed []Item
 	for _, d := range u.Disputes {
-		if s.restores(d.Stored, d.Kept) {
+		if s.overridesRemoval(d.Stored, d.Kept) {
 			continue // The peer runs an earlier release.
 		}
 		it, known := s.items[d.Kept.Key]
--- a/pimentofeed/era_test.go
+++ b/pimentofeed/era_test.go
@@ -10,155 +10,6 @@
 	"pgregory.net/rapid"
 )
 
-// writtenItem is one write of an item by its owner.
-type writtenItem struct {
-	number int // Increases with each write of the item.
-	value  string
-}
-
-// restorable models a store that comes back from copies of itself, and the owners of its
-// items, which write again what they have written. It is the oracle of the test.
-type restorable struct {
-	publisher
-	era    Era
-	copied publisher
-	// written has all writes of each item. Values are their numbers, "" for a removal.
-	written map[string][]writtenItem
-}
-
-// write changes an item as its owner does.
-func (s *restorable) write(key string, remove bool) {
-	n := len(s.written[key]) + 1
-	value := strconv.Itoa(n)
-	if remove {
-		value = ""
-	}
-	s.written[key] = append(s.written[key], writtenItem{n, value})
-	s.change(key, value)
-}
-
-// copyNow makes a copy from which the store may come back.
-func (s *restorable) copyNow() {
-	s.copied = publisher{items: maps.Clone(s.items), history: append([]Item(nil), s.history...), rev: s.rev, compactedTo: s.compactedTo}
-}
-
-// restore brings the store back from its copy.
-func (s *restorable) restore() {
-	s.publisher = publisher{items: maps.Clone(s.copied.items), history: append([]Item(nil), s.copied.history...), rev: s.copied.rev, compactedTo: s.copied.compactedTo}
-	s.era++
-}
-
-// rewrite writes again the last writes that the store has lost.
-func (s *restorable) rewrite() {
-	for key, writes := range s.written {
-		last := writes[len(writes)-1].value
-		if string(s.items[key].Value) != last {
-			s.change(key, last)
-		}
-	}
-}
-
-func (s *restorable) readNow() Update {
-	u := s.read()
-	u.Era = s.era
-	return u
-}
-
-// observer follows what one state shows of the items, and fails if it goes back.
-type observer struct {
-	state *State
-	// reached is the number of the last write of each item that the state is known to have.
-	reached map[string]int
-	// doubted is the era in which the state last disputed an item, and showed it as removed. It
-	// is deleted when the item shows again.
-	doubted map[string]Era
-}
-
-func newObserver() *observer {
-	newer := func(_ string, value, old []byte) bool {
-		a, _ := strconv.Atoi(string(value))
-		b, _ := strconv.Atoi(string(old))
-		return a > b
-	}
-	restricts := func(key string, _ []byte) bool { return key == restriction }
-	return &observer{state: &State{Newer: newer, Restricts: restricts}, reached: make(map[string]int), doubted: make(map[string]Era)}
-}
-
-// restriction is the key of the item that keeps requests from targets.
-const restriction = "out"
-
-func (o *observer) check(t *rapid.T, s *restorable) {
-	shown := contents(o.state)
-	for key, writes := range s.written {
-		if value, ok := shown[key]; ok {
-			n, err := strconv.Atoi(value)
-			if err != nil || n < o.reached[key] && !o.mayReturn(key, writes) {
-				t.Fatalf("item %s shows write %q after write %d", key, value, o.reached[key])
-			}
-			o.reached[key] = n
-			delete(o.doubted, key)
-			continue
-		}
-		if o.state.isDisputed(key) {
-			o.doubted[key] = o.state.At().Era
-			continue // Its removal is kept for a while.
-		}
-		era, doubted := o.doubted[key]
-		if o.reached[key] == 0 || doubted && era < o.state.At().Era {
-			continue // It may not have been known, or was lost again while it was disputed.
-		}
-		for _, w := range writes { // The removal that it shows is the next one.
-			if w.number >= o.reached[key] && w.value == "" {
-				o.reached[key] = w.number
-				break
-			}
-		}
-		if last := writes[o.reached[key]-1]; last.value != "" {
-			t.Fatalf("item %s is removed after write %d, which no removal followed", key, last.number)
-		}
-	}
-}
-
-// mayReturn reports whether an earlier write of an item may show again: a restriction that the
-// copy has may, after its removal.
-func (o *observer) mayReturn(key string, writes []writtenItem) bool {
-	return key == restriction && writes[o.reached[key]-1].value == ""
-}
-
-// checkCurrent fails if a state that has all changes differs from the store, but for the items
-// that it disputes. A restriction that the store has is never disputed.
-func (o *observer) checkCurrent(t *rapid.T, s *restorable) {
-	if o.state.At() != (Point{s.era, s.rev}) {
-		return
-	}
-	shown := contents(o.state)
-	for key := range s.written {
-		stored, has := s.items[key]
-		if o.state.isDisputed(key) && !(has && key == restriction && shown[key] == "") {
-			continue
-		}
-		if shown[key] != string(stored.Value) {
-			t.Fatalf("a state at %v shows %q for item %s, the store has %q", o.state.At(), shown[key], key, stored.Value)
-		}
-	}
-}
-
-// sentUpdate is an update that one entry has told another one.
-type sentUpdate struct {
-	Update
-	at time.Duration
-}
-
-// transitMax is the time for which a message is under way at most, unless its receiver was
-// suspended. Its age isn't known to have grown meanwhile.
-const transitMax = time.Second
-
-// received returns the update as it is received again at a time.
-func (u sentUpdate) received(now time.Duration) Update {
-	u.Age += max(0, now-u.at-transitMax)
-	return u.Update
-}
-
 // The store comes back from older copies at any moment, also twice in a row, while entries
 // read it, tell each other, replay old messages, are cut off and restart. No entry goes back
 // behind a write that it has shown, and all agree with the store once it was written again.
@@ -175,8 +26,7 @@
 // checkRestores runs generated histories of items with some keys.
 func checkRestores(t *testing.T, keys ...string) {
 	rapid.Check(t, func(t *rapid.T) {
-		src := &restorable{publisher: publisher{items: make(map[string]Item), rev: 1}, written: make(map[string][]writtenItem)}
-		src.era = 1
+		src := newRestorable()
 		src.copyNow()
 		entries := make([]*observer, 4)
 		for i := range entries {
@@ -270,7 +120,7 @@
 // An entry that has restarted takes over what others keep.
 func TestDisputesReachAFreshState(t *testing.T) {
 	is := is.New(t)
-	src := &restorable{publisher: publisher{items: make(map[string]Item), rev: 1}, written: make(map[string][]writtenItem)}
+	src := newRestorable()
 	src.write("config", false)
 	src.copyNow()
 	src.write("config", false)
@@ -327,7 +177,7 @@
 // last removal. Guards against the removal hiding it until the era settles.
 func TestRestrictionOfNewEraCounts(t *testing.T) {
 	is := is.New(t)
-	src := &restorable{publisher: publisher{items: make(map[string]Item), rev: 1}, written: make(map[string][]writtenItem)}
+	src := newRestorable()
 	src.copyNow()
 	src.write("a", false)
 	reader, other := newObserver().state, newObserver().state
@@ -366,7 +216,7 @@
 // end, although the store doesn't have it.
 func TestEndedDisputeStaysEnded(t *testing.T) {
 	is := is.New(t)
-	src := &restorable{publisher: publisher{items: make(map[string]Item), rev: 1}, written: make(map[string][]writtenItem)}
+	src := newRestorable()
 	s := newObserver().state
 	src.write("a", false)
 	src.copyNow()
@@ -391,7 +241,7 @@
 // the item to the present era: it then counted over a removal that another entry knows.
 func TestItemOfMissedEraIsntDatedLater(t *testing.T) {
 	is := is.New(t)
-	src := &restorable{publisher: publisher{items: make(map[string]Item), rev: 1}, written: make(map[string][]writtenItem), era: 1}
+	src := newRestorable()
 	src.copyNow()
 	missed, other := newObserver().state, newObserver().state
 	src.write("a", false)
