pimentogate: logs tell which home regions, of which configuration, decided on a send

A line about a request had the version of the configuration at its arrival and the target's domain.

A send to a region that the newest known configuration forbids is a line and a counter of its own. No decision has changed.

--- /dev/null
+++ b/pimentogate/homes.go
@@ -0,0 +1,127 @@
+package pimentogate
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentoroute"
+)
+
+// homes are the home regions that bind a request by one configuration: those of its route and
+// of its organisation. A list that is empty binds nothing.
+type homes struct {
+	version             pimentoroute.Version
+	route, organisation []pimentoregister.RegionName
+}
+
+// homesBy returns the homes that bind the request by a route and an organisation, which may be
+// nil, of one configuration.
+func homesBy(version pimentoroute.Version, r *pimentoroute.Route, o *pimentoroute.Organisation) homes {
+	h := homes{version: version}
+	if r != nil {
+		h.route = r.Homes
+	}
+	if o != nil {
+		h.organisation = o.Homes
+	}
+	return h
+}
+
+// bind reports whether there is a region that may not serve the request.
+func (h *homes) bind() bool { return len(h.route) > 0 || len(h.organisation) > 0 }
+
+// allows reports whether a region may serve the request.
+func (h *homes) allows(region pimentoregister.RegionName) bool {
+	return isHome(h.route, region) && isHome(h.organisation, region)
+}
+
+func isHome(list []pimentoregister.RegionName, region pimentoregister.RegionName) bool {
+	return len(list) == 0 || slices.Contains(list, region)
+}
+
+// String returns the homes as logs have them: those of the route, then those of the
+// organisation.
+func (h *homes) String() string { return regionList(h.route) + ";" + regionList(h.organisation) }
+
+func regionList(list []pimentoregister.RegionName) string {
+	var texts []string
+	for _, name := range list {
+		texts = append(texts, string(name))
+	}
+	return strings.Join(texts, ",")
+}
+
+// arrivalHomes returns the homes that bound the request when it arrived.
+func (c *call) arrivalHomes() homes {
+	return homesBy(c.table.Config.Version, c.route, c.organisation)
+}
+
+// newestHomes returns the homes that bind the request by the newest configuration that this
+// entry knows. Where that has no route for it, they are those of its arrival.
+func (g *Gate) newestHomes(c *call) homes {
+	t := g.table.Load()
+	if t.Config == c.table.Config {
+		return c.arrivalHomes()
+	}
+	route := matchRoute(t, c)
+	if route == nil {
+		route = c.route
+	}
+	organisation := c.organisation
+	if c.hasKey {
+		organisation = t.Organisation(c.key)
+	}
+	return homesBy(t.Config.Version, route, organisation)
+}
+
+// homesTrace is what is known about a send that home regions bind, at the moment before it is
+// written.
+type homesTrace struct {
+	decided, newest homes         // By which the target was chosen, and by the newest configuration.
+	itemsAge        time.Duration // The age of the published items, unconfirmedAge if that isn't known.
+}
+
+// traceHomes records what the homes of a send were decided by, and reports sends that the
+// newest configuration doesn't allow.
+func (g *Gate) traceHomes(c *call, s *send) {
+	t := &homesTrace{decided: c.arrivalHomes(), newest: g.newestHomes(c)}
+	if !t.decided.bind() && !t.newest.bind() {
+		return
+	}
+	t.itemsAge = g.itemsAge()
+	s.homes = t
+	g.metrics.count("pimento_home_sends_total")
+	tg := s.candidate.target
+	if !t.newest.allows(tg.Region) {
+		g.metrics.count("pimento_sends_outside_homes_total")
+		g.logLine(level.WarnValue(), append([]any{"msg", "request sent outside its home regions", "id", c.id, "target", tg.ID}, s.homesFields()...)...)
+	}
+}
+
+// homesFields returns log fields with the homes that bound a send, and with what tells
+// whether they were in force and the target in one of them.
+func (s *send) homesFields() []any {
+	t := s.homes
+	if t == nil {
+		return nil
+	}
+	fields := []any{"homes", &t.decided, "homes_config", t.decided.version, "region", s.candidate.target.Region,
+		"conn", s.candidate.connFrom, "homes_age_ms", t.itemsAge.Milliseconds()}
+	if t.newest.version != t.decided.version {
+		fields = append(fields, "newest_homes", &t.newest, "newest_config", t.newest.version)
+	}
+	return fields
+}
+
+// connSource tells where the connection of a send comes from, as logs have it.
+type connSource string
+
+const (
+	connProbed connSource = "probed" // The target replied to a probe on it just now.
+	connPooled connSource = "pooled" // An earlier exchange used it.
+	connNew    connSource = "new"    // The send is its first exchange.
+)
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -123,7 +123,8 @@
 	if s.outcome != outcomeResponse {
 		fields := []any{"msg", "send failed", "id", c.id, "target", tg.ID, "outcome", s.outcome, "err", s.err,
 			"status", s.status(), "stretch", s.candidate.report.Slowdown, "running", s.candidate.report.Running, "ms", time.Since(s.started).Milliseconds()}
-		g.logLine(level.WarnValue(), append(fields, s.bodyFields()...)...)
+		fields = append(fields, s.bodyFields()...)
+		g.logLine(level.WarnValue(), append(fields, s.homesFields()...)...)
 	}
 	if s.outcome != outcomeUnsent && s.outcome != outcomeCallerGone {
 		if overloaded, changed := g.traffic.recordSend(c.serviceName(), s.outcome == outcomeNotExecuted); changed {
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -34,6 +34,7 @@
 	// conn is the connection of the probe. It is nil if the report was reused,
 	// until ensureConn sets it.
 	conn       *pimentohttp.Conn
+	connFrom   connSource
 	report     LoadReport
 	reportedAt time.Time // When the report arrived.
 	// askedAt is when the probe began that the report replies to, which it is no older than.
@@ -334,11 +335,19 @@
 // one.
 func (g *Gate) ensureConn(c *call, cand *candidate) error {
 	if cand.conn != nil && cand.conn.Reusable() {
+		cand.connFrom = connProbed
 		return nil
 	}
 	var err error
 	cand.conn, err = g.client.Acquire(cand.target.Address, !c.retryable(), c.deadline)
-	return err
+	if err != nil {
+		return err
+	}
+	cand.connFrom = connNew
+	if cand.conn.Used() {
+		cand.connFrom = connPooled
+	}
+	return nil
 }
 
 // recordUnreachable records that a probe of a target failed.
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -46,6 +46,8 @@
 	deliveredBy time.Duration
 	// silent is set when the send is cancelled because no response will come.
 	silent atomic.Bool
+	// homes is set if home regions bind the request.
+	homes *homesTrace
 }
 
 // close closes the stream of a response that isn't forwarded, which ends its use of the
@@ -288,6 +290,7 @@
 		s.candidate.release()
 		return
 	}
+	g.traceHomes(c, s)
 	exchangeErr := g.client.Do(s.exchange)
 	s.err = exchangeErr
 	g.metrics.countBody(s.exchange)
