--- a/pimentogate/hedge.go
+++ b/pimentogate/hedge.go
@@ -56,7 +56,7 @@
 // approveHedge reports whether the request is also sent to the second target. It
 // spends a retry for that, and logs what the decision is based on.
 func (g *Gate) approveHedge(c *call, first, second *candidate, ran time.Duration) bool {
-	if second == nil || !g.mayHedge(c) || g.checkKey(c, second.target) != reasonNone {
+	if second == nil || !g.mayHedge(c) || g.checkRules(c, second.target) != reasonNone {
 		return false
 	}
 	if v := g.takeQuota(c); v == pimentoquota.Wait || v == pimentoquota.Denied {
--- a/pimentogate/homes.go
+++ b/pimentogate/homes.go
@@ -125,3 +125,16 @@
 	connPooled connSource = "pooled" // An earlier exchange used it.
 	connNew    connSource = "new"    // The send is its first exchange.
 )
+
+// checkRules returns why a request may not be sent to a target any more, or to none if tg is
+// nil, by what the newest configuration says of its key and its home regions. It doesn't change
+// the call, and may be called by the sends of a request at the same time.
+func (g *Gate) checkRules(c *call, tg *pimentoroute.Target) reason {
+	if why := g.checkKey(c, tg); why != reasonNone {
+		return why
+	}
+	return g.checkHomes(c, tg)
+}
+
+// checkHomes returns why home regions keep a request from a target, or from all if tg is nil.
+func (g *Gate) checkHomes(*call, *pimentoroute.Target) reason { return reasonNone }
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -74,7 +74,7 @@
 		if g.outlastsStop(c, nil) {
 			return g.failRequest(c, failed, reasonStopping)
 		}
-		if why := g.checkKey(c, nil); why != reasonNone {
+		if why := g.checkRules(c, nil); why != reasonNone {
 			return g.failRequest(c, failed, why)
 		}
 		if isRetry && !g.spendRetry(c) {
@@ -145,7 +145,7 @@
 	if why := g.awaitQuota(c); why != reasonNone {
 		return why
 	}
-	return g.checkKey(c, cand.target)
+	return g.checkRules(c, cand.target)
 }
 
 // releaseIfAny releases a candidate that may be nil.
@@ -279,7 +279,7 @@
 		return
 	}
 	// A connection may have taken a while, and the machine may have been suspended.
-	if g.checkKey(c, s.candidate.target) != reasonNone {
+	if g.checkRules(c, s.candidate.target) != reasonNone {
 		s.err, s.outcome = errKeyRefused, outcomeUnsent
 		s.candidate.release()
 		return
