pimentogate: a bound request goes only on a connection that has named its target

Callers saw nothing: another target at the address answered 421, and the request was sent once more. But that target had received the request with its body, although the target's region might be none of the request's home regions.

The load report of a target is shared by requests that arrive together. All but one of them then opened a connection of their own, or took a pooled one, and the request was the first thing on it. Addresses are used again, so that the far end could be another target than the one that had answered the probe.

TestBoundRequestReachesNoOtherTarget shares one probe among six unsafe requests with a home region, while the address belongs to another target from the second connection on.

A connection now remembers the identity that its target has stated, and a request that home regions bind is written only on one that has named the chosen target. Otherwise the target is probed first on that connection, charged to the probe budget like other probes that can't be left out. Other requests go as before, since they may be served in any region.

--- /dev/null
+++ b/pimentogate/identity.go
@@ -0,0 +1,58 @@
+package pimentogate
+
+import (
+	"errors"
+	"time"
+)
+
+// ensureConn gives a candidate a connection if it has no open one: a pooled one, or a
+// new one if the request isn't retryable, because the target may have closed a pooled
+// one. If home regions bind the request, the target has named itself on the connection:
+// another one may be at its address by now, in another region.
+func (g *Gate) ensureConn(c *call, cand *candidate) error {
+	if cand.conn != nil && cand.conn.Reusable() {
+		cand.connFrom = connProbed
+		return nil
+	}
+	var err error
+	cand.conn, err = g.client.Acquire(cand.target.Address, !c.retryable(), c.deadline)
+	if err != nil {
+		return err
+	}
+	cand.connFrom = connNew
+	if cand.conn.Used() {
+		cand.connFrom = connPooled
+	}
+	if h := g.newestHomes(c); h.bind() && !cand.namedOnConn() {
+		return g.nameOnConn(c, cand)
+	}
+	return nil
+}
+
+// namedOnConn reports whether the target has named itself on the candidate's connection.
+func (cand *candidate) namedOnConn() bool { return cand.conn.Peer == string(cand.target.ID) }
+
+// errClosedAfterProbe is the error of a connection that the target closes after it has named
+// itself.
+var errClosedAfterProbe = errors.New("the target closes the connection after the probe")
+
+// nameOnConn makes a target name itself on the candidate's connection, whatever is left of the
+// probe budget. After an error, the candidate has no connection.
+func (g *Gate) nameOnConn(c *call, cand *candidate) error {
+	probe := &candidate{target: cand.target, conn: cand.conn}
+	cand.conn = nil
+	if !g.admitsProbes(probe.target) {
+		probe.release()
+		return errWithdrawn
+	}
+	g.chargeProbe()
+	g.probeConn(c, probe, time.Now().Add(probeTimeout))
+	if probe.err != nil {
+		return probe.err
+	}
+	if !probe.conn.Reusable() {
+		return errClosedAfterProbe
+	}
+	cand.conn, cand.connFrom = probe.conn, connProbed
+	return nil
+}
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -272,6 +272,13 @@
 		g.recordUnreachable(tg, cand.err)
 		return
 	}
+	g.probeConn(c, cand, deadline)
+}
+
+// probeConn probes a target on the candidate's connection, which stays the candidate's if
+// the target replies and names itself.
+func (g *Gate) probeConn(c *call, cand *candidate, deadline time.Time) {
+	tg := cand.target
 	used := cand.conn.Used()
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
@@ -296,6 +303,7 @@
 		return
 	}
 	cand.report = g.dialect.ParseReport(resp)
+	cand.conn.Peer = string(cand.report.Target)
 	if cand.report.Target != tg.ID {
 		g.metrics.count("pimento_probes_unidentified_total")
 		cand.err = errOtherTarget
@@ -330,26 +338,6 @@
 	}
 }
 
-// ensureConn gives a candidate a connection if it has no open one: a pooled one, or a
-// new one if the request isn't retryable, because the target may have closed a pooled
-// one.
-func (g *Gate) ensureConn(c *call, cand *candidate) error {
-	if cand.conn != nil && cand.conn.Reusable() {
-		cand.connFrom = connProbed
-		return nil
-	}
-	var err error
-	cand.conn, err = g.client.Acquire(cand.target.Address, !c.retryable(), c.deadline)
-	if err != nil {
-		return err
-	}
-	cand.connFrom = connNew
-	if cand.conn.Used() {
-		cand.connFrom = connPooled
-	}
-	return nil
-}
-
 // recordUnreachable records that a probe of a target failed.
 func (g *Gate) recordUnreachable(tg *pimentoroute.Target, err error) {
 	g.backOff(tg, failureBackoff)
--- a/pimentohttp/client.go
+++ b/pimentohttp/client.go
@@ -52,6 +52,10 @@
 // Conn is a connection to a target. Only one exchange uses it at a time.
 type Conn struct {
 	net.Conn
+	// Peer is the identity that the target has stated on the connection, "" while it has
+	// stated none. The user of the connection sets it, and later ones find it.
+	Peer string
+
 	pool *pool
 	// r and w are nil while the connection is idle.
 	r            *bufio.Reader
