pimentogate: a bound request isn't sent to a target that has moved or left meanwhile

Callers saw nothing, but a request could reach a region that is none of its home regions. The region of a send was that of the target's record when it was chosen. While the request waited for quota, for a connection or for a probe on it, a newer record of the same ID could name another domain, and nothing asked for it again.

Just before the write, the newest table decides: a request that home regions bind is only written if the target is in service, at the same address, and its present domain is in a home. Otherwise nothing is sent, and another target is chosen. A target that left the table counts as moved, because its ID may come back elsewhere; that costs a second choice.

--- a/pimentogate/identity.go
+++ b/pimentogate/identity.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"pimentoarch/pimentoroute"
 )
 
 // ensureConn gives a candidate a connection if it has no open one: a pooled one, or a
@@ -56,3 +58,18 @@
 	cand.conn, cand.connFrom = probe.conn, connProbed
 	return nil
 }
+
+// errMoved is the error of a send that wasn't made because its target isn't published any more
+// as it was chosen.
+var errMoved = errors.New("the target is out of service, or published at another place")
+
+// staysInPlace reports whether a target that was chosen for a request may get it where the
+// target is published now. For requests that no home regions bind, that isn't checked.
+func (g *Gate) staysInPlace(c *call, tg *pimentoroute.Target) bool {
+	h := g.newestHomes(c)
+	if !h.bind() {
+		return true
+	}
+	now := g.table.Load().Newest(tg)
+	return now != nil && now.Address == tg.Address && h.allows(now.Region)
+}
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -284,6 +284,11 @@
 		s.candidate.release()
 		return
 	}
+	if !g.staysInPlace(c, s.candidate.target) {
+		s.err, s.outcome = errMoved, outcomeUnsent
+		s.candidate.release()
+		return
+	}
 	s.exchange.UseConn = s.candidate.conn
 	if !c.addExchange(s.exchange) {
 		s.outcome = outcomeCallerGone
--- a/pimentoroute/change.go
+++ b/pimentoroute/change.go
@@ -81,9 +81,15 @@
 }
 
 // Has reports whether a target is in service, which may have changed otherwise.
-func (t *Table) Has(tg *Target) bool {
-	_, ok := search(t.Targets[tg.Service], tg.ID)
-	return ok
+func (t *Table) Has(tg *Target) bool { return t.Newest(tg) != nil }
+
+// Newest returns the record of a target that is in service, which may have changed, or nil.
+func (t *Table) Newest(tg *Target) *Target {
+	list := t.Targets[tg.Service]
+	if i, ok := search(list, tg.ID); ok {
+		return list[i]
+	}
+	return nil
 }
 
 // HasAddress reports whether a target with an address is in service.
