pimentoroute: of two routes with one host and prefix, all entries choose the same

Callers of a path that two routes of a configuration claim were served by one of them at random. Routes are decoded from a map, whose order differs with each decode, and the sort by the length of the prefix keeps equal ones in any order. So entries differed from each other, and each from itself after another configuration, also in the home regions that bind the request. Hosts that differ by case or port only are equal too.

TestSamePrefixIsDecidedAlike draws the order of the routes.

Of routes with the same prefix, those with home regions come first, since a request that is sent nowhere can be sent again and a body can't be taken back; then the lower name wins. Longer prefixes still win over all.

--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -251,10 +251,21 @@
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 	}
 	for _, list := range t.routesByHost {
-		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortFunc(list, compareRoutes)
 	}
 }
 
+// compareRoutes orders the routes of one host: longest prefix first. Of routes with the same
+// prefix, those with home regions come first, then the names decide, so that all entries choose
+// the same one.
+func compareRoutes(a, b *Route) int {
+	return cmp.Or(
+		cmp.Compare(len(b.Prefix), len(a.Prefix)),
+		cmp.Compare(min(1, len(b.Homes)), min(1, len(a.Homes))),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
 // Organisation returns the organisation that holds a key, or nil.
 func (t *Table) Organisation(d Digest) *Organisation { return t.keys.find(d) }
 
--- a/pimentoroute/table_test.go
+++ b/pimentoroute/table_test.go
@@ -113,3 +113,20 @@
 	var s Splitter
 	is.Equal(s.Next([]SplitService{{Service: "a"}, {Service: "b"}}), nil)
 }
+
+// Of two routes with the same host and prefix, each decode of a configuration chose another one,
+// and with it other home regions.
+func TestSamePrefixIsDecidedAlike(t *testing.T) {
+	is := is.New(t)
+	free := &Route{Name: "a", Host: "h", Prefix: "/x/"}
+	bound := &Route{Name: "c", Host: "H:80", Prefix: "/x/", Homes: []pimentoregister.RegionName{"a"}}
+	later := &Route{Name: "d", Host: "h", Prefix: "/x/", Homes: []pimentoregister.RegionName{"b"}}
+	longer := &Route{Name: "e", Host: "h", Prefix: "/x/y/"}
+	rapid.Check(t, func(t *rapid.T) {
+		routes := rapid.Permutation([]*Route{free, bound, later, longer}).Draw(t, "routes")
+		if got := Build([]Record{config(routes...)}, regions).Match("h", "/x/1"); got != bound {
+			t.Fatalf("got %s, want %s", got.Name, bound.Name)
+		}
+	})
+	is.Equal(Build([]Record{config(free, bound, longer)}, regions).Match("h", "/x/y/1"), longer)
+}
