pimentoroute: a key of two organisations counts as the same one's at all entries

Callers with a key that two organisations of a configuration hold acted for one of them at random, with its priority, its quota and its home regions. The index of keys was filled in the order of a map, which differs between entries and between two configurations of one entry, and the last holder won.

TestKeyOfTwoOrganisations builds the index twenty times.

The index is now filled in a fixed order, organisations with home regions first, then by name, and the first holder counts. Lookups still compare all keys of a slot.

--- a/pimentoroute/keys.go
+++ b/pimentoroute/keys.go
@@ -1,10 +1,13 @@
 package pimentoroute
 
 import (
+	"cmp"
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/binary"
+	"maps"
+	"slices"
 )
 
 // Digest stands for a key. It is keyed with a secret of this process, so that callers can't
@@ -46,7 +49,7 @@
 		n += len(o.Keys)
 	}
 	index := make(keyIndex, n)
-	for _, o := range cfg.Organisations {
+	for _, o := range slices.SortedFunc(maps.Values(cfg.Organisations), compareOrganisations) {
 		for _, key := range o.Keys {
 			d := key.Digest()
 			index[d.slot()] = append(index[d.slot()], keyHolder{digest: d, organisation: o})
@@ -55,10 +58,16 @@
 	return index
 }
 
+// compareOrganisations orders organisations: those with home regions first, then by name. A key
+// counts as that of the first of its holders, so that all entries choose the same one.
+func compareOrganisations(a, b *Organisation) int {
+	return cmp.Or(cmp.Compare(min(1, len(b.Homes)), min(1, len(a.Homes))), cmp.Compare(a.Name, b.Name))
+}
+
 // find returns the organisation that holds the key with a digest, or nil.
 func (ki keyIndex) find(d Digest) (found *Organisation) {
 	for _, h := range ki[d.slot()] {
-		if subtle.ConstantTimeCompare(h.digest[:], d[:]) == 1 {
+		if subtle.ConstantTimeCompare(h.digest[:], d[:]) == 1 && found == nil {
 			found = h.organisation
 		}
 	}
--- a/pimentoroute/keys_test.go
+++ b/pimentoroute/keys_test.go
@@ -45,3 +45,16 @@
 		})
 	}
 }
+
+// The key that two organisations hold was one's or the other's by chance, and with it the home
+// regions of its requests.
+func TestKeyOfTwoOrganisations(t *testing.T) {
+	is := is.New(t)
+	free := &Organisation{Name: "a", Keys: []Key{"k"}}
+	bound := &Organisation{Name: "b", Keys: []Key{"k"}, Homes: []pimentoregister.RegionName{"r"}}
+	later := &Organisation{Name: "c", Keys: []Key{"k"}, Homes: []pimentoregister.RegionName{"s"}}
+	for range 20 { // Each time in another order.
+		ki := newKeyIndex(&Config{Organisations: map[pimentoregister.OrganisationName]*Organisation{"a": free, "b": bound, "c": later}})
+		is.Equal(ki.find(Key("k").Digest()), bound)
+	}
+}
