pimentogate: a bound request that is sent once at most takes a pooled connection after a probe

Callers waited one round trip longer than needed: a request that home regions bind and that may run once opened a new connection, because a pooled one may be closed, and then asked the target for its name on it. The probe shows as well that a pooled connection is open, as it does for candidates that were probed when they were chosen.

So such a request now takes a pooled connection and is written after the probe's reply; a connection is opened only where none is idle.

--- a/pimentogate/identity.go
+++ b/pimentogate/identity.go
@@ -16,8 +16,11 @@
 		cand.connFrom = connProbed
 		return nil
 	}
+	h := g.newestHomes(c)
+	// A probe shows that a pooled connection is open.
+	newConn := !c.retryable() && !h.bind()
 	var err error
-	cand.conn, err = g.client.Acquire(cand.target.Address, !c.retryable(), c.deadline)
+	cand.conn, err = g.client.Acquire(cand.target.Address, newConn, c.deadline)
 	if err != nil {
 		return err
 	}
@@ -25,7 +28,7 @@
 	if cand.conn.Used() {
 		cand.connFrom = connPooled
 	}
-	if h := g.newestHomes(c); h.bind() && !cand.namedOnConn() {
+	if h.bind() && !(c.retryable() && cand.namedOnConn()) {
 		return g.nameOnConn(c, cand)
 	}
 	return nil
