pimentogate: the newest homes bind a request at every choice and before the write

Callers whose requests waited for seconds while a configuration moved their route's home had them sent to the old home: the route, and with it the homes, was set at arrival and bound the ranking, the line, offers, hedges and retries until the request ended.

Now each decision asks for the homes of the newest configuration that the entry knows: the ranking of targets, the regions for which a call waits in a line, what is offered to it, and checkHomes after the choice, before a hedge and before the write, also after a wait for a connection. Where the check finds that the home has moved, nothing was sent, so another target is chosen and the request isn't refused. Calls that wait in a line when a configuration comes are ranked anew by their regions, with Line.SetRegions: the line groups them by regions, so these can't change in place.

TestLineAgainstOracle has moves, and fails with a panic if SetRegions leaves the request in its old group.

--- a/pimentogate/choose.go
+++ b/pimentogate/choose.go
@@ -86,7 +86,8 @@
 // or nil and the reason. It stops when another round is unlikely to find a better
 // one in time.
 func (g *Gate) probeNearest(c *call, tried []pimentoroute.TargetID) (*candidate, reason) {
-	targets, lastResort := g.rankTargets(c, tried)
+	h := g.newestHomes(c)
+	targets, lastResort := g.rankTargets(c, h, tried)
 	if len(targets)+len(lastResort) == 0 {
 		return nil, reasonTargets
 	}
@@ -97,6 +98,7 @@
 	if best = g.reprobe(c, best); best == nil {
 		return nil, reasonBusy
 	}
+	best.homes = h
 	return best, reasonNone
 }
 
--- a/pimentogate/homes.go
+++ b/pimentogate/homes.go
@@ -88,7 +88,7 @@
 // traceHomes records what the homes of a send were decided by, and reports sends that the
 // newest configuration doesn't allow.
 func (g *Gate) traceHomes(c *call, s *send) {
-	t := &homesTrace{decided: c.arrivalHomes(), newest: g.newestHomes(c)}
+	t := &homesTrace{decided: s.candidate.homes, newest: g.newestHomes(c)}
 	if !t.decided.bind() && !t.newest.bind() {
 		return
 	}
@@ -137,4 +137,15 @@
 }
 
 // checkHomes returns why home regions keep a request from a target, or from all if tg is nil.
-func (g *Gate) checkHomes(*call, *pimentoroute.Target) reason { return reasonNone }
+func (g *Gate) checkHomes(c *call, tg *pimentoroute.Target) reason {
+	if tg != nil && !g.allows(c, tg.Region) {
+		return reasonHome
+	}
+	return reasonNone
+}
+
+// allows reports whether a region may serve a request, by the newest configuration.
+func (g *Gate) allows(c *call, region pimentoregister.RegionName) bool {
+	h := g.newestHomes(c)
+	return h.allows(region)
+}
--- /dev/null
+++ b/pimentogate/homes_test.go
@@ -0,0 +1,60 @@
+package pimentogate
+
+import (
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentoroute"
+)
+
+// storeHomes makes a configuration the newest one that differs from the present one in its
+// version and in the home regions of all routes.
+func storeHomes(g *Gate, homes ...pimentoregister.RegionName) {
+	old := g.table.Load().Config
+	cfg := pimentoroute.Config{Version: old.Version + 1, Services: old.Services, Limits: old.Limits}
+	for _, r := range old.Routes {
+		moved := *r
+		moved.Homes = homes
+		cfg.Routes = append(cfg.Routes, &moved)
+	}
+	g.table.Store(pimentoroute.Build([]pimentoroute.Record{{Config: &cfg}}, nil))
+}
+
+// A request whose home moves while it waits for a connection is written to the old home.
+func TestHomeMovesBeforeTheWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		g, cleanup := pipeGate(t, []*pipeTarget{{id: "i-0"}})
+		defer cleanup()
+		storeHomes(g, "r")
+		near, far := net.Pipe()
+		g.client.Dial = func(string, time.Duration) (net.Conn, error) {
+			time.Sleep(100 * time.Millisecond)
+			storeHomes(g, "elsewhere")
+			return near, nil
+		}
+		c, candidates := newRaceCall(g, 1)
+		candidates[0].target.Region = "r"
+		received := make(chan int64, 1)
+		go func() {
+			n, _ := io.Copy(io.Discard, far)
+			received <- n
+		}()
+		s := g.sendHedged(c, candidates[0])
+		_ = near.Close()
+		time.Sleep(time.Second)
+		is.Equal(<-received, int64(0))
+		is.Equal(s.outcome, outcomeUnsent)
+		is.Equal(c.sends, 0)
+		is.Equal(len(c.tried), 0) // It may be the home again later.
+		is.True(!c.mayHaveRun)
+		g.client.CloseAllIdle()
+		synctest.Wait()
+	})
+}
--- a/pimentogate/line.go
+++ b/pimentogate/line.go
@@ -107,14 +107,15 @@
 	}
 }
 
-// regionSet returns the regions that may serve a request.
+// regionSet returns the regions that may serve a request, by the newest configuration.
 func (g *Gate) regionSet(c *call) pimentoload.RegionSet {
 	if len(g.regionNames) > bits.UintSize {
 		return pimentoload.AllRegions
 	}
+	h := g.newestHomes(c)
 	var set pimentoload.RegionSet
 	for i, region := range g.regionNames {
-		if c.allows(region) {
+		if h.allows(region) {
 			set |= 1 << i
 		}
 	}
--- a/pimentogate/organisation.go
+++ b/pimentogate/organisation.go
@@ -5,7 +5,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoroute"
 )
 
@@ -106,12 +105,6 @@
 	return g.table.Load().Organisation(key) // Loaded after the confirmation: it may be that of a newer table.
 }
 
-// allows reports whether a region may serve the request, by the home regions of its route
-// and of its organisation.
-func (c *call) allows(region pimentoregister.RegionName) bool {
-	return c.route.Allows(region) && (c.organisation == nil || c.organisation.Allows(region))
-}
-
 // priority returns the priority of the request; 0 is the highest.
 func (c *call) priority() int {
 	if c.organisation != nil {
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
 	"pimentoarch/pimentohttp"
+	"pimentoarch/pimentoroute"
 )
 
 // outcome is the result of a send. A response above maxBufferedResponse counts as
@@ -146,7 +148,11 @@
 	case outcomeUnsent:
 		g.regainQuota(c, s)
 		c.sends--
-		if !errors.Is(s.err, errKeyRefused) { // Then it isn't for the target.
+		switch {
+		case errors.Is(s.err, errKeyRefused): // It isn't for the target.
+		case errors.Is(s.err, errHomeMoved): // The target may be in a home again later.
+			c.tried = slices.DeleteFunc(c.tried, func(id pimentoroute.TargetID) bool { return id == tg.ID })
+		default:
 			g.backOff(tg, failureBackoff)
 		}
 		return
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -31,6 +31,7 @@
 // candidate is a target with a recent load report.
 type candidate struct {
 	target *pimentoroute.Target
+	homes  homes // That allow it for the request for which it was chosen.
 	// conn is the connection of the probe. It is nil if the report was reused,
 	// until ensureConn sets it.
 	conn       *pimentohttp.Conn
--- a/pimentogate/rank.go
+++ b/pimentogate/rank.go
@@ -40,19 +40,20 @@
 	gate  *Gate
 	table *pimentoroute.Table
 	call  *call
+	homes homes // That bind the request.
 	tried []pimentoroute.TargetID
 	// targets are nearest first, backedOff are those in backoff, and lastResort those
 	// that are leaving, which only get requests that no other target can serve.
 	targets, backedOff, lastResort []*pimentoroute.Target
 }
 
-// rankTargets returns the targets that a request may go to: nearest first, those of this
-// entry's aperture before others of the same domain, at random among equals, targets in
-// backoff last. lastResort has the targets that are leaving. Targets that have withdrawn
-// are left out, and cold targets of other domains: the limit of a cold target is shared by
+// rankTargets returns the targets that a request may go to, in homes that bind it: nearest
+// first, those of this entry's aperture before others of the same domain, at random among
+// equals, targets in backoff last. lastResort has the targets that are leaving. Targets that
+// have withdrawn are left out, and cold targets of other domains: the limit of a cold target is shared by
 // the entries of its own domain only.
-func (g *Gate) rankTargets(c *call, tried []pimentoroute.TargetID) (targets, lastResort []*pimentoroute.Target) {
-	r := &ranking{gate: g, table: g.table.Load(), call: c, tried: tried}
+func (g *Gate) rankTargets(c *call, h homes, tried []pimentoroute.TargetID) (targets, lastResort []*pimentoroute.Target) {
+	r := &ranking{gate: g, table: g.table.Load(), call: c, homes: h, tried: tried}
 	ts := &g.traffic
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
@@ -107,7 +108,7 @@
 // add adds a target if it may be used and the limit isn't reached.
 func (r *ranking) add(tg *pimentoroute.Target, d distance, limit int) {
 	g := r.gate
-	if len(r.targets) >= limit || slices.Contains(r.tried, tg.ID) || !r.call.allows(tg.Region) {
+	if len(r.targets) >= limit || slices.Contains(r.tried, tg.ID) || !r.homes.allows(tg.Region) {
 		return
 	}
 	now := g.now()
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -18,6 +18,7 @@
 	reasonKey          reason = "key"          // No organisation has its key.
 	reasonUnconfirmed  reason = "unconfirmed"  // Its configuration or key may not be in force.
 	reasonMoved        reason = "moved"        // Its key or its home regions have changed.
+	reasonHome         reason = "home"         // The target is in no home region of it now; another is chosen.
 	reasonQuota        reason = "quota"        // Its organisation's quota is used up.
 	reasonInvalid      reason = "invalid"      // The request isn't valid HTTP, or is ambiguous.
 	reasonHead         reason = "head"         // Its head exceeds the limit.
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -18,6 +18,7 @@
 var (
 	errOtherTarget  = errors.New("another target replied to the probe")
 	errUnidentified = errors.New("the reply to the probe names no target")
+	errHomeMoved    = errors.New("the target's region is no longer a home of the request")
 )
 
 // send is one attempt: a request sent to one target.
@@ -108,11 +109,18 @@
 	if why := g.paceBody(c); why != reasonNone {
 		return nil, g.checkBeforeSend(c, nil, why)
 	}
-	cand, why := g.chooseTarget(c, c.tried)
-	if why = g.checkBeforeSend(c, cand, why); why != reasonNone {
-		g.unsendBody(c)
+	for {
+		cand, why := g.chooseTarget(c, c.tried)
+		switch why = g.checkBeforeSend(c, cand, why); why {
+		case reasonHome: // It has moved meanwhile.
+			cand.release()
+			continue
+		case reasonNone:
+		default:
+			g.unsendBody(c)
+		}
+		return cand, why
 	}
-	return cand, why
 }
 
 // awaitCrashCheck waits until it is known whether a send that lost its connection crashed
@@ -279,8 +287,11 @@
 		return
 	}
 	// A connection may have taken a while, and the machine may have been suspended.
-	if g.checkRules(c, s.candidate.target) != reasonNone {
+	if why := g.checkRules(c, s.candidate.target); why != reasonNone {
 		s.err, s.outcome = errKeyRefused, outcomeUnsent
+		if why == reasonHome {
+			s.err = errHomeMoved
+		}
 		s.candidate.release()
 		return
 	}
--- a/pimentogate/waiting.go
+++ b/pimentogate/waiting.go
@@ -30,6 +30,12 @@
 				return nil, why
 			}
 		}
+		if best != nil && !g.confirmHomes(c, best) {
+			best.release()
+			g.endTurn(l, w, false)
+			w, asks = g.arrive(l, c)
+			continue
+		}
 		switch g.decideInLine(w, best) {
 		case pimentoload.Send:
 			g.endTurn(l, w, true)
@@ -59,6 +65,7 @@
 	if first {
 		l.line.Arrive(now, &w.Waiter)
 	}
+	g.aim(l, w)
 	if l.line.Ask(now, &w.Waiter) {
 		return w, true
 	}
@@ -147,27 +154,37 @@
 	defer l.mu.Unlock()
 	now := g.now()
 	l.endAsking(now, w, false)
+	moved := g.aim(l, w)
 	if taker != nil && l.waiting[&taker.Waiter] == taker {
 		g.metrics.count("pimento_line_handed_over_total")
 		l.line.Claim(now, &taker.Waiter)
 		l.giveTurn(&taker.Waiter, best)
 	} else {
 		best.releaseIfAny()
-		if now >= l.pausedUntil { // Of several at a time, one makes the pause longer.
-			l.pause = min(max(2*l.pause, firstWait), maxWait)
-			l.pausedUntil = now + l.pause
+		if !moved {
+			g.pauseLine(l, w, best)
 		}
-		priority := w.Priority
-		if best == nil {
-			priority = 0 // No target replied, whoever asks.
-		}
-		l.line.Pause(now, priority, w.Regions, now+l.pause)
-		g.wakeAfter(l, l.pause)
 	}
 	w.rejoined = true
 	g.join(l, w, pressing)
 }
 
+// pauseLine lets no target be looked for for a while where a call has found none that is good
+// enough. best is the best one, or nil if none replied. It is called with mu held.
+func (g *Gate) pauseLine(l *serviceLine, w *lineCall, best *candidate) {
+	now := g.now()
+	if now >= l.pausedUntil { // Of several at a time, one makes the pause longer.
+		l.pause = min(max(2*l.pause, firstWait), maxWait)
+		l.pausedUntil = now + l.pause
+	}
+	priority := w.Priority
+	if best == nil {
+		priority = 0 // No target replied, whoever asks.
+	}
+	l.line.Pause(now, priority, w.Regions, now+l.pause)
+	g.wakeAfter(l, l.pause)
+}
+
 // findTaker returns the first waiting call that can use a candidate, or nil.
 func (g *Gate) findTaker(l *serviceLine, cand *candidate) *lineCall {
 	if cand == nil {
@@ -178,7 +195,7 @@
 	var calls []*lineCall
 	for _, next := range l.line.Heads(nil, g.now(), pressing) {
 		// Once it no longer waits, its tried targets may change.
-		if w := l.waiting[next]; w.call.allows(cand.target.Region) && !slices.Contains(w.call.tried, cand.target.ID) {
+		if w := l.waiting[next]; g.allows(w.call, cand.target.Region) && !slices.Contains(w.call.tried, cand.target.ID) {
 			calls = append(calls, w)
 		}
 	}
--- a/pimentogate/withdrawal.go
+++ b/pimentogate/withdrawal.go
@@ -159,11 +159,12 @@
 // target is paused.
 func (g *Gate) returnAfterPause(c *call) (time.Duration, bool) {
 	now, first, paused := g.now(), time.Duration(0), false
+	h := g.newestHomes(c)
 	ts := &g.traffic
 	ts.mu.Lock()
 	for _, tg := range g.serviceTargets(c) {
 		left := ts.target(tg.ID).withdrawal.PauseLeft(now)
-		if left > 0 && (!paused || left < first) && c.allows(tg.Region) {
+		if left > 0 && (!paused || left < first) && h.allows(tg.Region) {
 			first, paused = left, true
 		}
 	}
--- a/pimentoload/line.go
+++ b/pimentoload/line.go
@@ -13,7 +13,8 @@
 // AllRegions is the set of a request that any region may serve.
 const AllRegions = ^RegionSet(0)
 
-// Waiter is a request that may wait in a Line. Its fields don't change while it is there.
+// Waiter is a request that may wait in a Line. Its fields don't change while it is there, but
+// for Regions, which SetRegions changes.
 type Waiter struct {
 	Priority int       // 0 is the highest.
 	Regions  RegionSet // Those that may serve it.
@@ -138,7 +139,7 @@
 	return oldest, found
 }
 
-// Arrive ranks a request that has come. Its rank doesn't change later.
+// Arrive ranks a request that has come. Its rank doesn't change later, unless its regions do.
 func (l *Line) Arrive(now time.Duration, w *Waiter) {
 	l.seq++
 	w.seq = l.seq
@@ -176,11 +177,7 @@
 func (l *Line) Join(now time.Duration, w *Waiter) {
 	l.room.SetBusy(now, true)
 	w.class = l.classOf(w.class.classKey)
-	c := w.class
-	i, _ := slices.BinarySearchFunc(c.byAge, w, compareAges)
-	c.byAge = slices.Insert(c.byAge, i, w)
-	i, _ = slices.BinarySearchFunc(c.byTime, w, compareTimes)
-	c.byTime = slices.Insert(c.byTime, i, w)
+	w.class.insert(w)
 	if l.held == nil {
 		l.held = make(map[string]int)
 	}
@@ -195,26 +192,52 @@
 	if !w.waiting {
 		return false
 	}
-	c := w.class
-	i, _ := slices.BinarySearchFunc(c.byAge, w, compareAges)
-	c.byAge = slices.Delete(c.byAge, i, i+1)
-	i, _ = slices.BinarySearchFunc(c.byTime, w, compareTimes)
-	c.byTime = slices.Delete(c.byTime, i, i+1)
+	w.class.remove(w)
 	w.waiting = false
 	if l.held[w.Caller]--; l.held[w.Caller] == 0 {
 		delete(l.held, w.Caller)
 	}
 	l.length--
 	l.bytes -= w.Bytes
-	if len(c.byAge) == 0 {
-		c.passed = 0
-	}
 	if l.length == 0 {
 		l.room.SetBusy(now, false)
 	}
 	return true
 }
 
+// SetRegions changes the regions that may serve a request that has arrived, and for which no
+// target is looked for now. One that waits keeps its place by its age among those of its new rank.
+func (l *Line) SetRegions(w *Waiter, regions RegionSet) {
+	if w.waiting {
+		w.class.remove(w)
+	}
+	key := w.class.classKey
+	key.regions = regions
+	w.Regions, w.class = regions, l.classOf(key)
+	if w.waiting {
+		w.class.insert(w)
+	}
+}
+
+// insert adds a request to the waiting ones of its rank.
+func (c *lineClass) insert(w *Waiter) {
+	i, _ := slices.BinarySearchFunc(c.byAge, w, compareAges)
+	c.byAge = slices.Insert(c.byAge, i, w)
+	i, _ = slices.BinarySearchFunc(c.byTime, w, compareTimes)
+	c.byTime = slices.Insert(c.byTime, i, w)
+}
+
+// remove takes a request out of the waiting ones of its rank.
+func (c *lineClass) remove(w *Waiter) {
+	i, _ := slices.BinarySearchFunc(c.byAge, w, compareAges)
+	c.byAge = slices.Delete(c.byAge, i, i+1)
+	i, _ = slices.BinarySearchFunc(c.byTime, w, compareTimes)
+	c.byTime = slices.Delete(c.byTime, i, i+1)
+	if len(c.byAge) == 0 {
+		c.passed = 0
+	}
+}
+
 // last returns the last request in order, or nil.
 func (l *Line) last() *Waiter {
 	for _, c := range slices.Backward(l.classes) {
--- a/pimentoload/line_test.go
+++ b/pimentoload/line_test.go
@@ -275,7 +275,7 @@
 		pressing := false
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * ms
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0, 1, 2:
 				w := newWaiter(now, rapid.IntRange(0, 3).Draw(t, "priority"), fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "caller")))
 				w.Regions = rapid.SampledFrom([]RegionSet{AllRegions, 1, 2, 3}).Draw(t, "regions")
@@ -330,6 +330,21 @@
 				}
 			case 5:
 				pressing = !pressing
+			case 6:
+				if len(o.waiting) > 0 {
+					w := rapid.SampledFrom(o.waiting).Draw(t, "moves")
+					o.remove(w)
+					again := rapid.Bool().Draw(t, "joins again")
+					if again {
+						l.Leave(now, w)
+					}
+					l.SetRegions(w, rapid.SampledFrom([]RegionSet{AllRegions, 1, 2, 3}).Draw(t, "regions"))
+					if again {
+						l.Join(now, w)
+					}
+					o.waiting = append(o.waiting, w)
+					slices.SortFunc(o.waiting, o.order)
+				}
 			}
 			bytes := 0
 			for _, w := range o.waiting {
