pimentogate: a request whose organisation's home moves goes to the new one

Callers got 503 (reason=moved) for requests that waited while the home of their organisation moved, although nothing of them had been sent and another target could have served them: checkKey took a target outside of the organisation's newest homes for a key that has changed hands.

checkKey now refuses only where the key's holder has changed. Homes are left to checkHomes, after which another target is chosen.

Evidence: before this change TestMovedOrganisationIsSentElsewhere got "moved" for "home".

--- a/pimentogate/homes.go
+++ b/pimentogate/homes.go
@@ -130,7 +130,7 @@
 // nil, by what the newest configuration says of its key and its home regions. It doesn't change
 // the call, and may be called by the sends of a request at the same time.
 func (g *Gate) checkRules(c *call, tg *pimentoroute.Target) reason {
-	if why := g.checkKey(c, tg); why != reasonNone {
+	if why := g.checkKey(c); why != reasonNone {
 		return why
 	}
 	return g.checkHomes(c, tg)
--- a/pimentogate/homes_test.go
+++ b/pimentogate/homes_test.go
@@ -58,3 +58,30 @@
 		synctest.Wait()
 	})
 }
+
+// A request whose organisation's home moves between the choice of a target and its send is
+// refused as if its key had another holder.
+func TestMovedOrganisationIsSentElsewhere(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	const key = pimentoroute.Key("opera-key")
+	store := func(name pimentoregister.OrganisationName, home pimentoregister.RegionName) {
+		o := &pimentoroute.Organisation{Name: name, Keys: []pimentoroute.Key{key}, Homes: []pimentoregister.RegionName{home}}
+		cfg := &pimentoroute.Config{Routes: table.Config.Routes, Organisations: map[pimentoregister.OrganisationName]*pimentoroute.Organisation{name: o}}
+		g.table.Store(pimentoroute.Build([]pimentoroute.Record{{Config: cfg}}, nil))
+	}
+	store("opera", "a")
+	c := lineTestCall(g.table.Load(), 0, "caller")
+	c.key, c.hasKey = key.Digest(), true
+	c.organisation = c.table.Organisation(c.key)
+	near, far := &pimentoroute.Target{ID: "near", Region: "a"}, &pimentoroute.Target{ID: "far", Region: "b"}
+	is.Equal(g.checkRules(c, near), reasonNone)
+	is.Equal(g.checkRules(c, far), reasonHome)
+	store("opera", "b")
+	is.Equal(g.checkRules(c, near), reasonHome)
+	is.Equal(g.checkRules(c, far), reasonNone)
+	is.Equal(g.checkRules(c, nil), reasonNone)
+	store("choir", "b")
+	is.Equal(g.checkRules(c, far), reasonMoved)
+	is.Equal(g.checkRules(c, nil), reasonMoved)
+}
--- a/pimentogate/organisation.go
+++ b/pimentogate/organisation.go
@@ -41,10 +41,10 @@
 	return reasonKey
 }
 
-// checkKey returns why a request whose organisation was known before may not be sent to a
-// target any more, by the newest configuration. It doesn't change the call, and may be called
-// by the sends of a request at the same time.
-func (g *Gate) checkKey(c *call, tg *pimentoroute.Target) reason {
+// checkKey returns why a request whose organisation was known before may not be sent any more,
+// by the newest configuration. It doesn't change the call, and may be called by the sends of a
+// request at the same time.
+func (g *Gate) checkKey(c *call) reason {
 	if c.organisation == nil || c.route.Public {
 		return reasonNone
 	}
@@ -59,7 +59,7 @@
 		return reasonMoved
 	case o == nil:
 		return reasonKey
-	case o.Name != c.organisation.Name, tg != nil && !o.Allows(tg.Region):
+	case o.Name != c.organisation.Name:
 		return reasonMoved
 	}
 	return reasonNone
