pimentogate: the homes of an organisation bind a request whose key is withdrawn

A request on a public route, which needs no key, was sent to any region once the newest configuration had withdrawn its key, also while it waited as one of an organisation with homes: the homes of nobody took the place of the organisation's.

As for a request that is left without a route, the homes of its arrival go on binding it. On other routes such a request is refused, as before.

Evidence: TestHomesOutliveTheKey found region b allowed for homes a before, and passes now.

--- a/pimentogate/homes.go
+++ b/pimentogate/homes.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -61,7 +62,8 @@
 }
 
 // newestHomes returns the homes that bind the request by the newest configuration that this
-// entry knows. Where that has no route for it, they are those of its arrival.
+// entry knows. Where that has no route for it, or no organisation for its key, they are those of
+// its arrival.
 func (g *Gate) newestHomes(c *call) homes {
 	t := g.table.Load()
 	if t.Config == c.table.Config {
@@ -73,7 +75,7 @@
 	}
 	organisation := c.organisation
 	if c.hasKey {
-		organisation = t.Organisation(c.key)
+		organisation = cmp.Or(t.Organisation(c.key), organisation)
 	}
 	return homesBy(t.Config.Version, route, organisation)
 }
--- a/pimentogate/homes_test.go
+++ b/pimentogate/homes_test.go
@@ -85,3 +85,25 @@
 	is.Equal(g.checkRules(c, far), reasonMoved)
 	is.Equal(g.checkRules(c, nil), reasonMoved)
 }
+
+// A request on a public route whose key is withdrawn while it waits is sent outside the homes of
+// its organisation.
+func TestHomesOutliveTheKey(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	const key = pimentoroute.Key("opera-key")
+	public := *table.Config.Routes[0]
+	public.Public = true
+	store := func(keys ...pimentoroute.Key) {
+		o := &pimentoroute.Organisation{Name: "opera", Keys: keys, Homes: []pimentoregister.RegionName{"a"}}
+		cfg := &pimentoroute.Config{Routes: []*pimentoroute.Route{&public}, Organisations: map[pimentoregister.OrganisationName]*pimentoroute.Organisation{o.Name: o}}
+		g.table.Store(pimentoroute.Build([]pimentoroute.Record{{Config: cfg}}, nil))
+	}
+	store(key)
+	c := lineTestCall(g.table.Load(), 0, "caller")
+	c.key, c.hasKey = key.Digest(), true
+	c.organisation = c.table.Organisation(c.key)
+	store()
+	is.True(g.allows(c, "a"))
+	is.True(!g.allows(c, "b"))
+}
