pimentogate: the homes of a new organisation bind requests that wait

Requests that came while there were no organisations at all, and waited while a configuration made their key that of an organisation with homes, were sent outside of them: the key was only read where the configuration of the arrival had organisations, so that newestHomes had none to ask for.

identify now reads the key of each request that has one. Whether it needs one is decided by the configuration of its arrival, as before.

--- a/pimentogate/organisation.go
+++ b/pimentogate/organisation.go
@@ -12,10 +12,7 @@
 // refused, or reasonNone. The call's table and route are set.
 func (g *Gate) identify(c *call) reason {
 	c.organisation, c.hasKey = nil, false
-	if len(c.table.Config.Organisations) == 0 {
-		return reasonNone
-	}
-	if key, ok := callerKey(&c.req.Header, g.dialect.KeyScheme); ok {
+	if key, ok := callerKey(&c.req.Header, g.dialect.KeyScheme); ok { // Also without organisations: there may be one later.
 		c.key, c.hasKey = key.Digest(), true
 		c.organisation = c.table.Organisation(c.key)
 	}
