--- a/pimentofeed/freshness.go
+++ b/pimentofeed/freshness.go
@@ -35,9 +35,9 @@
 	return asked + wait
 }
 
-// RevocationBound bounds the age of the copy from which a key may still be taken as valid.
+// AgeBound bounds the age of the copy from which a key may still be taken as valid.
 // The zero value sets no bound.
-type RevocationBound struct {
+type AgeBound struct {
 	// After is the time after the acknowledgement of its removal from which no request with
 	// a key may be sent.
 	After time.Duration
@@ -48,14 +48,14 @@
 const marginDivisor = 10
 
 // InForce reports whether there is a bound.
-func (b RevocationBound) InForce() bool { return b.After > 0 }
+func (b AgeBound) InForce() bool { return b.After > 0 }
 
 // Limit returns the age of the copy above which no key counts as valid.
-func (b RevocationBound) Limit() time.Duration { return b.After - b.After/marginDivisor }
+func (b AgeBound) Limit() time.Duration { return b.After - b.After/marginDivisor }
 
 // Allows reports whether a request with a key that the copy holds may be sent now. Without a
 // known age it may not.
-func (b RevocationBound) Allows(age time.Duration, known bool) bool {
+func (b AgeBound) Allows(age time.Duration, known bool) bool {
 	return !b.InForce() || (known && age <= b.Limit())
 }
 
@@ -65,7 +65,7 @@
 const watchPercent = 40
 
 // WatchWait returns the longest time for which a watch waits, at most usual.
-func (b RevocationBound) WatchWait(usual time.Duration) time.Duration {
+func (b AgeBound) WatchWait(usual time.Duration) time.Duration {
 	if !b.InForce() {
 		return usual
 	}
--- a/pimentofeed/freshness_test.go
+++ b/pimentofeed/freshness_test.go
@@ -88,7 +88,7 @@
 }
 
 // check fails if an entry may send with a key that was taken away longer ago than allowed.
-func (o *fleetOracle) check(t *rapid.T, bound RevocationBound) {
+func (o *fleetOracle) check(t *rapid.T, bound AgeBound) {
 	for i, e := range o.entries {
 		age, known := e.freshness.Age(e.clock(o.now))
 		if !bound.Allows(age, known) {
@@ -105,7 +105,7 @@
 // Whatever is cut, delayed, delivered twice or restarted: no entry sends with a key longer
 // than the bound after the store acknowledged its removal.
 func TestNoEntrySendsWithOldKeys(t *testing.T) {
-	bound := RevocationBound{After: 5 * time.Second}
+	bound := AgeBound{After: 5 * time.Second}
 	rapid.Check(t, func(t *rapid.T) {
 		o := &fleetOracle{now: time.Hour}
 		size := rapid.IntRange(1, 4).Draw(t, "entries")
@@ -197,14 +197,14 @@
 	}
 }
 
-func TestRevocationBound(t *testing.T) {
+func TestAgeBound(t *testing.T) {
 	is := is.New(t)
-	b := RevocationBound{After: 5 * time.Second}
+	b := AgeBound{After: 5 * time.Second}
 	is.True(b.Allows(4500*time.Millisecond, true))
 	is.True(!b.Allows(4501*time.Millisecond, true))
 	is.True(!b.Allows(0, false))
-	is.True(RevocationBound{}.Allows(time.Hour, false)) // Not in force.
+	is.True(AgeBound{}.Allows(time.Hour, false)) // Not in force.
 	is.Equal(b.WatchWait(2*time.Second), 2*time.Second)
-	is.Equal(RevocationBound{After: 2 * time.Second}.WatchWait(2*time.Second), 800*time.Millisecond)
-	is.Equal(RevocationBound{}.WatchWait(2*time.Second), 2*time.Second)
+	is.Equal(AgeBound{After: 2 * time.Second}.WatchWait(2*time.Second), 800*time.Millisecond)
+	is.Equal(AgeBound{}.WatchWait(2*time.Second), 2*time.Second)
 }
--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -22,7 +22,7 @@
 // limitFreshness makes watches of the platform short enough for the bound on keys that are
 // taken away. It is called before Run.
 func (g *Gate) limitFreshness() {
-	g.revocation = pimentofeed.RevocationBound{After: time.Duration(g.settings.Revocation)}
+	g.revocation = pimentofeed.AgeBound{After: time.Duration(g.settings.Revocation)}
 	g.watchWait = g.revocation.WatchWait(pimentoplatform.WatchWait)
 	g.cluster.answerDue = g.watchWait + platformMargin
 }
--- a/pimentogate/freshness_test.go
+++ b/pimentogate/freshness_test.go
@@ -23,7 +23,7 @@
 // have a revision.
 func boundedGate(t *testing.T, number int) *Gate {
 	g := gateInRegion(t, number, time.Second)
-	g.revocation = pimentofeed.RevocationBound{After: 5 * time.Second}
+	g.revocation = pimentofeed.AgeBound{After: 5 * time.Second}
 	g.cluster.feed.Merge(g.now(), pimentofeed.Update{Full: true, AsOf: 7})
 	return g
 }
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -55,7 +55,7 @@
 	bodies    bodyTraffic
 	startedAt time.Time
 
-	revocation pimentofeed.RevocationBound
+	revocation pimentofeed.AgeBound
 	watchWait  time.Duration // The time for which a watch of the platform waits.
 
 	table atomic.Pointer[pimentoroute.Table]
