pimentogate: no request goes by home regions that may be old

Callers whose requests home regions bind had them run in a former home: an entry that was cut off, that had just read an older copy of the store, or that couldn't decode the newest configuration went by the homes that it had, for as long as it ran. Nothing held back a send for the age of the configuration; only refusals were.

The bound is in force while the configuration has homes, so that without them messages, watches and the first read are as before (TestHomeBoundNeedsHomes). Beyond the limit a request that homes bind is refused with 503 and a short Retry-After, before its body is read, before each choice and just before the write; requests without homes never are. A request waits up to half a second while a start has never known the age. The stale first read confirms nothing (TestStaleReadConfirmsNothing), and a removed configuration now confirms nothing either, also for keys. The field WatchWait of Follower becomes the function MaxWait, since the bound comes and goes with configurations; TestCurrentAtIsKeptYoung sets it to the same wait as before. In calm times some requests are refused until the next commits.

--- a/pimentofeed/freshness.go
+++ b/pimentofeed/freshness.go
@@ -35,11 +35,11 @@
 	return asked + wait
 }
 
-// AgeBound bounds the age of the copy from which a key may still be taken as valid.
-// The zero value sets no bound.
+// AgeBound bounds the age of the copy by which a request may still be sent. The zero value
+// sets no bound.
 type AgeBound struct {
-	// After is the time after the acknowledgement of its removal from which no request with
-	// a key may be sent.
+	// After is the time after the acknowledgement of a change from which no request that the
+	// change forbids may be sent.
 	After time.Duration
 }
 
@@ -50,15 +50,23 @@
 // InForce reports whether there is a bound.
 func (b AgeBound) InForce() bool { return b.After > 0 }
 
-// Limit returns the age of the copy above which no key counts as valid.
+// Limit returns the age of the copy above which it allows nothing.
 func (b AgeBound) Limit() time.Duration { return b.After - b.After/marginDivisor }
 
-// Allows reports whether a request with a key that the copy holds may be sent now. Without a
-// known age it may not.
+// Allows reports whether a request that the copy allows may be sent now. Without a known age it
+// may not.
 func (b AgeBound) Allows(age time.Duration, known bool) bool {
 	return !b.InForce() || (known && age <= b.Limit())
 }
 
+// Stricter returns the bound of the two that allows less.
+func (b AgeBound) Stricter(other AgeBound) AgeBound {
+	if !b.InForce() || other.InForce() && other.After < b.After {
+		return other
+	}
+	return b
+}
+
 // watchPercent is the part of After for which a watch waits: the age grows by one wait before
 // the next answer confirms the copy, and the rest is left for other entries: 2.5 s of a limit
 // of 4.5 s.
--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -19,12 +19,29 @@
 // of the configuration isn't known: an entry hears from others within this time.
 const retryAfterUnconfirmed = domainSyncInterval
 
-// limitFreshness makes watches of the platform short enough for the bound on keys that are
-// taken away. It is called before Run.
-func (g *Gate) limitFreshness() {
-	g.revocation = pimentofeed.AgeBound{After: time.Duration(g.settings.Revocation)}
-	g.watchWait = g.revocation.WatchWait(pimentoplatform.WatchWait)
-	g.cluster.answerDue = g.watchWait + platformMargin
+// ageBound returns the strictest bound of the age of the items that is in force now, the zero
+// value without one. That of home regions is in force while the configuration has any.
+func (g *Gate) ageBound() pimentofeed.AgeBound {
+	if t := g.table.Load(); t == nil || !t.HasHomes() {
+		return g.revocation
+	}
+	return g.revocation.Stricter(g.homeBound)
+}
+
+// maxWatchWait returns the longest time for which a watch of the platform may wait, 0 while the
+// age of the items isn't bounded.
+func (g *Gate) maxWatchWait() time.Duration {
+	b := g.ageBound()
+	if !b.InForce() {
+		return 0
+	}
+	return b.WatchWait(pimentoplatform.WatchWait)
+}
+
+// updateAnswerDue makes the time between two answers of the platform follow the bound that is
+// in force. It is called with clusterState.mu held, or before Run.
+func (g *Gate) updateAnswerDue() {
+	g.cluster.answerDue = g.ageBound().WatchWait(pimentoplatform.WatchWait) + platformMargin
 }
 
 // feedAge returns the age of the items at most, and false if nothing bounds it. Where no clock
@@ -67,43 +84,43 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if !cs.feed.At().Before(point) {
-		g.confirmKeys(at)
+		g.confirmItems(at)
 	}
 }
 
-// confirmKeys records that the items were current at a time of bootTime. It doesn't while the
-// keys of the newest configuration aren't known. Once it lets this entry serve requests with
-// a key, the sync peers are informed at once. It is called with clusterState.mu held.
-func (g *Gate) confirmKeys(at time.Duration) {
+// confirmItems records that the items were current at a time of bootTime. It doesn't while the
+// newest configuration isn't known. When this entry can serve requests again that a bound kept it
+// from, the sync peers are informed at once. It is called with clusterState.mu held.
+func (g *Gate) confirmItems(at time.Duration) {
 	cs := g.cluster
-	if cs.undecoded {
+	if cs.undecoded || cs.configRemoved {
 		return
 	}
-	refused := g.refusesKeys()
+	refused := g.refusesByAge()
 	cs.freshness.Confirm(at)
-	if refused && !g.refusesKeys() {
+	if refused && !g.refusesByAge() {
 		cs.signalConfirmed()
 	}
 }
 
-// refusesKeys reports whether the age of the items keeps this entry from serving requests
-// with a key. It is called with clusterState.mu held.
-func (g *Gate) refusesKeys() bool {
-	return !g.revocation.Allows(g.cluster.freshness.Age(bootTime()))
+// refusesByAge reports whether the age of the items keeps this entry from serving some of the
+// requests. It is called with clusterState.mu held.
+func (g *Gate) refusesByAge() bool {
+	return !g.ageBound().Allows(g.cluster.freshness.Age(bootTime()))
 }
 
-// knowsLess reports whether this entry refuses requests with a key although a peer states an
-// age which would allow them even after a slow exchange. It is called with clusterState.mu
-// held.
+// knowsLess reports whether this entry refuses requests for the age of its items although a
+// peer states an age which would allow them even after a slow exchange. It is called with
+// clusterState.mu held.
 func (g *Gate) knowsLess(st *pimentofeed.Statement) bool {
-	return st.Known && st.Age <= g.revocation.Limit()/2 && g.refusesKeys()
+	return st.Known && st.Age <= g.ageBound().Limit()/2 && g.refusesByAge()
 }
 
 // statement returns what a message to another entry says about the age of the items. echo is
-// the stamp of the last message from that entry. It is nil where no bound is set. It is called
-// with clusterState.mu held.
+// the stamp of the last message from that entry. It is nil where no bound is in force. It is
+// called with clusterState.mu held.
 func (g *Gate) statement(echo uint64) *pimentofeed.Statement {
-	if !g.revocation.InForce() {
+	if !g.ageBound().InForce() {
 		return nil
 	}
 	now := bootTime()
@@ -126,7 +143,7 @@
 		return
 	}
 	if at, ok := cs.stamps.ConfirmedAt(*msg.confirmation, bootTime()); ok {
-		g.confirmKeys(at)
+		g.confirmItems(at)
 	} else if g.knowsLess(msg.confirmation) {
 		cs.signalConfirmed()
 	}
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -55,8 +55,8 @@
 	bodies    bodyTraffic
 	startedAt time.Time
 
-	revocation pimentofeed.AgeBound
-	watchWait  time.Duration // The time for which a watch of the platform waits.
+	revocation pimentofeed.AgeBound // See Settings.Revocation.
+	homeBound  pimentofeed.AgeBound // See Settings.Apply.
 
 	table atomic.Pointer[pimentoroute.Table]
 	// configured is closed when there is a first active configuration.
@@ -151,7 +151,9 @@
 		Name: s.Name, Address: s.PeersAddr, Region: g.region, Domain: s.Domain,
 		RunID: rand.Uint64() | 1, Version: uint64(time.Now().UnixMilli()),
 	})
-	g.limitFreshness()
+	g.revocation = pimentofeed.AgeBound{After: time.Duration(s.Revocation)}
+	g.homeBound = pimentofeed.AgeBound{After: time.Duration(s.Apply)}
+	g.updateAnswerDue()
 	g.cluster.feed.Newer, g.cluster.feed.Restricts = p.Newer, g.takesDomainOut
 	g.seedAddrs.Store(&s.Seeds)
 	if s.FirstStart && len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.PeersAddr) {
@@ -257,10 +259,9 @@
 		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, sourcePlatform) },
 		OnReading:  g.setReading,
 		OnFailure:  func() { g.metrics.count("pimento_platform_failures_total") },
-		WatchWait:  g.watchWait,
-	}
-	if g.revocation.InForce() {
-		f.OnCurrent, f.Now = g.noteCurrent, bootTime
+		OnCurrent:  g.noteCurrent,
+		Now:        bootTime,
+		MaxWait:    g.maxWatchWait,
 	}
 	f.Run(ctx)
 }
--- /dev/null
+++ b/pimentogate/homeproof_test.go
@@ -0,0 +1,52 @@
+package pimentogate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentoarch/pimentofeed"
+	"pimentoarch/pimentoplatform"
+	"pimentoarch/pimentoregister"
+	"pimentoarch/pimentoroute"
+)
+
+// homesGate returns a gate with a bound on the age of home regions, and a configuration with
+// some.
+func homesGate(t *testing.T, number int, homes ...pimentoregister.RegionName) *Gate {
+	t.Helper()
+	g := gateInRegion(t, number, 0)
+	g.homeBound = pimentofeed.AgeBound{After: 3 * time.Second}
+	cfg := &pimentoroute.Config{Routes: []*pimentoroute.Route{{Prefix: "/", Homes: homes}}}
+	g.table.Store(pimentoroute.Build([]pimentoroute.Record{{Config: cfg}}, nil))
+	g.updateAnswerDue()
+	return g
+}
+
+// The bound on home regions costs entries nothing while the configuration has none: messages are
+// as long and watches as rare as before.
+func TestHomeBoundNeedsHomes(t *testing.T) {
+	is := is.New(t)
+	unbound, without, with := gateInRegion(t, 1, 0), homesGate(t, 1), homesGate(t, 1, "r")
+	is.True(without.newSyncMessage(0, nil, 0).confirmation == nil)
+	is.Equal(len(without.newSyncMessage(0, nil, 0).marshal()), len(unbound.newSyncMessage(0, nil, 0).marshal()))
+	is.Equal(without.maxWatchWait(), time.Duration(0))
+	is.Equal(without.cluster.answerDue, maxAnswerDue)
+	is.True(with.newSyncMessage(0, nil, 0).confirmation != nil)
+	is.Equal(with.maxWatchWait(), 1200*time.Millisecond)
+	is.Equal(with.cluster.answerDue, with.maxWatchWait()+platformMargin)
+}
+
+// Where the age of keys is bounded as well, the stricter bound decides how long watches wait.
+func TestStricterBoundDecides(t *testing.T) {
+	is := is.New(t)
+	g := homesGate(t, 1, "r")
+	g.revocation = pimentofeed.AgeBound{After: 5 * time.Second}
+	is.Equal(g.maxWatchWait(), 1200*time.Millisecond)
+	g.revocation = pimentofeed.AgeBound{After: 2 * time.Second}
+	is.Equal(g.maxWatchWait(), 800*time.Millisecond)
+	g.table.Store(pimentoroute.Build(nil, nil))
+	g.revocation = pimentofeed.AgeBound{After: 30 * time.Second}
+	is.Equal(g.maxWatchWait(), pimentoplatform.WatchWait)
+}
--- a/pimentogate/homes.go
+++ b/pimentogate/homes.go
@@ -135,7 +135,10 @@
 	if why := g.checkKey(c); why != reasonNone {
 		return why
 	}
-	return g.checkHomes(c, tg)
+	if why := g.homesDoubt(c); why != reasonNone {
+		return why
+	}
+	return g.checkHomes(c, tg) // By the newest table, loaded after the age was found good.
 }
 
 // checkHomes returns why home regions keep a request from a target, or from all if tg is nil.
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -154,6 +154,7 @@
 	}
 	t := pimentoroute.Build(records, g.settings.Regions)
 	g.table.Store(t)
+	g.updateAnswerDue()
 	if t.Config != nil { // From now on there is always a configuration.
 		g.onceConfigured.Do(func() { close(g.configured) })
 	}
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -92,14 +92,29 @@
 	return "no"
 }
 
-// handle routes a request, checks it and sends it to a target.
-func (g *Gate) handle(c *call) *response {
+// refuseByRules sets the call's route and organisation, and returns the response to a request that
+// the configuration doesn't allow or that can't be known to be allowed, or nil.
+func (g *Gate) refuseByRules(c *call) *response {
 	if why := g.findRoute(c); why != reasonNone {
 		return g.refusal(c, why, retryAfterDoubt(why))
 	}
 	if why := g.identify(c); why != reasonNone {
 		return g.refusal(c, why, retryAfterUnconfirmed)
 	}
+	if why := g.awaitHomes(c); why != reasonNone {
+		return g.refusal(c, why, retryAfterUnconfirmed)
+	}
+	if g.table.Load().Config != c.table.Config {
+		return g.refuseByRules(c) // The homes that were waited for may be those of the newer one.
+	}
+	return nil
+}
+
+// handle routes a request, checks it and sends it to a target.
+func (g *Gate) handle(c *call) *response {
+	if resp := g.refuseByRules(c); resp != nil {
+		return resp
+	}
 	if why := g.awaitQuota(c); why != reasonNone {
 		return g.refuseQuota(c)
 	}
--- a/pimentogate/settings.go
+++ b/pimentogate/settings.go
@@ -75,6 +75,10 @@
 	// is sent any more with a key that it took away. An entry that can't be sure of that
 	// refuses requests that need a key. 0 means no bound.
 	Revocation Duration `json:"revoke"`
+	// Apply bounds the time from the acknowledgement of a configuration until no request is
+	// sent any more to a region that isn't one of its home regions. An entry that can't be
+	// sure of that refuses requests with home regions. 0 means no bound.
+	Apply Duration `json:"apply"`
 	// LinkMbps is the rate of the VM's link in Mbit/s, by which large bodies are admitted and
 	// sent. 0 means that it isn't known.
 	LinkMbps float64 `json:"link"`
@@ -176,7 +180,8 @@
 		pimentosettings.AtLeast("questions", s.ProbeRate, 0),
 		pimentosettings.AtLeast("memory", s.MemoryMiB, 16),
 		pimentosettings.AtLeast("held", s.HeldMiB, 0),
-		checkRevocation(time.Duration(s.Revocation)),
+		checkAgeBound("revoke", time.Duration(s.Revocation)),
+		checkAgeBound("apply", time.Duration(s.Apply)),
 		pimentosettings.AtLeast("link", s.LinkMbps, 0),
 		pimentosettings.AtLeast("lines", s.LogLineRate, 0),
 		pimentosettings.AtLeast("period", time.Duration(s.LimitWindow).Seconds(), 0.1),
@@ -185,13 +190,13 @@
 	)
 }
 
-// minRevocation is the shortest bound of Settings.Revocation that the messages between entries
-// can keep up with.
-const minRevocation = time.Second
+// minAgeBound is the shortest bound of Settings.Revocation and Settings.Apply that the messages
+// between entries can keep up with.
+const minAgeBound = time.Second
 
-func checkRevocation(d time.Duration) error {
+func checkAgeBound(field string, d time.Duration) error {
 	if d == 0 {
 		return nil
 	}
-	return pimentosettings.AtLeast("revoke", d.Seconds(), minRevocation.Seconds())
+	return pimentosettings.AtLeast(field, d.Seconds(), minAgeBound.Seconds())
 }
--- a/pimentogate/settings_test.go
+++ b/pimentogate/settings_test.go
@@ -41,6 +41,8 @@
 		{`"unknown": 5`, `"memory": 1`, "memory"},
 		{`"unknown": 5`, `"revoke": "1ms"`, "revoke"},
 		{`"unknown": 5`, `"revoke": "-5s"`, "revoke"},
+		{`"unknown": 5`, `"apply": "1ms"`, "apply"},
+		{`"unknown": 5`, `"apply": "-5s"`, "apply"},
 		{`"unknown": 5`, `"link": -1`, "link"},
 	} {
 		t.Run(tc.changed, func(t *testing.T) {
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -1,7 +1,6 @@
 package pimentoplatform
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -69,14 +68,14 @@
 	// OnFailure is called after each failure of a read.
 	OnFailure func()
 	// OnCurrent, if set, is called after the OnUpdate of a response that wasn't allowed to be
-	// stale: at a time of Now, the source was not past the point. The first read isn't allowed
-	// to be stale then, and Now must be set too.
+	// stale: at a time of Now, the source was not past the point. Now must be set too.
 	OnCurrent func(point pimentofeed.Point, at time.Duration)
 	// Now returns the time by a clock that counts suspension.
 	Now func() time.Duration
-	// WatchWait takes the place of the constant WatchWait if it isn't 0. It is at most as
-	// long.
-	WatchWait time.Duration
+	// MaxWait, if set, returns the longest time for which a watch may wait while the age of
+	// the items is bounded, and 0 while it isn't. While it is, the first read isn't allowed to
+	// be stale.
+	MaxWait func() time.Duration
 
 	failures int  // Since the last success.
 	watching bool // A read that wasn't allowed to be stale has succeeded since ShouldRead last returned false.
@@ -110,7 +109,7 @@
 	asked, wait := f.now(), time.Duration(0)
 	var u pimentofeed.Update
 	var err error
-	stale := after == 0 && !f.readAll && f.OnCurrent == nil
+	stale := after == 0 && !f.readAll && f.maxWait() == 0
 	if after == 0 || f.readAll {
 		u, err = f.Source.Read(stale)
 	} else {
@@ -133,7 +132,7 @@
 		f.rereads = 0
 	}
 	f.OnUpdate(u)
-	if f.OnCurrent != nil {
+	if f.OnCurrent != nil && !stale {
 		f.currentAt = pimentofeed.CurrentAt(&u, asked, f.now(), wait)
 		f.OnCurrent(pimentofeed.Point{Era: u.Era, Revision: u.AsOf}, f.currentAt)
 	}
@@ -153,15 +152,27 @@
 	return f.Now()
 }
 
+// maxWait returns what MaxWait does, 0 without it.
+func (f *Follower) maxWait() time.Duration {
+	if f.MaxWait == nil {
+		return 0
+	}
+	return f.MaxWait()
+}
+
 // nextWait returns the time for which the next watch waits.
 func (f *Follower) nextWait(now time.Duration) time.Duration {
-	usual := cmp.Or(f.WatchWait, WatchWait)
+	bound := f.maxWait()
+	usual := WatchWait
+	if bound > 0 {
+		usual = min(usual, bound)
+	}
 	switch {
 	case f.failures > 0:
 		return min(usual, retryWatchWait)
 	case !f.watching:
 		return min(usual, firstWatchWait)
-	case f.batching && f.OnCurrent != nil:
+	case f.batching && bound > 0:
 		// Changes only show that the items were current when they were asked for.
 		return max(firstWatchWait, min(usual-batchPause, usual-(now-f.currentAt)))
 	case f.batching:
--- a/pimentoplatform/follow_test.go
+++ b/pimentoplatform/follow_test.go
@@ -189,6 +189,7 @@
 			OnUpdate:   func(u pimentofeed.Update) { asOf = u.AsOf },
 			OnReading:  func(bool) {},
 			Now:        since,
+			MaxWait:    func() time.Duration { return WatchWait },
 			OnCurrent: func(point pimentofeed.Point, current time.Duration) {
 				is.True(point.Revision >= revisionAt(current)) // It isn't claimed of a time at which there was more.
 				oldest = max(oldest, since()-at)
@@ -208,3 +209,54 @@
 		is.True(calls <= 16)
 	})
 }
+
+// A read that may be stale confirmed the items, and the first watch after it waited as if it had
+// shown that nothing newer exists.
+func TestStaleReadConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var asOf pimentofeed.Revision
+		var confirmed []pimentofeed.Revision
+		var waits []time.Duration
+		f := &Follower{
+			Source: Source{
+				Read: func(stale bool) (pimentofeed.Update, error) {
+					is.True(stale) // Nothing is bounded yet.
+					return pimentofeed.Update{Full: true, AsOf: 5}, nil
+				},
+				Watch: func(after pimentofeed.Revision, wait time.Duration) (pimentofeed.Update, error) {
+					waits = append(waits, wait)
+					time.Sleep(wait)
+					return pimentofeed.Update{From: after, AsOf: after}, nil
+				},
+			},
+			Log:        log.NewNopLogger(),
+			ShouldRead: func() bool { return true },
+			At:         func() pimentofeed.Point { return pimentofeed.Point{Revision: asOf} },
+			OnUpdate:   func(u pimentofeed.Update) { asOf = u.AsOf },
+			OnReading:  func(bool) {},
+			Now:        func() time.Duration { return time.Second },
+			OnCurrent: func(point pimentofeed.Point, _ time.Duration) {
+				confirmed = append(confirmed, point.Revision)
+				is.Equal(len(confirmed), len(waits))
+			},
+			MaxWait: func() time.Duration {
+				if asOf == 0 {
+					return 0
+				}
+				return time.Second
+			},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(3 * time.Second)
+		cancel()
+		<-done
+		is.Equal(waits[0], firstWatchWait)
+		is.Equal(waits[1], time.Second)
+	})
+}
--- a/pimentoroute/table.go
+++ b/pimentoroute/table.go
@@ -122,8 +122,10 @@
 	// Organisations are those whose requests are served. Without any, requests need no key.
 	Organisations map[pimentoregister.OrganisationName]*Organisation
 
-	index sync.Once // Guards keys: many tables may have the same configuration.
+	index sync.Once // Guards the fields below: many tables may have the same configuration.
 	keys  keyIndex
+	// hasHomes is what Table.HasHomes returns.
+	hasHomes bool
 }
 
 // Target is one published target.
@@ -217,7 +219,7 @@
 	}
 	if t.Config != nil {
 		t.indexRoutes()
-		t.Config.index.Do(func() { t.Config.keys = newKeyIndex(t.Config) })
+		t.Config.index.Do(t.Config.indexOnce)
 		t.keys = t.Config.keys
 		t.indexShared()
 	}
@@ -266,6 +268,20 @@
 	)
 }
 
+// indexOnce sets the fields that are derived from the published ones.
+func (c *Config) indexOnce() {
+	c.keys = newKeyIndex(c)
+	for _, r := range c.Routes {
+		c.hasHomes = c.hasHomes || len(r.Homes) > 0
+	}
+	for _, o := range c.Organisations {
+		c.hasHomes = c.hasHomes || len(o.Homes) > 0
+	}
+}
+
+// HasHomes reports whether a route or an organisation of the configuration has home regions.
+func (t *Table) HasHomes() bool { return t.Config != nil && t.Config.hasHomes }
+
 // Organisation returns the organisation that holds a key, or nil.
 func (t *Table) Organisation(d Digest) *Organisation { return t.keys.find(d) }
 
