pimentogate: confirmations of the items spread at once

Callers were refused requests with home regions in calm times: entries some hops from the one that reads the store learned with the periodic messages only that their items are current, each up to half a second later than the one before, so that with a bound of 3 s the limit of 2.7 s was reached. TestHomesInCalmTimes failed without the change (503 for 200, seven entries in three domains); with it the greatest ages are 1.32 to 1.35 s. TestConfirmationSpreadsAtOnce failed without each half: nothing was signalled, and a single exchange left the peer's age at a second.

An entry whose bounded age falls by more than boundedAgeGain wakes its sync loops, and a second message answers a reply that states a much greater age, because only a message that echoes a fresh stamp confirms a fresh age. Without a bound in force nothing changes.

--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -90,19 +90,27 @@
 
 // confirmItems records that the items were current at a time of bootTime. It doesn't while the
 // newest configuration isn't known. When this entry can serve requests again that a bound kept it
-// from, the sync peers are informed at once. It is called with clusterState.mu held.
+// from, or knows the items to be much younger, the sync peers are informed at once. It is called
+// with clusterState.mu held.
 func (g *Gate) confirmItems(at time.Duration) {
 	cs := g.cluster
 	if cs.undecoded || cs.configRemoved {
 		return
 	}
-	refused := g.refusesByAge()
+	now := bootTime()
+	before, known := cs.freshness.Age(now)
+	refused := !g.ageBound().Allows(before, known)
 	cs.freshness.Confirm(at)
-	if refused && !g.refusesByAge() {
+	after, _ := cs.freshness.Age(now)
+	if refused && !g.refusesByAge() || known && g.ageBound().InForce() && before-after > boundedAgeGain {
 		cs.signalConfirmed()
 	}
 }
 
+// boundedAgeGain is the decrease of the bounded age above which entries inform each other at
+// once.
+const boundedAgeGain = 400 * time.Millisecond
+
 // refusesByAge reports whether the age of the items keeps this entry from serving some of the
 // requests. It is called with clusterState.mu held.
 func (g *Gate) refusesByAge() bool {
@@ -116,6 +124,16 @@
 	return st.Known && st.Age <= g.ageBound().Limit()/2 && g.refusesByAge()
 }
 
+// knowsMore reports whether this entry's items are surely much younger than those of the peer
+// that sent a message, or the peer's age isn't known.
+func (g *Gate) knowsMore(msg *syncMessage) bool {
+	if msg.confirmation == nil {
+		return false
+	}
+	age, known := g.feedAge()
+	return known && (!msg.confirmation.Known || msg.confirmation.Age-age > boundedAgeGain)
+}
+
 // statement returns what a message to another entry says about the age of the items. echo is
 // the stamp of the last message from that entry. It is nil where no bound is in force. It is
 // called with clusterState.mu held.
--- a/pimentogate/homeproof_test.go
+++ b/pimentogate/homeproof_test.go
@@ -50,3 +50,28 @@
 	g.revocation = pimentofeed.AgeBound{After: 30 * time.Second}
 	is.Equal(g.maxWatchWait(), pimentoplatform.WatchWait)
 }
+
+// Entries far from the one that reads the platform learned with the periodic messages only that
+// the items are current, each a period later than the one before.
+func TestConfirmationSpreadsAtOnce(t *testing.T) {
+	is := is.New(t)
+	reader, peer := homesGate(t, 1, "r"), homesGate(t, 2, "r")
+	for _, g := range []*Gate{reader, peer} {
+		g.cluster.freshness.Confirm(bootTime() - time.Second)
+	}
+	_, told := reader.cluster.signals()
+	reader.noteCurrent(reader.cluster.feed.At(), bootTime()-700*time.Millisecond)
+	is.True(!isClosed(told)) // It is hardly younger.
+	reader.noteCurrent(reader.cluster.feed.At(), bootTime())
+	is.True(isClosed(told))
+
+	ps := &peerSync{gate: reader}
+	exchanges := 0
+	is.True(ps.syncOnce(func(data []byte) ([]byte, error) {
+		exchanges++
+		return peer.handleSync(data)
+	}))
+	age, known := peer.feedAge()
+	is.True(known && age < 200*time.Millisecond)
+	is.Equal(exchanges, 2)
+}
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -234,11 +234,12 @@
 
 // syncOnce sends what the peer lacks and merges what this entry lacks. The peer's
 // reply has the revision of its items, a digest of its crashes, and the checksums of its
-// membership if that differs, so that nothing is sent that the peer has already.
+// membership if that differs, so that nothing is sent that the peer has already. The second
+// message answers the reply, which confirms the age of the peer's items better than the first.
 func (ps *peerSync) syncOnce(exchange func([]byte) ([]byte, error)) bool {
 	g := ps.gate
 	msg, ok := ps.sendMessage(exchange, g.newSyncMessage(ps.peerHash, nil, ps.peerStamp))
-	if ok && (g.lacksItems(msg) || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
+	if ok && (g.lacksItems(msg) || g.knowsMore(msg) || msg.membersHash != g.membersHash() || msg.crashDigest != g.crashDigest()) {
 		_, ok = ps.sendMessage(exchange, g.addMissing(g.newSyncMessage(msg.membersHash, msg.sums, ps.peerStamp), msg))
 	}
 	return ok
