pimentogate: entries read the store before their items are too old for homes

Callers would be refused requests with home regions by an entry whose peers' messages take long: whether it reads the store itself went by the stated age alone, which is too small by the time that messages take on full links, so it waited although its bounded age had passed the limit. TestEntryReadsBeforeTheBoundedAgeEnds failed without the change: at a bounded age of 2.2 s of 2.7 s the entry didn't read.

Where a bound is in force, an entry counts the answers of the platform as overdue from 0.8 s before its limit on, or once it has run for joinWait without knowing any age, and begins to read in the groups that ReadPolicy has for overdue answers: the last of them 0.25 s later, which leaves half a second for the answer.

--- a/pimentogate/homeproof_test.go
+++ b/pimentogate/homeproof_test.go
@@ -51,6 +51,22 @@
 	is.Equal(g.maxWatchWait(), pimentoplatform.WatchWait)
 }
 
+// An entry whose peers' messages take long waited for its items to look old by what the messages
+// state, and reached the limit of the bounded age before it read the platform.
+func TestEntryReadsBeforeTheBoundedAgeEnds(t *testing.T) {
+	is := is.New(t)
+	for _, tc := range []struct {
+		age   time.Duration
+		reads bool
+	}{{1700 * time.Millisecond, false}, {2200 * time.Millisecond, true}} {
+		g := homesGate(t, 104, "r")
+		g.cluster.freshness.Confirm(bootTime() - tc.age)
+		is.Equal(g.decideReading(), tc.reads)
+	}
+	is.True(!homesGate(t, 104).decideReading())     // What messages state is recent.
+	is.True(homesGate(t, 104, "r").decideReading()) // Nothing has ever confirmed its items.
+}
+
 // Entries far from the one that reads the platform learned with the periodic messages only that
 // the items are current, each a period later than the one before.
 func TestConfirmationSpreadsAtOnce(t *testing.T) {
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	at, precedingReads := g.position(now)
-	cs.readPolicy.Overdue = cs.overdue(now)
+	cs.readPolicy.Overdue = max(cs.overdue(now), g.boundOverdue(now))
 	wanted := cs.readPolicy.Decide(now, at, precedingReads, age, known)
 	if wanted != cs.shouldRead {
 		cs.shouldRead = wanted
@@ -151,6 +151,25 @@
 	return now - cs.due
 }
 
+// boundTakeoverMargin is the time before the limit of the bounded age from which entries that
+// don't read the platform begin to. It leaves the last of them the time for an answer.
+const boundTakeoverMargin = 800 * time.Millisecond
+
+// boundOverdue returns the time since the last moment at which the bounded age of the items was
+// to be confirmed so that this entry needn't do it itself, at most 0 if no bound is in force. It
+// is called with clusterState.mu held.
+func (g *Gate) boundOverdue(now time.Duration) time.Duration {
+	b := g.ageBound()
+	if !b.InForce() {
+		return 0
+	}
+	age, known := g.cluster.ageAtMost(bootTime())
+	if !known {
+		return now - joinWait
+	}
+	return age - (b.Limit() - boundTakeoverMargin)
+}
+
 // extendDue records when an answer to an entry that reads the platform is due. If that is
 // much later than known so far, the sync peers are informed at once. It is called with mu
 // held.
