pimentogate: no probe for a send whose home has moved while it waited for a connection

A bound request's connection is probed before its first use, and the check of the homes stood behind that: for a target that was no longer in a home, one probe was sent for nothing, and its error hid that the home had moved, so that the target counted as tried. TestHomeMovesBeforeTheWrite failed on the joined code (1 != 0 tried targets) and passes in three runs with the check between both.

--- a/pimentogate/identity.go
+++ b/pimentogate/identity.go
@@ -28,7 +28,12 @@
 	if cand.conn.Used() {
 		cand.connFrom = connPooled
 	}
-	if h.bind() && !(c.retryable() && cand.namedOnConn()) {
+	h = g.newestHomes(c) // A connection may have taken a while.
+	switch {
+	case !h.allows(cand.target.Region):
+		cand.release()
+		return errHomeMoved
+	case h.bind() && !(c.retryable() && cand.namedOnConn()):
 		return g.nameOnConn(c, cand)
 	}
 	return nil
