pimentogate: tests of lines whose calls' homes move

A call that waits is ranked anew when a configuration moves its homes, while others are asked for, get offers or give up at the same time. What could go wrong there shows in counts that stay: calls that never end, or ranks that count one that has ended. The tests play 300 calls beside moves every few milliseconds, and an offer whose region stops being a home.

Evidence: TestOfferInAFormerHome fails if aim sets Waiter.Regions in place (0 calls look for a target for 1, since the old rank is paused). TestLineOfCallsWhoseHomesMove passes also with that; a wrong move between ranks is found by TestLineAgainstOracle in pimentoload.

--- a/pimentogate/homes_test.go
+++ b/pimentogate/homes_test.go
@@ -1,14 +1,18 @@
 package pimentogate
 
 import (
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"pimentoarch/pimentoload"
 	"pimentoarch/pimentoregister"
 	"pimentoarch/pimentoroute"
 )
@@ -107,3 +111,94 @@
 	is.True(g.allows(c, "a"))
 	is.True(!g.allows(c, "b"))
 }
+
+// Calls whose homes move while they wait or look for a target corrupt the line: calls never end,
+// or ranks count some that have ended.
+func TestLineOfCallsWhoseHomesMove(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	g.regionNames = []pimentoregister.RegionName{"a", "b"}
+	const calls = 300
+	var wg sync.WaitGroup
+	for i := range calls {
+		c := lineTestCall(table, i%2, fmt.Sprint(i%7))
+		if i%10 == 0 {
+			time.AfterFunc(time.Duration(rand.IntN(200))*time.Millisecond, c.abandon)
+		}
+		wg.Go(func() { g.playLineCall(c) })
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	limit := time.After(20 * time.Second)
+	for i, playing := 0, true; playing; i++ {
+		storeHomes(g, [][]pimentoregister.RegionName{{"a"}, {"b"}, nil}[i%3]...)
+		g.aimLines()
+		select {
+		case <-done:
+			playing = false
+		case <-limit:
+			t.Fatal("calls still wait")
+		case <-time.After(time.Duration(rand.IntN(5)) * time.Millisecond):
+		}
+	}
+	l := g.lines["s"]
+	is.Equal(l.line.Length(), 0)
+	is.Equal(len(l.waiting), 0)
+	is.Equal(l.asking, 0)
+	last := g.newLineCall(lineTestCall(table, 1, "last"))
+	l.line.Arrive(g.now(), &last.Waiter)
+	is.Equal(l.line.Position(&last.Waiter), 0) // No rank counts one that is asked for.
+}
+
+// playLineCall looks for targets for a call, which has luck at random, until it has one or is refused.
+func (g *Gate) playLineCall(c *call) {
+	l := g.lineOf(c)
+	w, asks := g.arrive(l, c)
+	for {
+		if !asks {
+			if turn := g.awaitTurn(l, w); turn.why != reasonNone {
+				return
+			}
+		}
+		asks = false
+		time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
+		switch rand.IntN(4) {
+		case 0:
+			g.endTurn(l, w, true)
+			return
+		case 1: // The target's region was a home.
+			g.endTurn(l, w, false)
+			w, asks = g.arrive(l, c)
+		default:
+			if time.Since(c.received) > time.Second {
+				g.endTurn(l, w, false)
+				return
+			}
+			g.rejoin(l, w, nil)
+		}
+	}
+}
+
+// A call in a line takes an offer in a region that was its home when the offer was made.
+func TestOfferInAFormerHome(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	g.regionNames = []pimentoregister.RegionName{"a", "b"}
+	storeHomes(g, "a")
+	c := lineTestCall(table, 0, "caller")
+	c.service = &pimentoroute.Service{Name: "s"}
+	l := g.lineOf(c)
+	w, asks := g.arrive(l, c)
+	is.True(asks)
+	g.rejoin(l, w, nil) // It waits.
+	cand := &candidate{target: &pimentoroute.Target{ID: "t", Region: "a", Slots: 6}, report: LoadReport{Slots: 6, Healthy: true, Slowdown: 100}}
+	is.Equal(g.findTaker(l, cand), w)
+	storeHomes(g, "b")
+	is.Equal(g.findTaker(l, cand), nil)
+	is.True(!g.confirmHomes(c, cand))
+	is.Equal(w.Regions, pimentoload.RegionSet(1))
+	g.aimLines()
+	is.Equal(w.Regions, pimentoload.RegionSet(2))
+	is.Equal(l.asking, 1) // It looks for a target there at once, although region a has no room.
+	is.Equal(g.awaitTurn(l, w), lineTurn{})
+}
