pimentolink: a session that ends leaves no reader spinning

An entry that was cut off from its peers for more than 8 s, or suspended, kept a processor busy. yamux tells the readers of its streams that a session shuts down before it closes the streams, and waits for its receiver in between; until then each reader loops without a pause. It happens whenever another goroutine than the receiver closes the session: yamux's own pings do, a stop of the node, and the end of a failed exchange. On a machine with one processor the loop also keeps the receiver from running until it is preempted.

Sessions are now ended by a read deadline of their connection, so that the receiver itself closes them, and the pings are ours.

--- a/pimentolink/node.go
+++ b/pimentolink/node.go
@@ -74,7 +74,7 @@
 
 	mu       sync.Mutex // Guards the fields below.
 	dialed   map[sessionKey]*dialedSession
-	accepted map[*yamux.Session]bool
+	accepted map[*session]bool
 	closed   bool
 }
 
@@ -90,18 +90,7 @@
 // other peers.
 type dialedSession struct {
 	mu      sync.Mutex
-	session *yamux.Session
-}
-
-func sessionConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.LogOutput = io.Discard
-	cfg.EnableKeepAlive = true
-	cfg.KeepAliveInterval = 5 * time.Second
-	cfg.ConnectionWriteTimeout = controlTimeout
-	cfg.StreamOpenTimeout = controlTimeout
-	cfg.StreamCloseTimeout = time.Minute
-	return cfg
+	session *session
 }
 
 // Serve accepts peer connections on ln until ctx ends, and then closes all sessions.
@@ -126,18 +115,17 @@
 }
 
 func (n *Node) serveConn(conn net.Conn) {
-	session, err := yamux.Server(conn, sessionConfig())
+	s, err := newSession(conn, yamux.Server)
 	if err != nil {
-		_ = conn.Close()
 		return
 	}
-	if !n.track(session) {
-		_ = session.Close()
+	if !n.track(s) {
+		s.end()
 		return
 	}
-	defer n.untrack(session)
+	defer n.untrack(s)
 	for {
-		stream, err := session.AcceptStream()
+		stream, err := s.AcceptStream()
 		if err != nil {
 			return
 		}
@@ -148,21 +136,21 @@
 }
 
 // track adds an accepted session. It reports false if the node is closed.
-func (n *Node) track(s *yamux.Session) bool {
+func (n *Node) track(s *session) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
 		return false
 	}
 	if n.accepted == nil {
-		n.accepted = make(map[*yamux.Session]bool)
+		n.accepted = make(map[*session]bool)
 	}
 	n.accepted[s] = true
 	return true
 }
 
-func (n *Node) untrack(s *yamux.Session) {
-	_ = s.Close()
+func (n *Node) untrack(s *session) {
+	s.end()
 	n.mu.Lock()
 	delete(n.accepted, s)
 	n.mu.Unlock()
@@ -171,7 +159,7 @@
 func (n *Node) close() {
 	n.mu.Lock()
 	n.closed = true
-	var incoming []*yamux.Session
+	var incoming []*session
 	for s := range n.accepted {
 		incoming = append(incoming, s)
 	}
@@ -179,7 +167,7 @@
 	n.dialed = nil
 	n.mu.Unlock()
 	for _, s := range incoming {
-		_ = s.Close()
+		s.end()
 	}
 	for _, d := range outgoing {
 		d.closeSession(nil)
@@ -224,17 +212,17 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := d.get(address)
+	s, err := d.get(address)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: KindUnreachable, Peer: address, Err: err}
 	}
-	stream, err := session.OpenStream()
+	stream, err := s.OpenStream()
 	if err != nil {
-		d.closeSession(session)
+		d.closeSession(s)
 		return nil, &Error{Op: "open", Kind: KindUnreachable, Peer: address, Err: err}
 	}
 	if _, err := stream.Write([]byte{byte(kind)}); err != nil {
-		d.closeSession(session)
+		d.closeSession(s)
 		return nil, &Error{Op: "open", Kind: KindUnreachable, Peer: address, Err: err}
 	}
 	return stream, nil
@@ -258,7 +246,7 @@
 }
 
 // get returns the open session, or dials a new one.
-func (d *dialedSession) get(address string) (*yamux.Session, error) {
+func (d *dialedSession) get(address string) (*session, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.session != nil && !d.session.IsClosed() {
@@ -272,24 +260,18 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	session, err := yamux.Client(conn, sessionConfig())
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	d.session = session
-	return session, nil
+	d.session, err = newSession(conn, yamux.Client)
+	return d.session, err
 }
 
-// closeSession closes the held session if it is the given one, or in any case if session
-// is nil.
-func (d *dialedSession) closeSession(session *yamux.Session) {
+// closeSession closes the held session if it is the given one, or in any case if s is nil.
+func (d *dialedSession) closeSession(s *session) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.session == nil || (session != nil && d.session != session) {
+	if d.session == nil || (s != nil && d.session != s) {
 		return
 	}
-	_ = d.session.Close()
+	d.session.end()
 	d.session = nil
 }
 
--- /dev/null
+++ b/pimentolink/session.go
@@ -0,0 +1,67 @@
+package pimentolink
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// keepAliveInterval is the time between two pings of a peer. A session ends if the reply to one
+// takes longer than controlTimeout.
+const keepAliveInterval = 5 * time.Second
+
+// session is a yamux session and its connection.
+type session struct {
+	*yamux.Session
+	conn net.Conn
+}
+
+// sessionConfig returns the configuration of sessions. keepAlive takes the place of yamux's own
+// pings, which close the session themselves (see end).
+func sessionConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.LogOutput = io.Discard
+	cfg.EnableKeepAlive = false
+	cfg.ConnectionWriteTimeout = controlTimeout
+	cfg.StreamOpenTimeout = controlTimeout
+	cfg.StreamCloseTimeout = time.Minute
+	return cfg
+}
+
+// newSession begins a session over a connection, with yamux.Client or yamux.Server. If that
+// fails, it closes the connection.
+func newSession(conn net.Conn, begin func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*session, error) {
+	ys, err := begin(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	s := &session{Session: ys, conn: conn}
+	go s.keepAlive(keepAliveInterval)
+	return s, nil
+}
+
+// end makes the session's receiver close the session. Close by another goroutine has to wait for
+// the receiver, and meanwhile each goroutine that reads from a stream spins.
+func (s *session) end() {
+	if err := s.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		_ = s.Close()
+	}
+}
+
+// keepAlive pings the peer until the session is closed, and ends it if the peer doesn't reply.
+func (s *session) keepAlive(interval time.Duration) {
+	for {
+		select {
+		case <-s.CloseChan():
+			return
+		case <-time.After(interval):
+		}
+		if _, err := s.Ping(); err != nil {
+			s.end()
+			return
+		}
+	}
+}
