pimentogate: exchanges between entries wait long enough for full links

On a fleet whose links are full of bodies, callers' requests were handled by configurations that had been replaced up to 30 s before. Each message to a peer waits behind the bodies for more than a second, but a dial and an exchange between entries were given up after one second each. A failure closes the session, so the next attempt has to dial again, and an entry whose messages take longer than that never hears of a change, however often it asks.

An exchange may now take 3 s, and so may the dial before it; after a failure the next attempt comes after 0.5 s.

--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -24,10 +24,12 @@
 	// seedSyncInterval is the time between two sync messages to a seed whose
 	// address isn't that of a known member.
 	seedSyncInterval = 300 * time.Millisecond
-	// syncTimeout bounds the exchange of one sync message and its reply.
-	syncTimeout = 1000 * time.Millisecond
+	// syncTimeout bounds the exchange of one sync message and its reply, and the dial before
+	// it. Over the full link of an entry that many callers send bodies to, each way takes
+	// more than a second.
+	syncTimeout = 3 * time.Second
 	// syncBackoff replaces a shorter interval after an exchange that failed.
-	syncBackoff = time.Second
+	syncBackoff = 500 * time.Millisecond
 	// firstSyncTimeout and firstSyncBackoff take the place of syncTimeout and syncBackoff while
 	// an entry that holds quotas knows no other one. Seeds that start with it may not respond
 	// yet, and it needs the others to let requests through.
--- a/pimentolink/client.go
+++ b/pimentolink/client.go
@@ -10,7 +10,8 @@
 // MessageClient sends messages to a peer over one stream and reads the reply to
 // each before the next is sent. It isn't safe for concurrent use.
 type MessageClient struct {
-	// Timeout is the time limit of one exchange. 0 means 3 s.
+	// Timeout is the time limit of one exchange. 0 means 3 s. A dial before the exchange may
+	// take as long, and at least 1 s.
 	Timeout time.Duration
 
 	node    *Node
@@ -56,7 +57,7 @@
 func (c *MessageClient) Exchange(msg []byte) ([]byte, error) {
 	c.releaseReply()
 	if c.stream == nil {
-		stream, err := c.node.open(c.address, c.kind)
+		stream, err := c.node.openWithin(c.address, c.kind, max(dialTimeout, c.Timeout))
 		if err != nil {
 			return nil, err
 		}
--- a/pimentolink/node.go
+++ b/pimentolink/node.go
@@ -35,6 +35,7 @@
 )
 
 const (
+	// dialTimeout is the time limit of a dial, unless the exchange that needs it has more.
 	dialTimeout = time.Second
 	// controlTimeout is the time limit of one message exchange on a control stream.
 	controlTimeout = 3 * time.Second
@@ -207,12 +208,17 @@
 
 // open opens a stream to a peer and writes its kind. It dials the peer if needed.
 func (n *Node) open(address string, kind streamKind) (*yamux.Stream, error) {
+	return n.openWithin(address, kind, dialTimeout)
+}
+
+// openWithin does what open does, with a time limit of the dial.
+func (n *Node) openWithin(address string, kind streamKind, limit time.Duration) (*yamux.Stream, error) {
 	control := kind != streamForward
 	d, err := n.dialedSession(sessionKey{address: address, control: control})
 	if err != nil {
 		return nil, err
 	}
-	s, err := d.get(address)
+	s, err := d.get(address, limit)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: KindUnreachable, Peer: address, Err: err}
 	}
@@ -245,14 +251,14 @@
 	return d, nil
 }
 
-// get returns the open session, or dials a new one.
-func (d *dialedSession) get(address string) (*session, error) {
+// get returns the open session, or dials a new one within a time limit.
+func (d *dialedSession) get(address string, limit time.Duration) (*session, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.session != nil && !d.session.IsClosed() {
 		return d.session, nil
 	}
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := net.DialTimeout("tcp", address, limit)
 	if err != nil {
 		return nil, err
 	}
