pimentoplatform: a first retry is soon while the age of the items is bounded

Callers were refused requests with home regions for some tenths of a second after a store had held all watches for a second and cut them: followers waited 0.25 to 0.375 s before they asked again, when most of the 2.7 s was over, and read all items after that. TestFirstRetryIsSoonWhileBounded failed without it (the first pause was no shorter).

The first retry comes after 40 to 200 ms while a bound is in force, spread so that the entries of a fleet don't ask at one moment. Further ones keep their pauses, so that a store that stays away isn't asked more often.

--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -43,6 +43,11 @@
 	// with each further one up to maxRetryPause; up to half is added at random.
 	minRetryPause = 250 * time.Millisecond
 	maxRetryPause = 1000 * time.Millisecond
+	// boundedRetryPause and a random part of boundedRetryJitter take the place of a first
+	// minRetryPause while the age of the items is bounded: a source that has cut its watches
+	// may answer at once, and by then most of the time may be over.
+	boundedRetryPause  = 40 * time.Millisecond
+	boundedRetryJitter = 160 * time.Millisecond
 )
 
 // Follower reads a Source while ShouldRead returns true. Its exported fields are set
@@ -208,6 +213,9 @@
 		_ = level.Warn(f.Log).Log("msg", "platform lost", "after", after, "err", err)
 	}
 	pause := retryPause(f.failures)
+	if f.failures == 0 && f.maxWait() > 0 {
+		pause = boundedRetryPause + time.Duration(rand.Float64()*float64(boundedRetryJitter))
+	}
 	f.failures++
 	return pause
 }
--- a/pimentoplatform/follow_test.go
+++ b/pimentoplatform/follow_test.go
@@ -260,3 +260,24 @@
 		is.Equal(waits[1], time.Second)
 	})
 }
+
+// After a store had held all watches for a second and cut them, followers waited for most of the
+// rest of the bound before they asked again.
+func TestFirstRetryIsSoonWhileBounded(t *testing.T) {
+	for name, bound := range map[string]time.Duration{"bounded": time.Second, "unbounded": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := &Follower{
+				Log:       log.NewNopLogger(),
+				OnReading: func(bool) {},
+				OnFailure: func() {},
+				MaxWait:   func() time.Duration { return bound },
+			}
+			cut := &Error{Op: "watch", Kind: KindUnreachable}
+			first, second := f.handleError(7, cut), f.handleError(7, cut)
+			is.Equal(first < minRetryPause, bound > 0)
+			is.True(first >= boundedRetryPause)
+			is.True(second >= 2*minRetryPause) // A source that stays away isn't asked more often.
+		})
+	}
+}
