pimentogate: the key of a new organisation reaches no target

Targets received the callers' keys, and no organisation's name in their place, from requests that came while there were no organisations and waited until the first ones were in force: setOrganisation decided by the configuration of the arrival whether there is anything to replace.

It replaces the key if there are organisations now, too, by the name of the one that holds it now, as for requests on public routes.

--- a/pimentogate/organisation.go
+++ b/pimentogate/organisation.go
@@ -77,15 +77,15 @@
 }
 
 // setOrganisation replaces the caller's key by the name of its organisation in the head of a
-// request to a target. Without organisations, it changes nothing.
+// request to a target. Without organisations, at its arrival and now, it changes nothing.
 func (g *Gate) setOrganisation(c *call, h *fasthttp.RequestHeader) {
-	if len(c.table.Config.Organisations) == 0 {
+	if len(c.table.Config.Organisations) == 0 && len(g.table.Load().Config.Organisations) == 0 {
 		return
 	}
 	h.Del(fasthttp.HeaderAuthorization)
 	h.Del(g.dialect.Organisation)
 	o := c.organisation
-	if o != nil && !c.table.NeedsKey(c.route) { // No check before the send refuses the request.
+	if c.hasKey && !c.table.NeedsKey(c.route) { // No check before the send refuses the request.
 		o = g.holderNow(c.key)
 	}
 	if o != nil {
