pimentogate: the load report of a probe that names a target spares others a probe

The probe that makes a target name itself before a bound request is charged to the probe budget, whatever is left of it. Its report served nobody else, so that under load these probes took the place of those by which targets are chosen, and callers would have been sent by older reports, or refused for lack of one.

The report is now kept as that of any other probe, with the request that is on its way counted beside it.

--- a/pimentogate/identity.go
+++ b/pimentogate/identity.go
@@ -47,7 +47,8 @@
 var errClosedAfterProbe = errors.New("the target closes the connection after the probe")
 
 // nameOnConn makes a target name itself on the candidate's connection, whatever is left of the
-// probe budget. After an error, the candidate has no connection.
+// probe budget. Its load report spares others a probe. After an error, the candidate has no
+// connection.
 func (g *Gate) nameOnConn(c *call, cand *candidate) error {
 	probe := &candidate{target: cand.target, conn: cand.conn}
 	cand.conn = nil
@@ -56,10 +57,15 @@
 		return errWithdrawn
 	}
 	g.chargeProbe()
+	asked := g.now()
 	g.probeConn(c, probe, time.Now().Add(probeTimeout))
 	if probe.err != nil {
 		return probe.err
 	}
+	ts := &g.traffic
+	ts.mu.Lock()
+	g.keepReport(ts.target(probe.target.ID), &probe.report, asked, 1)
+	ts.mu.Unlock()
 	if !probe.conn.Reusable() {
 		return errClosedAfterProbe
 	}
--- a/pimentogate/probe.go
+++ b/pimentogate/probe.go
@@ -204,7 +204,7 @@
 	ts.mu.Lock()
 	s.probing = nil
 	if pending.err = cand.err; pending.err == nil {
-		s.report, s.reportedAt, s.askedAt, s.hasReport, s.sentSinceReport = cand.report, g.now(), asked, true, 0
+		g.keepReport(s, &cand.report, asked, 0)
 		g.useReport(cand, s)
 	}
 	ts.mu.Unlock()
@@ -212,6 +212,13 @@
 	return pending.err
 }
 
+// keepReport sets a target's last report, for which the target was asked at a time. sent is
+// the number of requests on their way that the report can't have counted. It is called with
+// trafficStats.mu held.
+func (g *Gate) keepReport(s *targetState, r *LoadReport, asked time.Duration, sent int) {
+	s.report, s.reportedAt, s.askedAt, s.hasReport, s.sentSinceReport = *r, g.now(), asked, true, sent
+}
+
 // reuseReport sets the candidate's report to the target's last one if that is
 // younger than limit. It is called with trafficStats.mu held.
 func (g *Gate) reuseReport(cand *candidate, s *targetState, limit time.Duration) bool {
