pimentogate: the patience with a peer follows the time that it takes

With 3 s for each exchange an entry stays on a connection that has gone silent until its neighbour there counts as down, after 2.5 s, and hears of configurations a second and a half later than before.

An exchange and its dial get 1 s again, or twice the time that the last exchange with that peer took, up to 3 s: over a full link the limit grows with each attempt and stays while exchanges are slow; elsewhere it is as short as before. TestSilentConnectionIsReplacedSoon failed before (3.50 s) and passes three times (1.4 to 1.5 s); TestUpdatesOverFullLink passes three times (2.87 s).

--- a/pimentogate/slowlink_test.go
+++ b/pimentogate/slowlink_test.go
@@ -60,3 +60,29 @@
 	})
 	return ln.Addr().String()
 }
+
+// TestSilentConnectionIsReplacedSoon guards against a patience with slow peers that keeps an entry
+// on a silent connection until its neighbours count as down, after 2.5 s.
+func TestSilentConnectionIsReplacedSoon(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	accepted := make(chan time.Time, 2)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }() // Until then it is open, and nothing reads it.
+			accepted <- time.Now()
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ps := &peerSync{gate: fleetGate(0, 2), address: ln.Addr().String(), syncPolicy: syncPolicy{interval: domainSyncInterval}}
+	go ps.run(ctx)
+	first, second := <-accepted, <-accepted
+	is.True(second.Sub(first) < 2500*time.Millisecond)
+}
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -25,9 +25,11 @@
 	// address isn't that of a known member.
 	seedSyncInterval = 300 * time.Millisecond
 	// syncTimeout bounds the exchange of one sync message and its reply, and the dial before
-	// it. Over the full link of an entry that many callers send bodies to, each way takes
-	// more than a second.
-	syncTimeout = 3 * time.Second
+	// it. A peer whose last exchange took long has more time, up to maxSyncTimeout: over the
+	// full link of an entry that many callers send bodies to, each way may take more than a
+	// second.
+	syncTimeout    = time.Second
+	maxSyncTimeout = 3 * time.Second
 	// syncBackoff replaces a shorter interval after an exchange that failed.
 	syncBackoff = 500 * time.Millisecond
 	// firstSyncTimeout and firstSyncBackoff take the place of syncTimeout and syncBackoff while
@@ -63,6 +65,8 @@
 	peerHash uint64 // Hash of the peer's membership, 0 if unknown.
 	// peerStamp is that of the peer's last reply, 0 without one.
 	peerStamp uint64
+	// patience is the time that the next exchange may take if that is more than usual.
+	patience time.Duration
 }
 
 // runPeerSyncs starts and ends sync loops as members come and go, until ctx ends.
@@ -177,8 +181,8 @@
 	client, closeClient := ps.gate.node.SyncClient(ps.address)
 	defer closeClient()
 	for ctx.Err() == nil {
-		var backoff time.Duration
-		client.Timeout, backoff = ps.gate.syncPatience()
+		usual, backoff := ps.gate.syncPatience()
+		client.Timeout = max(usual, ps.patience)
 		changed, confirmed := ps.gate.cluster.signals()
 		if !ps.onChange {
 			changed = nil
@@ -186,8 +190,10 @@
 		if !ps.onConfirm {
 			confirmed = nil
 		}
-		wait := ps.interval
-		if !ps.syncOnce(client.Exchange) {
+		wait, began := ps.interval, time.Now()
+		ok := ps.syncOnce(client.Exchange)
+		ps.adapt(client.Timeout, time.Since(began))
+		if !ok {
 			wait = max(backoff, ps.interval)
 			changed, confirmed = nil, nil
 		}
@@ -204,6 +210,12 @@
 	}
 }
 
+// adapt sets the patience with the peer by the time that the last exchange has taken, of the
+// limit that it had.
+func (ps *peerSync) adapt(limit, took time.Duration) {
+	ps.patience = min(2*min(limit, took), maxSyncTimeout)
+}
+
 // syncPatience returns the timeout of an exchange with a peer, and the time to the next one after
 // a failure.
 func (g *Gate) syncPatience() (timeout, backoff time.Duration) {
