pimentogate: entries don't read the platform while its answers confirm nothing

While the newest configuration can't be decoded, or was removed, no answer confirms the age of the items.

The bounded age now asks for no reading then; the stated age does as before. TestEntriesDontReadWhileNothingConfirms failed before and passes.

--- a/pimentogate/homeproof_test.go
+++ b/pimentogate/homeproof_test.go
@@ -91,3 +91,18 @@
 	is.True(known && age < 200*time.Millisecond)
 	is.Equal(exchanges, 2)
 }
+
+// While the newest configuration couldn't be decoded, or was removed, all entries of the fleet read
+// the platform for good, although no answer confirms their items.
+func TestEntriesDontReadWhileNothingConfirms(t *testing.T) {
+	is := is.New(t)
+	for _, set := range []func(cs *clusterState){
+		func(cs *clusterState) { cs.undecoded = true },
+		func(cs *clusterState) { cs.configRemoved = true },
+	} {
+		g := homesGate(t, 104, "r")
+		g.cluster.freshness.Confirm(bootTime() - 5*time.Second)
+		set(g.cluster)
+		is.True(!g.decideReading())
+	}
+}
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -156,14 +156,14 @@
 const boundTakeoverMargin = 800 * time.Millisecond
 
 // boundOverdue returns the time since the last moment at which the bounded age of the items was
-// to be confirmed so that this entry needn't do it itself, at most 0 if no bound is in force. It
-// is called with clusterState.mu held.
+// to be confirmed so that this entry needn't do it itself, at most 0 if no bound is in force or
+// reading wouldn't help. It is called with clusterState.mu held.
 func (g *Gate) boundOverdue(now time.Duration) time.Duration {
-	b := g.ageBound()
-	if !b.InForce() {
+	b, cs := g.ageBound(), g.cluster
+	if !b.InForce() || cs.undecoded || cs.configRemoved { // Then no answer confirms anything.
 		return 0
 	}
-	age, known := g.cluster.ageAtMost(bootTime())
+	age, known := cs.ageAtMost(bootTime())
 	if !known {
 		return now - joinWait
 	}
