pimentogate: an older configuration ends the doubt about one that couldn't be decoded

After a configuration that can't be decoded, or was removed, an older one may be published again, for instance by a store that was restored. It is ignored, as it must be, but the marks of the earlier trouble stayed too, so that nothing confirmed the items any more and callers were refused requests with home regions or keys until a higher version came.

The marks now end with any configuration that can be decoded. TestOlderConfigurationEndsUndecoded failed before (true != false) and passes.

--- a/pimentogate/homeproof_test.go
+++ b/pimentogate/homeproof_test.go
@@ -1,6 +1,7 @@
 package pimentogate
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -106,3 +107,23 @@
 		is.True(!g.decideReading())
 	}
 }
+
+// After a configuration that couldn't be decoded, an older one came back, and nothing confirmed the
+// items any more.
+func TestOlderConfigurationEndsUndecoded(t *testing.T) {
+	is := is.New(t)
+	g := homesGate(t, 1, "r")
+	g.configured = make(chan struct{})
+	g.decode = func(_ string, value []byte) (pimentoroute.Record, error) {
+		if len(value) == 0 {
+			return pimentoroute.Record{}, errors.New("no value")
+		}
+		return pimentoroute.Record{Config: &pimentoroute.Config{Version: pimentoroute.Version(value[0])}}, nil
+	}
+	for i, value := range [][]byte{{7}, nil, {6}} {
+		at := g.cluster.feed.AsOf()
+		g.applyUpdate(pimentofeed.Update{From: at, AsOf: at + 1, Items: []pimentofeed.Item{{Key: configKey, Revision: at + 1, Value: value}}}, sourcePlatform)
+		is.Equal(g.cluster.undecoded, i == 1)
+		is.Equal(g.table.Load().Config.Version, pimentoroute.Version(7))
+	}
+}
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -46,6 +46,9 @@
 		g.logLine(level.WarnValue(), "msg", "published item ignored", "key", it.Key, "revision", it.Revision, "err", err)
 		return
 	}
+	if r.Config != nil {
+		cs.undecoded, cs.configRemoved = false, false // Also by an older one, which is never in force.
+	}
 	if r.Config != nil && hasActiveConfig && r.Config.Version < old.Config.Version {
 		g.logLine(level.WarnValue(), "msg", "older configuration ignored", "version", r.Config.Version, "in_force", old.Config.Version)
 		return
@@ -53,7 +56,6 @@
 	cs.records[it.Key] = r
 	cs.tableChanges.add(inUse, r)
 	if r.Config != nil {
-		cs.undecoded, cs.configRemoved = false, false
 		g.logUnknownKinds(r.Config)
 	}
 	if r.Target != nil && r.Target.ColdLeft > 0 {
