pimentogate: the error of sends that aren't allowed doesn't speak of keys alone

A send that is held back because its home regions aren't known was logged with an error about its key. The error and its name now say that the configuration doesn't allow the send, or that this isn't known.

--- a/pimentogate/freshness.go
+++ b/pimentogate/freshness.go
@@ -12,8 +12,9 @@
 	"pimentoarch/pimentowire"
 )
 
-// errKeyRefused is the cause of sends that weren't made because of the request's key.
-var errKeyRefused = errors.New("the key is no longer valid, or that isn't known")
+// errNotAllowed is the cause of sends that weren't made because of the request's key, or because
+// its home regions aren't known.
+var errNotAllowed = errors.New("the configuration doesn't allow the send any more, or that isn't known")
 
 // retryAfterUnconfirmed is the Retry-After time of a request that is refused because the age
 // of the configuration isn't known: an entry hears from others within this time.
--- a/pimentogate/outcome.go
+++ b/pimentogate/outcome.go
@@ -149,7 +149,7 @@
 		g.regainQuota(c, s)
 		c.sends--
 		switch {
-		case errors.Is(s.err, errKeyRefused): // It isn't for the target.
+		case errors.Is(s.err, errNotAllowed): // It isn't for the target.
 		case errors.Is(s.err, errHomeMoved): // The target may be in a home again later.
 			c.tried = slices.DeleteFunc(c.tried, func(id pimentoroute.TargetID) bool { return id == tg.ID })
 		default:
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -288,7 +288,7 @@
 	}
 	// A connection may have taken a while, and the machine may have been suspended.
 	if why := g.checkRules(c, s.candidate.target); why != reasonNone {
-		s.err, s.outcome = errKeyRefused, outcomeUnsent
+		s.err, s.outcome = errNotAllowed, outcomeUnsent
 		if why == reasonHome {
 			s.err = errHomeMoved
 		}
