pimentogate: a reader's last answer before it hands back is stated

Other entries took the platform's next answer for overdue up to a watch too early when a reader stopped reading right after an answer, and began to read it themselves.

Cause: a reading was only made for a message while the entry reads. One that hands back says that it doesn't read before its next message, so that its last answer, and when the next one would be due, were never told to anybody.

TestLastAnswerBeforeHandBackIsStated failed on the code before ("not true: overdue < -1s") and passes now: each answer makes a reading of its own, which is forwarded like the others.

--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -131,6 +131,7 @@
 		cs.feed.Confirm(cs.lastRead, 0)
 		cs.confirmedBy = sourcePlatform
 		cs.extendDue(cs.lastRead + cs.answerDue)
+		cs.stateReading(cs.lastRead) // Also if it doesn't ask again.
 	}
 }
 
@@ -201,9 +202,8 @@
 // currentReadings returns the readings that are forwarded, newest first. While this entry
 // reads the platform, they include a new one of its own. It is called with mu held.
 func (cs *clusterState) currentReadings(now time.Duration) []reading {
-	if cs.readsNow(now) && !cs.staleRead {
-		run := cs.members.Self().RunID
-		cs.readings[run] = reading{run: run, number: cs.readings[run].number + 1, at: now, due: cs.lastRead + cs.answerDue}
+	if cs.readsNow(now) {
+		cs.stateReading(now)
 	}
 	var list []reading
 	for run, r := range cs.readings {
@@ -217,6 +217,16 @@
 	return list[:min(len(list), maxReadings)]
 }
 
+// stateReading makes a new reading of this entry, unless its items may be old. It is called with
+// mu held.
+func (cs *clusterState) stateReading(now time.Duration) {
+	if cs.staleRead {
+		return
+	}
+	run := cs.members.Self().RunID
+	cs.readings[run] = reading{run: run, number: cs.readings[run].number + 1, at: now, due: cs.lastRead + cs.answerDue}
+}
+
 // readingRetention is the time for which the number of an entry's last reading is kept.
 const readingRetention = time.Minute
 
--- a/pimentogate/reading_test.go
+++ b/pimentogate/reading_test.go
@@ -153,3 +153,14 @@
 		}
 	})
 }
+
+// A reader that hands back after an answer still says when the next one would be due. Others
+// would take it for overdue a watch too early.
+func TestLastAnswerBeforeHandBackIsStated(t *testing.T) {
+	is := is.New(t)
+	reader, other := gateInRegion(t, 1, 0), gateInRegion(t, 2, 0)
+	reader.setReading(true)
+	reader.setReading(false)
+	other.applySyncMessage(reader.newSyncMessage(0, nil, 0))
+	is.True(other.cluster.overdue(other.now()) < -time.Second)
+}
