pimentogate: entries know whether the platform is away for all of them

An entry with an old configuration couldn't tell an outage of the platform, in which nothing newer is published, from being cut off itself while others go on. A rule that refuses requests by the age of the configuration would refuse them throughout each outage.

Each entry now states its own failure to read the platform, also while an answer is overdue, as numbered statements like readings (field 21 of sync messages; older entries ignore it). The newest 8 of each failure domain are forwarded, and none is sent while nobody fails. isAwayForAll holds if the domains in which more than half of the entries (8 are enough) failed within 3 s have most of the fleet, and the next answer to any reader that is known of is overdue by 1.1 s, the way between regions. An answered error (compacted, too large, restored) is no failure, so OnFailure has the error. The fleet counts with its largest size seen, and statements end with a stall or suspension. Shown as "away" at /status, pimento_platform_away and a line on change.

--- a/pimentogate/admin.go
+++ b/pimentogate/admin.go
@@ -70,6 +70,8 @@
 	AgeMillis int64  `json:"age"` // Age of the items in ms, -1 if unknown.
 	// ReadsPlatform is set while this entry reads the platform for others.
 	ReadsPlatform bool `json:"reads"`
+	// PlatformAway is set while the platform answers no entry, as far as this one knows.
+	PlatformAway bool `json:"away"`
 	// Entries is the number of entries that aren't down, this one included, and
 	// DomainEntries that of those in its domain.
 	Entries       int                                            `json:"entries"`
@@ -131,6 +133,7 @@
 	if age, known := cs.age(now); known {
 		v.AgeMillis = age.Milliseconds()
 	}
+	v.PlatformAway = cs.isAwayForAll(now)
 	cs.mu.Unlock()
 	v.KeysAgeMillis, v.KeysLimitMillis, v.KeysRefused = -1, g.revocation.Limit().Milliseconds(), !g.keysConfirmed()
 	if age, known := g.feedAge(); known {
@@ -190,6 +193,15 @@
 		}
 		return age.Seconds()
 	})
+	gauge("pimento_platform_away", func() float64 {
+		cs := g.cluster
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		if cs.isAwayForAll(g.now()) {
+			return 1
+		}
+		return 0
+	})
 	gauge("pimento_keys_age_seconds", func() float64 {
 		age, known := g.feedAge()
 		if !known {
--- a/pimentogate/cluster.go
+++ b/pimentogate/cluster.go
@@ -64,6 +64,7 @@
 	// by more than confirmGain, an answer of the platform is due much later, or requests
 	// with a key are served again.
 	confirmed chan struct{}
+	outage    platformOutage
 }
 
 // expiredRecord is a target that was removed during an outage of the platform. It
@@ -93,6 +94,7 @@
 		confirmed:   make(chan struct{}),
 		stamps:      pimentofeed.Stamps{Nonce: rand.Uint64()},
 		answerDue:   maxAnswerDue,
+		outage:      platformOutage{changed: make(chan struct{})},
 	}
 	cs.clock.start()
 	return cs
@@ -305,6 +307,7 @@
 	cs := g.cluster
 	cs.mu.Lock()
 	cs.members.Resume(g.now())
+	cs.expireFailures(g.now())
 	cs.mu.Unlock()
 	g.logLine(level.WarnValue(), "msg", "process stood still", "for", stalled)
 }
@@ -322,6 +325,7 @@
 	cs.feed.MarkUnconfirmed()
 	cs.lastRead = 0
 	cs.reading = false
+	cs.expireFailures(g.now())
 	cs.signalChange()
 	cs.mu.Unlock()
 	g.client.CloseAllIdle()
@@ -340,6 +344,7 @@
 	g.logMemberChanges()
 	g.expireCrashes(now)
 	g.updateFleetSize(now)
+	g.logOutage(now)
 	if now < shareDelay {
 		return
 	}
@@ -384,14 +389,6 @@
 	}
 }
 
-// expireCrashes drops crashes that no longer count.
-func (g *Gate) expireCrashes(now time.Duration) {
-	ts := &g.traffic
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	ts.quarantine.Expire(now)
-}
-
 // shareDelay is the time after the start before which the entries of this entry's domain
 // count as unknown, because not all are known yet.
 const shareDelay = 1800 * time.Millisecond
--- a/pimentogate/crash.go
+++ b/pimentogate/crash.go
@@ -184,3 +184,11 @@
 		g.cluster.notifyPeers()
 	}
 }
+
+// expireCrashes drops crashes that no longer count.
+func (g *Gate) expireCrashes(now time.Duration) {
+	ts := &g.traffic
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.quarantine.Expire(now)
+}
--- a/pimentogate/gate.go
+++ b/pimentogate/gate.go
@@ -252,13 +252,13 @@
 
 func (g *Gate) followPlatform(ctx context.Context) {
 	f := &pimentoplatform.Follower{
-		Source:     g.source,
+		Source:     g.timedSource(),
 		Log:        g.log,
 		ShouldRead: g.decideReading,
 		At:         g.knownPoint,
 		OnUpdate:   func(u pimentofeed.Update) { g.applyUpdate(u, sourcePlatform) },
 		OnReading:  g.setReading,
-		OnFailure:  func() { g.metrics.count("pimento_platform_failures_total") },
+		OnFailure:  g.noteFailure,
 		OnCurrent:  g.noteCurrent,
 		Now:        bootTime,
 		MaxWait:    g.maxWatchWait,
--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -132,6 +132,7 @@
 		cs.confirmedBy = sourcePlatform
 		cs.extendDue(cs.lastRead + cs.answerDue)
 		cs.stateReading(cs.lastRead) // Also if it doesn't ask again.
+		cs.expireFailure(cs.lastRead, cs.members.Self().RunID)
 	}
 }
 
--- a/pimentogate/sync.go
+++ b/pimentogate/sync.go
@@ -188,9 +188,9 @@
 			changed = nil
 		}
 		if !ps.onConfirm {
-			confirmed = nil
+			confirmed = ps.gate.cluster.outageSignal()
 		}
-		wait, began := ps.interval, time.Now()
+		wait, began := ps.gate.syncInterval(ps.interval), time.Now()
 		ok := ps.syncOnce(client.Exchange)
 		ps.adapt(client.Timeout, time.Since(began))
 		if !ok {
@@ -320,11 +320,15 @@
 		confirmation:  g.statement(peerStamp),
 		backlogs:      backlogs,
 		silences:      silences,
+		failures:      cs.currentFailures(now),
 	}
 	for i := range msg.readings {
 		msg.readings[i].at -= now
 		msg.readings[i].due -= now
 	}
+	for i := range msg.failures {
+		msg.failures[i].at -= now
+	}
 	if age, known := cs.age(now); known {
 		msg.ageMillis = age.Milliseconds()
 	}
@@ -369,6 +373,10 @@
 		msg.readings[i].at += now // Their times are relative to the message.
 		msg.readings[i].due += now
 	}
+	for i := range msg.failures {
+		msg.failures[i].at += now
+	}
+	cs.mergeFailures(now, msg.failures)
 	confirms := cs.mergeReadings(msg.readings) && msg.ageMillis >= 0
 	cs.mu.Unlock()
 	if msg.update != nil {
--- a/pimentogate/syncmessage.go
+++ b/pimentogate/syncmessage.go
@@ -32,7 +32,9 @@
 	crashDigest uint64
 	crashes     []pimentoretry.Report
 	silences    []silence
-	entries     int // The size of the fleet that the sender has seen, 0 if unknown.
+	// failures are those known to the sender. Their times are relative to the message.
+	failures []failure
+	entries  int // The size of the fleet that the sender has seen, 0 if unknown.
 	// confirmation bounds the age of the sender's items. It is left out where no bound is set.
 	confirmation *pimentofeed.Statement
 	// backlogs are those of the sender's lines.
@@ -52,7 +54,7 @@
 //   repeated Crash crashes = 8; repeated fixed32 sums = 9; repeated Reading readings = 10;
 //   fixed64 crash_digest = 11; uint64 entries = 12; Eras eras = 13;
 //   Confirmation confirmation = 14; repeated Backlog backlogs = 19;
-//   repeated Silence silences = 20;
+//   repeated Silence silences = 20; repeated Failure failures = 21;
 // }
 //
 // Field 7 was used for another purpose.
@@ -96,6 +98,9 @@
 	for i := range msg.silences {
 		marshalSilence(mm.AppendMessage(20), &msg.silences[i])
 	}
+	for i := range msg.failures {
+		marshalFailure(mm.AppendMessage(21), &msg.failures[i])
+	}
 	return m.Marshal(nil)
 }
 
@@ -237,6 +242,12 @@
 				ok = unmarshalSilence(data, &s) == nil
 				msg.silences = append(msg.silences, s)
 			}
+		case 21:
+			var f failure
+			f, ok = failureField(fc)
+			if len(msg.failures) < maxFailures {
+				msg.failures = append(msg.failures, f)
+			}
 		default:
 			ok = true
 		}
--- a/pimentogate/syncmessage_test.go
+++ b/pimentogate/syncmessage_test.go
@@ -31,6 +31,7 @@
 		crashes:       []pimentoretry.Report{{Fingerprint: 8, Crash: pimentoretry.Crash{Target: "t", Count: 2, Cleared: 1}, Age: time.Second}},
 		crashDigest:   99,
 		silences:      []silence{{service: "s", length: 24, age: time.Second}},
+		failures:      []failure{{run: 9, number: 1 << 33, at: -2999 * time.Millisecond}, {run: 10, number: 1}},
 		entries:       140,
 		confirmation:  &pimentofeed.Statement{Stamp: 1 << 60, Echo: 9, Age: 1234 * time.Millisecond, Known: true},
 		backlogs:      []serviceBacklog{{"s", pimentoload.Backlog{Waiting: 2.5, Rate: 17.25}, 300 * time.Millisecond}, {service: "t"}},
@@ -62,6 +63,31 @@
 	is.True(err != nil)
 }
 
+// A message with more failures than an entry forwards keeps the first ones.
+func TestSyncMessageWithTooManyFailures(t *testing.T) {
+	is := is.New(t)
+	msg := sampleSyncMessage()
+	for i := range uint64(3 * maxFailures) {
+		msg.failures = append(msg.failures, failure{run: i, number: 1})
+	}
+	got, err := unmarshalSyncMessage(msg.marshal())
+	is.NoErr(err)
+	is.True(reflect.DeepEqual(got.failures, msg.failures[:maxFailures]))
+}
+
+// A failure can't be of the future, whatever its age says, and its age is bounded.
+func TestFailureAgeIsBounded(t *testing.T) {
+	is := is.New(t)
+	m := marshalers.Get()
+	mm := m.MessageMarshaler()
+	self := sampleSyncMessage().sender
+	marshalMember(mm.AppendMessage(1), &self)
+	mm.AppendMessage(21).AppendUint64(3, 1<<64-1)
+	got, err := unmarshalSyncMessage(m.Marshal(nil))
+	is.NoErr(err)
+	is.Equal(got.failures[0].at, -maxAgeMillis*time.Millisecond)
+}
+
 // FuzzNote decodes arbitrary bytes as a sync message. One without a sender must be
 // refused, and any other keeps its point, digest and disputes when it is encoded again.
 func FuzzNote(f *testing.F) {
@@ -89,6 +115,9 @@
 		if again.at != msg.at || again.disputeDigest != msg.disputeDigest {
 			t.Fatalf("point %v and digest %d became %v and %d", msg.at, msg.disputeDigest, again.at, again.disputeDigest)
 		}
+		if !reflect.DeepEqual(again.failures, msg.failures) {
+			t.Fatalf("failures %v became %v", msg.failures, again.failures)
+		}
 		if msg.update != nil && !reflect.DeepEqual(again.update, msg.update) {
 			t.Fatalf("update %+v became %+v", msg.update, again.update)
 		}
--- a/pimentoplatform/follow.go
+++ b/pimentoplatform/follow.go
@@ -70,8 +70,8 @@
 	// KindTooLarge isn't a failure: all items are read instead, at once if a watch has
 	// succeeded since the last time.
 	OnReading func(bool)
-	// OnFailure is called after each failure of a read.
-	OnFailure func()
+	// OnFailure is called with the error of each failure of a read.
+	OnFailure func(error)
 	// OnCurrent, if set, is called after the OnUpdate of a response that wasn't allowed to be
 	// stale: at a time of Now, the source was not past the point. Now must be set too.
 	OnCurrent func(point pimentofeed.Point, at time.Duration)
@@ -208,7 +208,7 @@
 		return retryPause(f.rereads - 2) // The last read of all items didn't help.
 	}
 	f.OnReading(false)
-	f.OnFailure()
+	f.OnFailure(err)
 	if f.failures == 0 {
 		_ = level.Warn(f.Log).Log("msg", "platform lost", "after", after, "err", err)
 	}
--- a/pimentoplatform/follow_test.go
+++ b/pimentoplatform/follow_test.go
@@ -124,7 +124,7 @@
 			At:         func() pimentofeed.Point { return pimentofeed.Point{Revision: 7} },
 			OnUpdate:   func(pimentofeed.Update) {},
 			OnReading:  func(bool) {},
-			OnFailure:  func() {},
+			OnFailure:  func(error) {},
 		}
 		done := make(chan struct{})
 		go func() {
@@ -139,6 +139,33 @@
 	})
 }
 
+// A failure is reported with its error, and an entry that decides not to read reports none.
+func TestFailureIsReportedWithItsError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		away := &Error{Op: "read", Kind: KindUnreachable}
+		var failures []error
+		f := &Follower{
+			Source:     Source{Read: func(bool) (pimentofeed.Update, error) { return pimentofeed.Update{}, away }},
+			Log:        log.NewNopLogger(),
+			ShouldRead: func() bool { return len(failures) == 0 },
+			At:         func() pimentofeed.Point { return pimentofeed.Point{} },
+			OnReading:  func(bool) {},
+			OnFailure:  func(err error) { failures = append(failures, err) },
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		is.Equal(failures, []error{away})
+	})
+}
+
 // Where it is stated when the items were current, the first read isn't a stale one, an answer
 // without changes counts as of its end, and however changes come the items are never much
 // longer unconfirmed than a watch waits.
@@ -270,7 +297,7 @@
 			f := &Follower{
 				Log:       log.NewNopLogger(),
 				OnReading: func(bool) {},
-				OnFailure: func() {},
+				OnFailure: func(error) {},
 				MaxWait:   func() time.Duration { return bound },
 			}
 			cut := &Error{Op: "watch", Kind: KindUnreachable}
