pimentogate: targets that close each connection after a load report get bound requests

A request that home regions bind was never sent to a target that closes the connection of each load report, and the target was passed over by all requests for half a second each time: the connection on which the target had named itself was gone, and no other one counted. Callers got 503.

Such a target gets the request on a connection that is opened right after it has named itself; an address isn't used again that soon. TestBoundRequestToTargetThatClosesAfterReports failed before (503 != 200) and passes.

--- a/pimentogate/identity.go
+++ b/pimentogate/identity.go
@@ -42,12 +42,9 @@
 // namedOnConn reports whether the target has named itself on the candidate's connection.
 func (cand *candidate) namedOnConn() bool { return cand.conn.Peer == string(cand.target.ID) }
 
-// errClosedAfterProbe is the error of a connection that the target closes after it has named
-// itself.
-var errClosedAfterProbe = errors.New("the target closes the connection after the probe")
-
 // nameOnConn makes a target name itself on the candidate's connection, whatever is left of the
-// probe budget. Its load report spares others a probe. After an error, the candidate has no
+// probe budget. Its load report spares others a probe. A target that closes the connection after
+// that gets another one, since it was at its address just now. After an error, the candidate has no
 // connection.
 func (g *Gate) nameOnConn(c *call, cand *candidate) error {
 	probe := &candidate{target: cand.target, conn: cand.conn}
@@ -66,11 +63,14 @@
 	ts.mu.Lock()
 	g.keepReport(ts.target(probe.target.ID), &probe.report, asked, 1)
 	ts.mu.Unlock()
-	if !probe.conn.Reusable() {
-		return errClosedAfterProbe
+	if probe.conn.Reusable() {
+		cand.conn, cand.connFrom = probe.conn, connProbed
+		return nil
 	}
-	cand.conn, cand.connFrom = probe.conn, connProbed
-	return nil
+	var err error
+	cand.conn, err = g.client.Acquire(probe.target.Address, true, c.deadline)
+	cand.connFrom = connNew
+	return err
 }
 
 // errMoved is the error of a send that wasn't made because its target isn't published any more
