pimentogate: a new configuration aims waiting calls, and costs nothing without homes

Nothing tested that calls in a line are re-aimed as soon as a configuration moves their home: without it they wait until somebody looks for a target, as the review showed by a mutation that no test noticed. TestNewConfigurationAimsWaitingCalls fails without the call and passes with it. Configurations without home regions, before and after, now skip the walk over all lines, which matches a route for each waiting call.

--- a/pimentogate/homes_test.go
+++ b/pimentogate/homes_test.go
@@ -202,3 +202,24 @@
 	is.Equal(l.asking, 1) // It looks for a target there at once, although region a has no room.
 	is.Equal(g.awaitTurn(l, w), lineTurn{})
 }
+
+// Calls that waited while a new configuration moved their home went on waiting for targets in the
+// old one until somebody looked for a target.
+func TestNewConfigurationAimsWaitingCalls(t *testing.T) {
+	is := is.New(t)
+	g, table := lineGate(t)
+	g.regionNames = []pimentoregister.RegionName{"a", "b"}
+	c := lineTestCall(table, 0, "caller")
+	l := g.lineOf(c)
+	w := g.newLineCall(c)
+	l.asking = maxAskers // It isn't its turn.
+	l.line.Arrive(g.now(), &w.Waiter)
+	g.join(l, w, false)
+	is.Equal(w.Regions, pimentoload.RegionSet(3))
+	storeHomes(g, "b")
+	moved := g.table.Load().Config
+	g.table.Store(table)
+	g.cluster.records[configKey] = pimentoroute.Record{Config: moved}
+	g.rebuildTable(table)
+	is.Equal(w.Regions, pimentoload.RegionSet(2))
+}
--- a/pimentogate/items.go
+++ b/pimentogate/items.go
@@ -169,7 +169,7 @@
 	if t.Config != nil && (old == nil || old.Config == nil || old.Config.Version != t.Config.Version) {
 		g.logChange("msg", "configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes))
 	}
-	if old != nil && old.Config != t.Config {
+	if old != nil && old.Config != t.Config && (old.HasHomes() || t.HasHomes()) {
 		g.aimLines()
 	}
 	g.limitConns(t)
