pimentogate: bound requests don't wait for a confirmation that can't come

An entry that starts while the newest configuration can't be decoded, or was removed, held each request that home regions bind for half a second and then refused it, though nothing could confirm the items in that time. It is refused at once now. TestNoWaitWhileNothingConfirms states when an answer may tell the age; the function didn't exist before.

--- a/pimentogate/homeproof.go
+++ b/pimentogate/homeproof.go
@@ -37,14 +37,24 @@
 }
 
 // awaitHomes returns what homesDoubt does. While the age of the items has never been known to
-// this start of the entry, a request waits a little for it.
+// this start of the entry, and can be, a request waits a little for it.
 func (g *Gate) awaitHomes(c *call) reason {
 	why := g.homesDoubt(c)
 	for end := time.Now().Add(proofWait); why != reasonNone && time.Now().Before(end); why = g.homesDoubt(c) {
-		if _, known := g.feedAge(); known || c.isAbandoned() {
+		if !g.awaitsAge() || c.isAbandoned() {
 			break
 		}
 		time.Sleep(proofCheckInterval)
 	}
 	return why
 }
+
+// awaitsAge reports whether the age of the items isn't known yet, and the next answer of the
+// platform or of another entry may tell it.
+func (g *Gate) awaitsAge() bool {
+	cs := g.cluster
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	_, known := cs.ageAtMost(bootTime())
+	return !known && !cs.undecoded && !cs.configRemoved
+}
--- a/pimentogate/homeproof_test.go
+++ b/pimentogate/homeproof_test.go
@@ -127,3 +127,18 @@
 		is.Equal(g.table.Load().Config.Version, pimentoroute.Version(7))
 	}
 }
+
+// Requests that home regions bind waited for half a second before they were refused, although no
+// answer could confirm the items while the newest configuration can't be decoded.
+func TestNoWaitWhileNothingConfirms(t *testing.T) {
+	is := is.New(t)
+	g := homesGate(t, 1, "r")
+	is.True(g.awaitsAge())
+	g.cluster.undecoded = true
+	is.True(!g.awaitsAge())
+	g.cluster.undecoded, g.cluster.configRemoved = false, true
+	is.True(!g.awaitsAge())
+	g.cluster.configRemoved = false
+	g.cluster.freshness.Confirm(bootTime())
+	is.True(!g.awaitsAge())
+}
