pimentogate: the margin for reading the platform follows the bound

Entries began to read the platform 0.8 s before the limit of the bounded age, whatever that is: with the shortest bound of 1 s that left 0.1 s, less than a watch takes, so that all of them would have read all the time (read in the code by the review, not run). The margin is now a part of the limit, 0.81 s of 2.7 s as before. TestEntryReadsBeforeTheBoundedAgeEnds passes with it.

--- a/pimentogate/reading.go
+++ b/pimentogate/reading.go
@@ -153,9 +153,9 @@
 	return now - cs.due
 }
 
-// boundTakeoverMargin is the time before the limit of the bounded age from which entries that
-// don't read the platform begin to. It leaves the last of them the time for an answer.
-const boundTakeoverMargin = 800 * time.Millisecond
+// takeoverPercent is the part of the limit of the bounded age from which entries that don't read
+// the platform begin to. The rest leaves the last of them the time for an answer.
+const takeoverPercent = 70
 
 // boundOverdue returns the time since the last moment at which the bounded age of the items was
 // to be confirmed so that this entry needn't do it itself, at most 0 if no bound is in force or
@@ -169,7 +169,7 @@
 	if !known {
 		return now - joinWait
 	}
-	return age - (b.Limit() - boundTakeoverMargin)
+	return age - b.Limit()*takeoverPercent/100
 }
 
 // extendDue records when an answer to an entry that reads the platform is due. If that is
