--- a/pimentolink/session_test.go
+++ b/pimentolink/session_test.go
@@ -28,6 +28,14 @@
 type slowConn struct {
 	net.Conn
 	reading sync.Mutex
+	broken  atomic.Bool // Writes fail.
+}
+
+func (c *slowConn) Write(b []byte) (int, error) {
+	if c.broken.Load() {
+		return 0, syscall.EPIPE
+	}
+	return c.Conn.Write(b)
 }
 
 func (c *slowConn) Read(b []byte) (int, error) {
@@ -72,9 +80,10 @@
 // TestEndOfSessionSpins guards against streams whose readers spin while their session is closed
 // by another goroutine than its receiver.
 func TestEndOfSessionSpins(t *testing.T) {
-	for name, end := range map[string]func(*Node, *mutedConn){
-		"closed here": func(n *Node, _ *mutedConn) { n.close() },
-		"silent peer": func(_ *Node, peer *mutedConn) { peer.muted.Store(true) },
+	for name, end := range map[string]func(*Node, *slowConn, *mutedConn){
+		"closed here": func(n *Node, _ *slowConn, _ *mutedConn) { n.close() },
+		"silent peer": func(_ *Node, _ *slowConn, peer *mutedConn) { peer.muted.Store(true) },
+		"write fails": func(_ *Node, conn *slowConn, _ *mutedConn) { conn.broken.Store(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -83,16 +92,16 @@
 			defer pool.Release()
 			n := &Node{Log: log.NewNopLogger(), Workers: pool, OnSyncMessage: func(m []byte) ([]byte, error) { return m, nil }}
 			here, there := net.Pipe()
-			peer := &mutedConn{Conn: there}
+			conn, peer := &slowConn{Conn: here}, &mutedConn{Conn: there}
 			ended := make(chan struct{})
 			go func() {
-				n.serveConn(&slowConn{Conn: here})
+				n.serveConn(conn)
 				close(ended)
 			}()
 			exchangeOnce(is, peer)
 			time.Sleep(nextRead)
 			before := processorTime(is)
-			end(n, peer)
+			end(n, conn, peer)
 			<-ended
 			time.Sleep(2 * readerDelay)
 			is.True(processorTime(is)-before < readerDelay/4) // A reader of the stream span.
