--- a/pimentogate/outage.go
+++ b/pimentogate/outage.go
@@ -135,8 +135,8 @@
 // an entry that is cut off soon takes others for down. It is called with mu held.
 func (cs *clusterState) failingEntries(now time.Duration) (failing, all int) {
 	size := cs.size.value()
-	if size == 0 {
-		return 0, 0 // This entry hasn't met the others.
+	if size < 2 {
+		return 0, 0 // This entry hasn't met others, and may be the only one that is cut off.
 	}
 	counts := make(map[pimentoregister.DomainName]int)
 	for run, f := range cs.outage.failures {
