pimentogate: a request that waits goes to the service of the newest configuration

The same cause as with home regions: the route of a request, and with it its service, was set at its arrival. An entry that learned of a change while a request waited still sent it to the old service.

The service is checked where the key and the homes are: before a choice, before a hedge and just before the write. A request none of whose sends has begun is routed once more, and served by the new service; else it gets 503 'moved', or 502 if it may have run. A removed route goes on as before. TestRequestsThatWaitGoToTheNewService failed without the check (0 of 4 at the new service, safe and unsafe) and passes twice.

--- a/pimentogate/homes.go
+++ b/pimentogate/homes.go
@@ -129,12 +129,15 @@
 )
 
 // checkRules returns why a request may not be sent to a target any more, or to none if tg is
-// nil, by what the newest configuration says of its key and its home regions. It doesn't change
-// the call, and may be called by the sends of a request at the same time.
+// nil, by what the newest configuration says of its key, its service and its home regions. It
+// doesn't change the call, and may be called by the sends of a request at the same time.
 func (g *Gate) checkRules(c *call, tg *pimentoroute.Target) reason {
 	if why := g.checkKey(c); why != reasonNone {
 		return why
 	}
+	if why := g.checkService(c); why != reasonNone {
+		return why
+	}
 	if why := g.homesDoubt(c); why != reasonNone {
 		return why
 	}
--- a/pimentogate/response.go
+++ b/pimentogate/response.go
@@ -17,7 +17,7 @@
 	reasonRoute        reason = "route"        // No route matches.
 	reasonKey          reason = "key"          // No organisation has its key.
 	reasonUnconfirmed  reason = "unconfirmed"  // Its configuration or key may not be in force.
-	reasonMoved        reason = "moved"        // Its key has another holder.
+	reasonMoved        reason = "moved"        // Its key has another holder, or its route another service.
 	reasonHome         reason = "home"         // The target is in no home region of it now; another is chosen.
 	reasonQuota        reason = "quota"        // Its organisation's quota is used up.
 	reasonInvalid      reason = "invalid"      // The request isn't valid HTTP, or is ambiguous.
--- a/pimentogate/serve.go
+++ b/pimentogate/serve.go
@@ -110,8 +110,8 @@
 	return nil
 }
 
-// handle routes a request, checks it and sends it to a target.
-func (g *Gate) handle(c *call) *response {
+// handleOnce routes a request, checks it and sends it to a target.
+func (g *Gate) handleOnce(c *call) *response {
 	if resp := g.refuseByRules(c); resp != nil {
 		return resp
 	}
