pimentogate: logs of bound sends have the bound on the age of the items

The field has the bounded age now where one is in force. homes also refer to the route and the organisation instead of copying their lists, and use what these say of regions.

--- a/pimentogate/homes.go
+++ b/pimentogate/homes.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"strings"
 	"time"
 
@@ -13,40 +12,35 @@
 )
 
 // homes are the home regions that bind a request by one configuration: those of its route and
-// of its organisation. A list that is empty binds nothing.
+// of its organisation, which are nil if it has none. A list that is empty binds nothing.
 type homes struct {
-	version             pimentoroute.Version
-	route, organisation []pimentoregister.RegionName
-}
-
-// homesBy returns the homes that bind the request by a route and an organisation, which may be
-// nil, of one configuration.
-func homesBy(version pimentoroute.Version, r *pimentoroute.Route, o *pimentoroute.Organisation) homes {
-	h := homes{version: version}
-	if r != nil {
-		h.route = r.Homes
-	}
-	if o != nil {
-		h.organisation = o.Homes
-	}
-	return h
+	version      pimentoroute.Version
+	route        *pimentoroute.Route
+	organisation *pimentoroute.Organisation
 }
 
 // bind reports whether there is a region that may not serve the request.
-func (h *homes) bind() bool { return len(h.route) > 0 || len(h.organisation) > 0 }
+func (h *homes) bind() bool {
+	return (h.route != nil && len(h.route.Homes) > 0) || (h.organisation != nil && len(h.organisation.Homes) > 0)
+}
 
 // allows reports whether a region may serve the request.
 func (h *homes) allows(region pimentoregister.RegionName) bool {
-	return isHome(h.route, region) && isHome(h.organisation, region)
-}
-
-func isHome(list []pimentoregister.RegionName, region pimentoregister.RegionName) bool {
-	return len(list) == 0 || slices.Contains(list, region)
+	return (h.route == nil || h.route.Allows(region)) && (h.organisation == nil || h.organisation.Allows(region))
 }
 
 // String returns the homes as logs have them: those of the route, then those of the
 // organisation.
-func (h *homes) String() string { return regionList(h.route) + ";" + regionList(h.organisation) }
+func (h *homes) String() string {
+	var route, organisation []pimentoregister.RegionName
+	if h.route != nil {
+		route = h.route.Homes
+	}
+	if h.organisation != nil {
+		organisation = h.organisation.Homes
+	}
+	return regionList(route) + ";" + regionList(organisation)
+}
 
 func regionList(list []pimentoregister.RegionName) string {
 	var texts []string
@@ -58,7 +52,7 @@
 
 // arrivalHomes returns the homes that bound the request when it arrived.
 func (c *call) arrivalHomes() homes {
-	return homesBy(c.table.Config.Version, c.route, c.organisation)
+	return homes{c.table.Config.Version, c.route, c.organisation}
 }
 
 // newestHomes returns the homes that bind the request by the newest configuration that this
@@ -77,14 +71,16 @@
 	if c.hasKey {
 		organisation = cmp.Or(t.Organisation(c.key), organisation)
 	}
-	return homesBy(t.Config.Version, route, organisation)
+	return homes{t.Config.Version, route, organisation}
 }
 
 // homesTrace is what is known about a send that home regions bind, at the moment before it is
 // written.
 type homesTrace struct {
-	decided, newest homes         // By which the target was chosen, and by the newest configuration.
-	itemsAge        time.Duration // The age of the published items, unconfirmedAge if that isn't known.
+	decided, newest homes // By which the target was chosen, and by the newest configuration.
+	// itemsAge is the age of the published items, at most where it is bounded, and unconfirmedAge
+	// if that isn't known.
+	itemsAge time.Duration
 }
 
 // traceHomes records what the homes of a send were decided by, and reports sends that the
@@ -95,6 +91,9 @@
 		return
 	}
 	t.itemsAge = g.itemsAge()
+	if age, known := g.feedAge(); known && g.homeBound.InForce() {
+		t.itemsAge = age
+	}
 	s.homes = t
 	g.metrics.count("pimento_home_sends_total")
 	tg := s.candidate.target
