--- a/pimentogate/doc.go
+++ b/pimentogate/doc.go
@@ -15,6 +15,10 @@
 send the request again. Each verdict needs proof: the target's signature, bytes of the request
 that were read, or a configuration that is known to be in force (see proof.go).
 
+A request that home regions bind goes by the newest configuration that the entry knows, at
+each decision until it is written (see homes.go), and only while that configuration is known
+to be recent enough (see homeproof.go).
+
 The platform's header names and data formats come in through a Dialect and a
 Decode function.
 
