--- a/pimentogate/outage.go
+++ b/pimentogate/outage.go
@@ -11,14 +11,12 @@
 	"pimentoarch/pimentoregister"
 )
 
-/*
-Whether the platform is away for all entries, or only for this one and a few others, can't be
-seen from here alone. So each entry states when the platform has failed to answer it, and the
-statements are forwarded like readings. The platform is away for all if most of the fleet say
-that it failed them, and an answer to any reader is so long overdue that one would have been
-heard of. Membership is no evidence: entries of other domains still count as members long after
-the links to them were cut. Statements soon expire instead.
-*/
+// Whether the platform is away for all entries, or only for this one and a few others, can't be
+// seen from here alone. So each entry states when the platform has failed to answer it, and the
+// statements are forwarded like readings. The platform is away for all if most of the fleet say
+// that it failed them, and an answer to any reader is so long overdue that one would have been
+// heard of. Membership is no evidence: entries of other domains still count as members long after
+// the links to them were cut. Statements soon expire instead.
 
 const (
 	// failureTTL is the time for which a failure counts. An entry that is cut off from the
