pimentogate, docs: a name that stood for two things

errMoved, of a send whose target has left or moved, read as if it belonged to reasonMoved, which is about keys and services; it is errTargetMoved now.

--- a/pimentogate/identity.go
+++ b/pimentogate/identity.go
@@ -73,9 +73,9 @@
 	return err
 }
 
-// errMoved is the error of a send that wasn't made because its target isn't published any more
+// errTargetMoved is the error of a send that wasn't made because its target isn't published any more
 // as it was chosen.
-var errMoved = errors.New("the target is out of service, or published at another place")
+var errTargetMoved = errors.New("the target is out of service, or published at another place")
 
 // staysInPlace reports whether a target that was chosen for a request may get it where the
 // target is published now. For requests that no home regions bind, that isn't checked.
--- a/pimentogate/send.go
+++ b/pimentogate/send.go
@@ -296,7 +296,7 @@
 		return
 	}
 	if !g.staysInPlace(c, s.candidate.target) {
-		s.err, s.outcome = errMoved, outcomeUnsent
+		s.err, s.outcome = errTargetMoved, outcomeUnsent
 		s.candidate.release()
 		return
 	}
